--- /dev/null
+++ b/hickoryloom/commands/__init__.py
@@ -0,0 +1,66 @@
+"""The verbs of the command line, one module each."""
+
+from __future__ import annotations
+
+import argparse
+import importlib
+import sys
+
+from hickoryloom.commands.registry import COMMANDS
+from hickoryloom.exceptions import HickoryloomError
+
+__all__ = ["build_parser", "run"]
+
+EXIT_INTERRUPTED = 130
+VERBS = (
+    "version",
+    "entry",
+    "control",
+    "publish",
+    "check",
+    "status",
+    "keys",
+    "demo",
+    "standin",
+    "bench",
+    "explain",
+)
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Build the parser of all registered verbs."""
+    for verb in VERBS:
+        importlib.import_module(f"hickoryloom.commands.{verb}")
+    parser = argparse.ArgumentParser(
+        prog="hickoryloom",
+        description="A router for language-model traffic with service levels and priorities.",
+    )
+    verbs = parser.add_subparsers(dest="verb", required=True, metavar="VERB")
+    for verb in VERBS:
+        command = COMMANDS[verb]
+        sub = verbs.add_parser(
+            verb,
+            help=command.help,
+            description=command.help,
+            epilog=f"Example: {command.example}",
+        )
+        command.add_arguments(sub)
+        sub.set_defaults(run=command.run)
+    return parser
+
+
+def run(arguments: list[str]) -> int:
+    """Parse `arguments`, run the verb and return the exit code."""
+    options = build_parser().parse_args(arguments)
+    try:
+        return int(options.run(options) or 0)
+    except HickoryloomError as error:
+        print(f"hickoryloom {options.verb}: {error}", file=sys.stderr)
+        return error.exit_code
+    except BrokenPipeError:
+        return 1
+    except KeyboardInterrupt:
+        return EXIT_INTERRUPTED
+    except OSError as error:
+        print(f"hickoryloom {options.verb}: {error}", file=sys.stderr)
+        return 1
--- /dev/null
+++ b/hickoryloom/commands/entry.py
@@ -0,0 +1,14 @@
+"""`hickoryloom entry`."""
+
+from __future__ import annotations
+
+import argparse
+
+from hickoryloom.commands.registry import command
+from hickoryloom.exceptions import UnavailableError
+
+
+@command("entry", "Not built yet.", "hickoryloom entry")
+def run(options: argparse.Namespace) -> None:
+    """Fail until the verb is built."""
+    raise UnavailableError("not built yet")
--- /dev/null
+++ b/hickoryloom/commands/version.py
@@ -0,0 +1,14 @@
+"""`hickoryloom version`."""
+
+from __future__ import annotations
+
+import argparse
+
+from hickoryloom import __version__
+from hickoryloom.commands.registry import command
+
+
+@command("version", "Print the version.", "hickoryloom version")
+def run(options: argparse.Namespace) -> None:
+    """Print the version."""
+    print(__version__)
--- /dev/null
+++ b/hickoryloom/http/server.py
@@ -0,0 +1,123 @@
+"""A falcon application on gevent's server, with a stop that cuts no request."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import gevent
+from gevent.pywsgi import WSGIHandler, WSGIServer
+
+__all__ = ["Server"]
+
+CLOSE_POLL_S = 0.02
+
+WsgiApp = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
+
+
+class Server:
+    """Serves one WSGI application on one address.
+
+    Args:
+        app: The WSGI application.
+        address: `host:port`; port 0 takes a free one.
+    """
+
+    def __init__(self, app: WsgiApp, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        self._app = app
+        self._active = 0
+        self._stopping = False
+        self._server = WSGIServer(
+            (host, int(port)), self._handle, handler_class=_Handler, log=None, error_log=None
+        )
+
+    @property
+    def address(self) -> str:
+        """`host:port` that it listens on."""
+        return f"{self._server.server_host}:{self._server.server_port}"
+
+    @property
+    def active(self) -> int:
+        """Requests being served."""
+        return self._active
+
+    def start(self) -> None:
+        """Begin to accept connections.
+
+        Raises:
+            OSError: The address can't be bound.
+        """
+        self._server.start()
+
+    def stop_accepting(self) -> None:
+        """Close the listening socket and ask callers to close kept connections."""
+        self._stopping = True
+        self._server.stop_accepting()
+
+    def wait_idle(self, timeout_s: float | None = None) -> bool:
+        """Wait until no request is being served; return whether that came about in time."""
+        with gevent.Timeout(timeout_s, False):
+            while self._active:
+                gevent.sleep(CLOSE_POLL_S)
+        return self._active == 0
+
+    def close(self) -> None:
+        """Close the listening socket and every connection."""
+        self._server.stop(timeout=0)
+
+    def _handle(self, environ: dict[str, Any], start_response: Callable[..., Any]) -> Any:
+        self._active += 1
+        try:
+            answer = self._app(environ, self._start_response(start_response))
+        except BaseException:
+            self._active -= 1
+            raise
+        return _Counted(answer, self._finish)
+
+    def _start_response(self, start_response: Callable[..., Any]) -> Callable[..., Any]:
+        def start(status: str, headers: list[tuple[str, str]], *rest: Any) -> Any:
+            if self._stopping:
+                headers = [*headers, ("Connection", "close")]
+            return start_response(status, headers, *rest)
+
+        return start
+
+    def _finish(self) -> None:
+        self._active -= 1
+
+
+class _Handler(WSGIHandler):
+    """Writes no access log; a broken connection is no news."""
+
+    def log_request(self) -> None:
+        """Write nothing: each slice logs its own events."""
+
+    def handle_error(self, type_: Any, value: Any, tb: Any) -> None:
+        """Drop errors of callers that left; report others as pywsgi does."""
+        if isinstance(value, OSError):
+            self.close_connection = True
+            return
+        super().handle_error(type_, value, tb)
+
+
+class _Counted:
+    """A WSGI answer that calls back once it has been sent or given up."""
+
+    def __init__(self, answer: Iterable[bytes], finish: Callable[[], None]) -> None:
+        self._answer = answer
+        self._finish: Callable[[], None] | None = finish
+
+    def __iter__(self) -> Any:
+        return iter(self._answer)
+
+    def close(self) -> None:
+        """Close the wrapped answer and report the end once."""
+        try:
+            close = getattr(self._answer, "close", None)
+            if close is not None:
+                close()
+        finally:
+            if self._finish is not None:
+                finish, self._finish = self._finish, None
+                finish()
--- /dev/null
+++ b/hickoryloom/routing/messages.py
@@ -0,0 +1,58 @@
+"""Messages of routing: what is known of backend servers, and a choice among them."""
+
+from __future__ import annotations
+
+import attrs
+
+__all__ = ["BackendView", "Choice", "LoadReport"]
+
+
+@attrs.frozen
+class LoadReport:
+    """A backend server's own word on its load, already old when it arrives.
+
+    Attributes:
+        running: Requests in its batch.
+        waiting: Requests in its queue.
+        kv_free: Free part of its KV cache, between 0 and 1.
+        measured: Monotonic time of this process at which the report was received less the
+            age that the report states, in seconds.
+    """
+
+    running: int
+    waiting: int
+    kv_free: float
+    measured: float
+
+
+@attrs.frozen
+class BackendView:
+    """What an entry knows of one backend server.
+
+    Attributes:
+        id: Unique id.
+        address: `host:port`.
+        failure_domain: Where it runs.
+        pool: Pool that it belongs to.
+        cheap: Whether the platform may reclaim it.
+        slots: Requests that it runs side by side.
+        leaving: Whether it must get no new work.
+        fences: Whether it refuses orders with an old fencing number.
+    """
+
+    id: str
+    address: str
+    failure_domain: str
+    pool: str
+    cheap: bool = False
+    slots: int = 8
+    leaving: bool = False
+    fences: bool = True
+
+
+@attrs.frozen
+class Choice:
+    """The backend server for one attempt, and why."""
+
+    backend: BackendView
+    reason: str
--- /dev/null
+++ b/tests/harness.py
@@ -0,0 +1,179 @@
+"""Real processes and breakable links for failure tests."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import gevent
+from gevent import socket
+from gevent.server import StreamServer
+
+READY_TIMEOUT_S = 20.0
+POLL_S = 0.02
+
+
+def wait_until(condition: Callable[[], Any], timeout_s: float = 10.0, what: str = "") -> Any:
+    """Wait for a truthy value and return it; fail the test when it does not come."""
+    end = time.monotonic() + timeout_s
+    while time.monotonic() < end:
+        found = condition()
+        if found:
+            return found
+        gevent.sleep(POLL_S)
+    raise AssertionError(f"did not come about in {timeout_s} s: {what or condition}")
+
+
+class Process:
+    """One `hickoryloom` process that a test may kill, freeze and wake."""
+
+    def __init__(self, directory: Path, name: str, arguments: list[str]) -> None:
+        self.name = name
+        self.ready_file = directory / f"{name}.ready.json"
+        self.log_file = directory / f"{name}.log"
+        self.ready_file.unlink(missing_ok=True)
+        with self.log_file.open("ab") as log:
+            self._process = subprocess.Popen(
+                [sys.executable, "-m", "hickoryloom", *arguments],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                cwd=Path(__file__).resolve().parent.parent,
+                env={**os.environ, "PYTHONUNBUFFERED": "1"},
+            )
+
+    @property
+    def pid(self) -> int:
+        return self._process.pid
+
+    @property
+    def exit_code(self) -> int | None:
+        return self._process.poll()
+
+    def wait_ready(self) -> dict[str, Any]:
+        """Wait for the ready file and return the addresses in it."""
+
+        def read() -> dict[str, Any] | None:
+            assert self.exit_code is None, f"{self.name} ended: {self.log()}"
+            try:
+                return json.loads(self.ready_file.read_text())
+            except (OSError, ValueError):
+                return None
+
+        return wait_until(read, READY_TIMEOUT_S, f"{self.name} ready: {self.log()}")
+
+    def log(self) -> str:
+        return self.log_file.read_text(errors="replace")
+
+    def signal(self, number: int) -> None:
+        self._process.send_signal(number)
+
+    def freeze(self) -> None:
+        self.signal(signal.SIGSTOP)
+
+    def wake(self) -> None:
+        self.signal(signal.SIGCONT)
+
+    def kill(self) -> None:
+        """End the process at once, frozen or not."""
+        if self.exit_code is None:
+            self._process.kill()
+        self._process.wait()
+
+    def terminate(self, timeout_s: float = 20.0) -> int:
+        """Ask for a planned stop and return the exit code."""
+        self.signal(signal.SIGTERM)
+        return (
+            wait_until(
+                lambda: self.exit_code is not None and (self.exit_code + 1000), timeout_s, self.name
+            )
+            - 1000
+        )
+
+
+class Link:
+    """A breakable TCP link to `target`: cut, silent or slow, for old and new connections."""
+
+    def __init__(self, target: str) -> None:
+        host, _, port = target.rpartition(":")
+        self._target = (host, int(port))
+        self._pairs: list[tuple[Any, Any]] = []
+        self.refusing = False
+        self.silent = False
+        self.delay_s = 0.0
+        self._server = StreamServer(("127.0.0.1", 0), self._serve)
+        self._server.start()
+
+    @property
+    def address(self) -> str:
+        return f"127.0.0.1:{self._server.server_port}"
+
+    def cut(self) -> None:
+        """Break all connections and refuse new ones until `restore`."""
+        self.refusing = True
+        for pair in self._pairs:
+            for end in pair:
+                _shut(end)
+
+    def mute_open_connections(self) -> None:
+        """Let all open connections go silent for good, while new ones work."""
+        for pair in self._pairs:
+            self._muted.add(id(pair))
+
+    def restore(self) -> None:
+        self.refusing = False
+        self.silent = False
+
+    def close(self) -> None:
+        self.cut()
+        self._server.stop(timeout=0)
+
+    @property
+    def _muted(self) -> set[int]:
+        return self.__dict__.setdefault("_muted_pairs", set())
+
+    def _serve(self, client: Any, _address: Any) -> None:
+        if self.refusing:
+            return
+        try:
+            server = socket.create_connection(self._target, timeout=5)
+        except OSError:
+            return
+        server.settimeout(None)
+        pair = (client, server)
+        self._pairs.append(pair)
+        tasks = [
+            gevent.spawn(self._pump, client, server, pair),
+            gevent.spawn(self._pump, server, client, pair),
+        ]
+        gevent.joinall(tasks)
+        for end in pair:
+            _shut(end)
+        self._pairs.remove(pair)
+
+    def _pump(self, source: Any, sink: Any, pair: Any) -> None:
+        try:
+            while data := source.recv(65536):
+                if self.delay_s:
+                    gevent.sleep(self.delay_s)
+                while self.silent or id(pair) in self._muted:
+                    gevent.sleep(POLL_S)
+                sink.sendall(data)
+            sink.shutdown(socket.SHUT_WR)
+        except OSError:
+            pass
+
+
+def _shut(end: Any) -> None:
+    try:
+        end.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        pass
+    end.close()
