Add stand-ins of the platform, a model engine and a plain service

All three serve over HTTP as docs/developer-guide/contracts.md says, with fault switches, and run as 'hickoryloom standin platform|engine|service' or in process by build_platform, build_engine and build_service.

--- a/hickoryloom/commands/standin.py
+++ b/hickoryloom/commands/standin.py
@@ -1,14 +1,131 @@
-"""`hickoryloom standin`."""
+"""`hickoryloom standin`: one stand-in of an outside system as a process."""
 
 from __future__ import annotations
 
 import argparse
+import json
+import signal
+from pathlib import Path
+from typing import Any
+
+from gevent import signal_handler
+from gevent.event import Event
 
 from hickoryloom.commands.registry import command
-from hickoryloom.exceptions import UnavailableError
+from hickoryloom.standins import (
+    StandIn,
+    build_engine,
+    build_platform,
+    build_service,
+    register_backend,
+)
+
+EXAMPLE = (
+    "hickoryloom standin engine --model assistant --platform 127.0.0.1:7000 "
+    "--pool assistants --failure-domain huta-a"
+)
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Declare one set of options for each kind."""
+    kinds = parser.add_subparsers(dest="kind", required=True, metavar="KIND")
+    platform = kinds.add_parser("platform", help="objects, ordering, live list, usage, weights")
+    _add_common(platform)
+    engine = kinds.add_parser("engine", help="a model engine")
+    _add_common(engine)
+    _add_backend(engine)
+    engine.add_argument("--model", default="assistant", help="model that it serves (%(default)s)")
+    engine.add_argument("--slots", type=int, default=8, help="batch slots (%(default)s)")
+    engine.add_argument(
+        "--token-ms", type=float, default=20.0, help="ms between tokens (%(default)s)"
+    )
+    engine.add_argument(
+        "--prefill-us", type=float, default=100.0, help="us per prompt token (%(default)s)"
+    )
+    engine.add_argument(
+        "--cached-prefixes", type=int, default=64, help="prefixes in cache (%(default)s)"
+    )
+    engine.add_argument(
+        "--ignore-fencing", action="store_true", help="take orders with an old fencing number"
+    )
+    service = kinds.add_parser("service", help="a plain service that counts its runs")
+    _add_common(service)
+    _add_backend(service)
+
 
+def _add_common(parser: argparse.ArgumentParser) -> None:
+    parser.epilog = f"Example: {EXAMPLE}"
+    parser.add_argument(
+        "--listen", default="127.0.0.1:0", metavar="HOST:PORT", help="address (%(default)s)"
+    )
+    parser.add_argument("--ready-file", default="", help="file to write the address to, as JSON")
 
-@command("standin", "Not built yet.", "hickoryloom standin")
+
+def _add_backend(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("--platform", default="", metavar="HOST:PORT", help="platform to join")
+    parser.add_argument("--id", default="", help="id in the live list (pool and port)")
+    parser.add_argument("--pool", default="", help="pool that it belongs to")
+    parser.add_argument("--failure-domain", default="local", help="where it runs (%(default)s)")
+    parser.add_argument("--cheap", action="store_true", help="may be reclaimed")
+    parser.add_argument("--spare", action="store_true", help="wait for an order")
+    parser.add_argument("--credential", default="", help="token that callers must show")
+
+
+@command("standin", "Run a stand-in of the platform or a backend server.", EXAMPLE, add_arguments)
 def run(options: argparse.Namespace) -> None:
-    """Fail until the verb is built."""
-    raise UnavailableError("not built yet")
+    """Serve until SIGTERM or SIGINT."""
+    standin = BUILDERS[options.kind](options)
+    stopped = Event()
+    signal_handler(signal.SIGTERM, stopped.set)
+    signal_handler(signal.SIGINT, stopped.set)
+    standin.start()
+    if getattr(options, "platform", ""):
+        register_backend(options.platform, _row(options, standin.address), options.spare)
+    _announce(options.ready_file, standin.address)
+    stopped.wait()
+    standin.stop()
+
+
+def _build_platform(options: argparse.Namespace) -> StandIn:
+    return build_platform(options.listen)
+
+
+def _build_engine(options: argparse.Namespace) -> StandIn:
+    return build_engine(
+        options.listen,
+        model=options.model,
+        slots=options.slots,
+        cached_prefixes=options.cached_prefixes,
+        credential=options.credential,
+        token_ms=options.token_ms,
+        prefill_us=options.prefill_us,
+        fencing=not options.ignore_fencing,
+    )
+
+
+def _build_service(options: argparse.Namespace) -> StandIn:
+    return build_service(options.listen, credential=options.credential)
+
+
+BUILDERS = {"platform": _build_platform, "engine": _build_engine, "service": _build_service}
+
+
+def _row(options: argparse.Namespace, address: str) -> dict[str, Any]:
+    pool = options.pool or options.kind
+    return {
+        "id": options.id or f"{pool}-{address.rpartition(':')[2]}",
+        "address": address,
+        "failure_domain": options.failure_domain,
+        "pool": pool,
+        "cheap": options.cheap,
+        "state": "live",
+    }
+
+
+def _announce(ready_file: str, address: str) -> None:
+    ready = json.dumps({"address": address})
+    print(ready, flush=True)
+    if ready_file:
+        partial = Path(f"{ready_file}.partial")
+        partial.write_text(ready)
+        partial.rename(ready_file)
