--- a/hickoryloom/platform/messages.py
+++ b/hickoryloom/platform/messages.py
@@ -48,17 +48,23 @@
         applied: Whether the platform applied the change; `NOT_APPLIED` for reads.
         detail: A sentence for the log.
         retry_after_s: Seconds to wait before another call, 0 when not told.
+        version: Version that the object has, told with a conflict; 0 for absent.
     """
 
     kind: ErrorKind
     applied: Applied
     detail: str = ""
     retry_after_s: float = 0.0
+    version: int = 0
 
 
 @attrs.frozen
 class Versioned(Generic[T]):
-    """A stored value with its version, which counts up from 1 with each change."""
+    """A stored value with its version.
+
+    The version counts up from 1 with each change and is never used again for the key, also not
+    after a deletion.
+    """
 
     key: str
     version: int
--- a/hickoryloom/standins/platform.py
+++ b/hickoryloom/standins/platform.py
@@ -384,7 +384,7 @@
     app.add_route("/orders", _Orders(platform))
     app.add_route("/releases", _Releases(platform))
     app.add_route("/usage", _Usage(platform))
-    app.add_route("/weights/{model}", _Weights(platform))
+    app.add_route("/weights/{model:path}", _Weights(platform))
     app.add_route("/standin/faults", _Faults(platform))
     app.add_route("/standin/backends", _Backends(platform))
     app.add_route("/standin/journal", _Journal(platform))
