--- /dev/null
+++ b/hickoryloom/entry/intake.py
@@ -0,0 +1,115 @@
+"""Reads a caller's call from the WSGI environment, within bounds."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import gevent
+from gevent.socket import wait_read
+from result import Err, Ok, Result
+
+from hickoryloom.entry.messages import CallerError
+from hickoryloom.http import SOCKET_KEY, Call
+
+__all__ = ["CallerWatch", "read_call"]
+
+MAX_BODY_BYTES = 4 * 1024 * 1024
+MAX_QUERY_CHARACTERS = 8 * 1024
+BODY_TIMEOUT_S = 15.0
+READ_CHUNK_BYTES = 64 * 1024
+MSG_PEEK = 2
+HEADER_PREFIX = "HTTP_"
+
+
+def read_call(environ: dict[str, Any]) -> Result[Call, CallerError]:
+    """Read one call with its whole body.
+
+    Args:
+        environ: WSGI environment of gevent's server.
+
+    Returns:
+        The call, or a 4xx for a body that is too large, too slow or cut short.
+    """
+    length = environ.get("CONTENT_LENGTH") or "0"
+    if not length.isdigit():
+        return Err(CallerError(400, "bad-length", "Content-Length must be a whole number."))
+    if int(length) > MAX_BODY_BYTES:
+        return Err(_too_large())
+    if len(environ.get("QUERY_STRING", "")) > MAX_QUERY_CHARACTERS:
+        return Err(CallerError(414, "query-too-long", "The query string is too long."))
+    body = _read_body(environ)
+    if isinstance(body, Err):
+        return body
+    if "HTTP_TRANSFER_ENCODING" not in environ and len(body.ok_value) < int(length):
+        return Err(CallerError(400, "body-cut-short", "The body is shorter than announced."))
+    return Ok(
+        Call(
+            method=environ["REQUEST_METHOD"].upper(),
+            path=environ["PATH_INFO"].encode("latin-1").decode("utf-8", "replace"),
+            query=environ.get("QUERY_STRING", ""),
+            headers=_read_headers(environ),
+            body=body.ok_value,
+        )
+    )
+
+
+def _read_body(environ: dict[str, Any]) -> Result[bytes, CallerError]:
+    chunks: list[bytes] = []
+    size = 0
+    source = environ["wsgi.input"]
+    try:
+        with gevent.Timeout(BODY_TIMEOUT_S):
+            while chunk := source.read(READ_CHUNK_BYTES):
+                size += len(chunk)
+                if size > MAX_BODY_BYTES:
+                    return Err(_too_large())
+                chunks.append(chunk)
+    except gevent.Timeout:
+        return Err(CallerError(408, "body-too-slow", "The body took too long to arrive."))
+    except (OSError, ValueError):
+        return Err(CallerError(400, "body-cut-short", "The body could not be read."))
+    return Ok(b"".join(chunks))
+
+
+def _too_large() -> CallerError:
+    limit = f"{MAX_BODY_BYTES // (1024 * 1024)} MiB"
+    return CallerError(413, "body-too-large", f"The body may have {limit} at most.")
+
+
+def _read_headers(environ: dict[str, Any]) -> tuple[tuple[str, str], ...]:
+    headers = [
+        (name[len(HEADER_PREFIX) :].replace("_", "-").lower(), value)
+        for name, value in environ.items()
+        if name.startswith(HEADER_PREFIX)
+    ]
+    if environ.get("CONTENT_TYPE"):
+        headers.append(("content-type", environ["CONTENT_TYPE"]))
+    return tuple(headers)
+
+
+class CallerWatch:
+    """Calls back once when the caller closes its connection before the answer has ended.
+
+    Args:
+        environ: WSGI environment of gevent's server.
+        left: Called from another greenlet.
+    """
+
+    def __init__(self, environ: dict[str, Any], left: Any) -> None:
+        self._left = left
+        socket = environ.get(SOCKET_KEY)
+        self._task = None if socket is None else gevent.spawn(self._watch, socket)
+
+    def stop(self) -> None:
+        """Stop watching."""
+        if self._task is not None:
+            self._task.kill(block=False)
+
+    def _watch(self, socket: Any) -> None:
+        try:
+            wait_read(socket.fileno())
+            closed = not socket.recv(1, MSG_PEEK)
+        except OSError:
+            closed = True
+        if closed:
+            self._left()
--- /dev/null
+++ b/hickoryloom/entry/messages.py
@@ -0,0 +1,45 @@
+"""Messages of the entry: faults in a caller's request."""
+
+from __future__ import annotations
+
+import attrs
+
+from hickoryloom.verdict import Verdict
+
+__all__ = ["CallerError", "ErrorAnswer"]
+
+
+@attrs.frozen
+class CallerError:
+    """A request that cannot be served as it was sent.
+
+    Attributes:
+        status: HTTP status, 4xx.
+        code: Machine-readable name of the fault.
+        message: A sentence for the caller.
+    """
+
+    status: int
+    code: str
+    message: str
+
+
+@attrs.frozen
+class ErrorAnswer:
+    """An answer that refuses a request.
+
+    Attributes:
+        status: HTTP status.
+        code: Machine-readable reason.
+        message: A sentence for the caller.
+        verdict: Whether a backend server may have run the request.
+        request_id: Id of the request.
+        retry_after_s: Seconds after which another try is worth while; 0 for never.
+    """
+
+    status: int
+    code: str
+    message: str
+    verdict: Verdict
+    request_id: str
+    retry_after_s: float = 0.0
--- a/hickoryloom/http/server.py
+++ b/hickoryloom/http/server.py
@@ -8,9 +8,12 @@
 import gevent
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
-__all__ = ["Server"]
+__all__ = ["SOCKET_KEY", "Server"]
 
 CLOSE_POLL_S = 0.02
+IO_TIMEOUT_S = 60.0
+MAX_CONNECTIONS = 8192
+SOCKET_KEY = "hickoryloom.socket"
 
 WsgiApp = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
 
@@ -29,7 +32,12 @@
         self._active = 0
         self._stopping = False
         self._server = WSGIServer(
-            (host, int(port)), self._handle, handler_class=_Handler, log=None, error_log=None
+            (host, int(port)),
+            self._handle,
+            handler_class=_Handler,
+            log=None,
+            error_log=None,
+            spawn=MAX_CONNECTIONS,
         )
 
     @property
@@ -88,7 +96,18 @@
 
 
 class _Handler(WSGIHandler):
-    """Writes no access log; a broken connection is no news."""
+    """Bounds slow callers, writes no access log and drops errors of broken connections."""
+
+    def handle(self) -> None:
+        """Serve one connection; a read or write that stalls for `IO_TIMEOUT_S` ends it."""
+        self.socket.settimeout(IO_TIMEOUT_S)
+        super().handle()
+
+    def get_environ(self) -> dict[str, Any]:
+        """Add the connection's socket, so that an application can tell when its caller left."""
+        environ: dict[str, Any] = super().get_environ()
+        environ[SOCKET_KEY] = self.socket
+        return environ
 
     def log_request(self) -> None:
         """Write nothing: each slice logs its own events."""
