--- a/hickoryloom/entry/messages.py
+++ b/hickoryloom/entry/messages.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 import attrs
 
 from hickoryloom.verdict import Verdict
 
-__all__ = ["CallerError", "ErrorAnswer"]
+__all__ = ["CallerError", "ErrorAnswer", "Reply"]
 
 
 @attrs.frozen
@@ -43,3 +45,18 @@
     verdict: Verdict
     request_id: str
     retry_after_s: float = 0.0
+
+
+@attrs.frozen
+class Reply:
+    """What is sent back to a caller.
+
+    Attributes:
+        status: HTTP status.
+        headers: Names and values, in order.
+        body: Pieces of the body; has a `close` method where something must be given back.
+    """
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: Iterable[bytes]
