Add the router, the directory of backend servers and the relay in a first working version

Router: least expected wait over four samples, ejection with one probe at a time, slow start, retry budget. Directory: list, configuration, engines' and peers' words on leaving, stickily. Relay: whole answers by position over several attempts, verdicts by what was written, kept connections only after a whole and right response, silent connections probed over new ones. It sends requests itself on geventhttpclient's parser, since that library's client repeats idempotent methods after a broken connection without being asked.

Contract changes, additive: Router.finished takes an AttemptOutcome, Router.first_token and may_retry are new; Relay.cancel(request_id, reason) ends a request that is still being opened; Answer.failure tells why an answer is not whole.

--- /dev/null
+++ b/hickoryloom/relay/task.py
@@ -0,0 +1,95 @@
+"""The relay: opens answers, and owns the connections to backend servers."""
+
+from __future__ import annotations
+
+from result import Err, Result
+
+from hickoryloom.admission import Admitted, RefusalReason, Refused, Request
+from hickoryloom.clock import Clock
+from hickoryloom.http import Call
+from hickoryloom.relay.answer import Answer
+from hickoryloom.relay.assembly import AnswerAssembly
+from hickoryloom.relay.attempt import Attempt
+from hickoryloom.relay.attempts import Attempts, RelayParts
+from hickoryloom.relay.connections import Connections
+from hickoryloom.relay.engine import EngineControl
+from hickoryloom.relay.headers import answer_headers
+from hickoryloom.relay.stream import StreamAnswer
+from hickoryloom.relay.watchdog import Watchdog
+from hickoryloom.relay.whole import WholeAnswer
+from hickoryloom.routing import Router
+
+__all__ = ["Relay"]
+
+EVENT_STREAM = "text/event-stream"
+
+
+class Relay:
+    """Passes calls to backend servers and their answers back.
+
+    Args:
+        router: Chooses backend servers.
+        clock: Source of time.
+        credential: The token that entries show to backend servers.
+    """
+
+    def __init__(self, router: Router, clock: Clock, credential: str = "") -> None:
+        self._router = router
+        self._clock = clock
+        self._connections = Connections(clock)
+        engine = EngineControl(credential)
+        self._parts = RelayParts(router, clock, self._connections, engine, credential)
+        self._watchdog = Watchdog(self._parts)
+
+    @property
+    def open_requests(self) -> int:
+        """Requests that have not ended."""
+        return len(self._parts.open)
+
+    @property
+    def connections(self) -> Connections:
+        """Connections to backend servers, for counts."""
+        return self._connections
+
+    def open(self, admitted: Admitted, call: Call) -> Result[Answer, Refused]:
+        """Pass a call to a backend server and wait for the first bytes of its answer.
+
+        Args:
+            admitted: Leave to start the request.
+            call: The call, without the caller's key.
+
+        Returns:
+            The answer, which must be closed in the end, or a refusal with a true verdict.
+        """
+        self._watchdog.start()
+        request = admitted.request
+        attempts = Attempts(self._parts, request, call)
+        begun = attempts.begin(call.body)
+        if isinstance(begun, Err):
+            attempts.close()
+            return begun
+        answer = self._build_answer(attempts, begun.ok_value, request, call)
+        return answer.read_first().map(lambda _: answer)
+
+    def cancel(self, request_id: str, reason: RefusalReason) -> None:
+        """End a request at once, also while `open` waits for its first bytes."""
+        attempts = self._parts.open.get(request_id)
+        if attempts is not None:
+            attempts.cancel(reason)
+
+    def stop(self) -> None:
+        """Close idle connections and stop looking after requests."""
+        self._watchdog.stop()
+        self._connections.close_idle()
+
+    def _build_answer(
+        self, attempts: Attempts, attempt: Attempt, request: Request, call: Call
+    ) -> StreamAnswer | WholeAnswer:
+        exchange = attempt.exchange
+        assert exchange is not None
+        streams = exchange.header("content-type").startswith(EVENT_STREAM)
+        if not (attempts.for_engine and exchange.status == 200 and streams):
+            return WholeAnswer(attempts, request, call, self._clock)
+        headers = answer_headers(exchange.headers)
+        assembly = AnswerAssembly(request.id)
+        return StreamAnswer(attempts, assembly, call, headers, self._router, self._clock)
--- a/hickoryloom/routing/messages.py
+++ b/hickoryloom/routing/messages.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import enum
+
 import attrs
 
-__all__ = ["BackendView", "Choice", "LoadReport"]
+__all__ = ["AttemptEnd", "AttemptOutcome", "BackendView", "CacheEvent", "Choice", "LoadReport"]
 
 
 @attrs.frozen
@@ -25,6 +27,14 @@
     measured: float
 
 
+@attrs.frozen
+class CacheEvent:
+    """An engine's word that a prompt prefix entered or left its cache; late and with gaps."""
+
+    prefix_hash: str
+    cached: bool
+
+
 @attrs.frozen
 class BackendView:
     """What an entry knows of one backend server.
@@ -56,3 +66,31 @@
 
     backend: BackendView
     reason: str
+
+
+class AttemptEnd(enum.Enum):
+    """How one attempt at a backend server ended, as far as routing cares."""
+
+    DONE = "done"
+    FAILED = "failed"
+    REFUSED = "refused"
+    ABANDONED = "abandoned"
+
+
+@attrs.frozen
+class AttemptOutcome:
+    """What one attempt tells of its backend server.
+
+    Attributes:
+        end: `ABANDONED` when the caller or the entry gave up, which tells nothing bad.
+        started: Monotonic time of the start, in seconds.
+        finished: Monotonic time of the end, in seconds.
+        first_token_at: Monotonic time of the first token or byte, in seconds; None without one.
+        tokens: Tokens received.
+    """
+
+    end: AttemptEnd
+    started: float
+    finished: float
+    first_token_at: float | None = None
+    tokens: int = 0
--- /dev/null
+++ b/hickoryloom/routing/task.py
@@ -0,0 +1,181 @@
+"""The task that keeps the directory of backend servers fresh."""
+
+from __future__ import annotations
+
+import random as random_module
+from collections.abc import Callable, Iterable
+from typing import Any, Protocol
+
+import gevent
+import logbook
+from gevent.pool import Pool
+from result import Err, Ok, Result
+
+from hickoryloom.clock import Clock
+from hickoryloom.configuration import Snapshot
+from hickoryloom.http import JsonClient
+from hickoryloom.logs import log_event
+from hickoryloom.membership import Peer
+from hickoryloom.platform import LiveBackend, PlatformError
+from hickoryloom.routing.directory import DirectoryState
+from hickoryloom.routing.messages import BackendView, LoadReport
+
+__all__ = ["BackendDirectory"]
+
+log = logbook.Logger("hickoryloom.routing")
+
+LIST_INTERVAL_S = 1.5
+LOAD_CALLS_PER_S = 10.0
+LOAD_TIMEOUT_S = 1.0
+MAX_OPEN_LOAD_CALLS = 16
+
+ViewsCallback = Callable[[tuple[BackendView, ...]], None]
+ReportCallback = Callable[[str, LoadReport], None]
+
+
+class LiveSource(Protocol):
+    """The part of the platform's client that the directory needs."""
+
+    def live(self) -> Result[tuple[LiveBackend, ...], PlatformError]:
+        """Return the platform's lagging list."""
+
+
+class BackendDirectory:
+    """Joins the platform's list, the configuration, load reports and peers' words.
+
+    Args:
+        client: The platform's client.
+        clock: Source of time.
+        random: Source of random numbers.
+        on_report: Called with each load report.
+    """
+
+    def __init__(
+        self,
+        client: LiveSource | None,
+        clock: Clock,
+        random: random_module.Random | None = None,
+        on_report: ReportCallback | None = None,
+    ) -> None:
+        self._client = client
+        self._clock = clock
+        self._random = random or random_module.Random()
+        self._on_report = on_report
+        self._state = DirectoryState()
+        self._views: tuple[BackendView, ...] = ()
+        self._subscribers: list[ViewsCallback] = []
+        self._tasks: list[gevent.Greenlet] = []
+        self._calls = Pool(MAX_OPEN_LOAD_CALLS)
+        self._order: list[BackendView] = []
+
+    @property
+    def views(self) -> tuple[BackendView, ...]:
+        """All backend servers known now."""
+        return self._views
+
+    @property
+    def leaving(self) -> tuple[str, ...]:
+        """Ids of leaving backend servers, for the heartbeat."""
+        return self._state.leaving
+
+    def subscribe(self, callback: ViewsCallback) -> None:
+        """Call `callback` with all views after each change."""
+        self._subscribers.append(callback)
+
+    def set_snapshot(self, snapshot: Snapshot) -> None:
+        """Take a generation of the configuration."""
+        self._state.set_snapshot(snapshot)
+        self._publish()
+
+    def apply_peers(self, peers: Iterable[Peer]) -> None:
+        """Take the peers' words on leaving backend servers."""
+        told = {id for peer in peers for id in peer.heartbeat.leaving}
+        self._state.apply_peers(told)
+        self._publish()
+
+    def start(self) -> None:
+        """Begin to read the platform's list and load reports."""
+        self._tasks = [gevent.spawn(self._poll_loads)]
+        if self._client is not None:
+            self._tasks.append(gevent.spawn(self._poll_list))
+
+    def stop(self) -> None:
+        """Stop reading."""
+        gevent.killall(self._tasks)
+        self._calls.kill()
+        self._tasks = []
+
+    def _poll_list(self) -> None:
+        assert self._client is not None
+        while True:
+            match self._client.live():
+                case Ok(backends):
+                    self._state.apply_list(backends)
+                case Err(error):
+                    log_event(log, "live-list-unavailable", kind=error.kind.value)
+            self._publish()
+            gevent.sleep(LIST_INTERVAL_S * self._random.uniform(0.8, 1.2))
+
+    def _poll_loads(self) -> None:
+        while True:
+            gevent.sleep(1.0 / LOAD_CALLS_PER_S)
+            view = self._next_to_poll()
+            if view is not None and not self._calls.full():
+                self._calls.spawn(self._read_load, view)
+
+    def _next_to_poll(self) -> BackendView | None:
+        if not self._order:
+            self._order = list(self._views)
+            self._random.shuffle(self._order)
+        return self._order.pop() if self._order else None
+
+    def _read_load(self, view: BackendView) -> None:
+        client = JsonClient(view.address, LOAD_TIMEOUT_S, connections=1)
+        try:
+            answer = client.call("GET", "/load", timeout_s=LOAD_TIMEOUT_S)
+        finally:
+            client.close()
+        if isinstance(answer, Err) or answer.ok_value.status != 200:
+            return
+        self._apply_load(view, answer.ok_value.body)
+
+    def _apply_load(self, view: BackendView, body: Any) -> None:
+        now = self._clock.monotonic()
+        try:
+            leaving = bool(body.get("leaving", False))
+            report = LoadReport(
+                running=max(0, int(body["running"])),
+                waiting=max(0, int(body["waiting"])),
+                kv_free=float(body.get("kv_free", 1.0)),
+                measured=now - max(0.0, float(body.get("age_ms", 0.0))) / 1000.0,
+            )
+        except (AttributeError, KeyError, TypeError, ValueError):
+            log_event(log, "bad-load-report", backend=view.id)
+            return
+        self._state.apply_own_word(view.id, leaving, now)
+        if self._on_report is not None:
+            self._on_report(view.id, report)
+        self._publish()
+
+    def _publish(self) -> None:
+        views = self._state.views(self._clock.monotonic())
+        if views == self._views:
+            return
+        self._log_changes(views)
+        self._views = views
+        for callback in self._subscribers:
+            callback(views)
+
+    def _log_changes(self, views: tuple[BackendView, ...]) -> None:
+        known = {view.id: view for view in self._views}
+        for view in views:
+            old = known.get(view.id)
+            if old is None or old.leaving != view.leaving:
+                log_event(
+                    log,
+                    "backend-server",
+                    backend=view.id,
+                    pool=view.pool,
+                    address=view.address,
+                    leaving=view.leaving,
+                )
--- /dev/null
+++ b/hickoryloom/routing/tests/test_router.py
@@ -0,0 +1,90 @@
+"""The router's choices, on a clock that the test drives."""
+
+import random
+
+from hickoryloom.admission import Request
+from hickoryloom.clock import ManualClock
+from hickoryloom.routing import (
+    AttemptEnd,
+    AttemptOutcome,
+    BackendView,
+    LoadReport,
+    Router,
+)
+
+
+def view(id, domain="huta-a", **more):
+    return BackendView(id=id, address=f"{id}:1", failure_domain=domain, pool="p", **more)
+
+
+def request(**more):
+    return Request("r", "c", "assistant", "p", "guest", 1, True, 0.0, 10.0, **more)
+
+
+def build_router(*views, seed=1):
+    clock = ManualClock(100.0)
+    router = Router(clock, random.Random(seed), "huta-a")
+    router.set_views(views)
+    clock.advance(60.0)
+    return router, clock
+
+
+def outcome(end, started, finished):
+    return AttemptOutcome(end, started, finished)
+
+
+def test_no_choice_without_backend_servers():
+    router, _ = build_router()
+    assert router.choose(request()) is None
+
+
+def test_a_leaving_backend_server_is_never_chosen():
+    router, _ = build_router(view("a"), view("b", leaving=True))
+    assert {router.choose(request()).backend.id for _ in range(50)} == {"a"}
+    assert router.choose(request(), frozenset(["a"])) is None
+
+
+def test_a_tried_backend_server_is_avoided():
+    router, _ = build_router(view("a"), view("b"))
+    assert {router.choose(request(), frozenset(["a"])).backend.id for _ in range(50)} == {"b"}
+
+
+def test_work_goes_where_the_wait_is_shorter():
+    router, clock = build_router(view("a"), view("b"))
+    router.report("a", LoadReport(30, 30, 0.0, clock.monotonic()))
+    router.report("b", LoadReport(0, 0, 1.0, clock.monotonic()))
+    counts = [router.choose(request()).backend.id for _ in range(200)]
+    assert counts.count("b") > counts.count("a")
+
+
+def test_the_same_failure_domain_wins_when_waits_are_equal():
+    router, _ = build_router(view("far", "sklad-c"), view("near"))
+    assert {router.choose(request()).backend.id for _ in range(50)} == {"near"}
+
+
+def test_failures_eject_and_one_probe_at_a_time_brings_back():
+    router, clock = build_router(view("a"), view("b"))
+    choice = router.choose(request(), frozenset(["b"]))
+    for _ in range(3):
+        started = router.started(choice, request())
+        router.finished(choice, request(), outcome(AttemptEnd.FAILED, started, clock.monotonic()))
+    assert {router.choose(request()).backend.id for _ in range(50)} == {"b"}
+    clock.advance(6.0)
+    probe = next(c for c in (router.choose(request()) for _ in range(50)) if c.backend.id == "a")
+    started = router.started(probe, request())
+    assert {router.choose(request()).backend.id for _ in range(50)} == {"b"}
+    router.finished(probe, request(), outcome(AttemptEnd.DONE, started, clock.monotonic()))
+    clock.advance(20.0)
+    assert {router.choose(request()).backend.id for _ in range(50)} == {"a", "b"}
+
+
+def test_retries_are_a_small_part_of_all_attempts():
+    router, _ = build_router(view("a"))
+    while router.may_retry(request()):
+        pass
+    for _ in range(1000):
+        router.earn_retry(request())
+    retries = 0
+    while router.may_retry(request()):
+        retries += 1
+    assert retries <= 20
