Admit by tier, reserve, customer and deadline, with peers' pressure

Pure decisions in small modules and a task that blocks each caller until it is started or refused. Heartbeats gain the demand of a pool and the sequences seen of peers, and a peer the time of the latest own heartbeat that it has heard (additive contract changes).

--- /dev/null
+++ b/hickoryloom/admission/fairness.py
@@ -0,0 +1,175 @@
+"""Start-time fair queueing over the customers of one class, by token cost."""
+
+from __future__ import annotations
+
+import heapq
+from collections import deque
+
+import attrs
+
+from hickoryloom.admission.waiting import Waiting
+
+__all__ = ["FairQueue"]
+
+
+@attrs.define
+class _Flow:
+    """One customer's requests in one class, in order of arrival."""
+
+    name: str
+    weight: float
+    finish_tag: float = 0.0
+    queue: deque[Waiting] = attrs.field(factory=deque)
+    in_heap: bool = False
+    held: bool = False
+
+
+class FairQueue:
+    """Serves customers by weight and token cost, each customer's requests in order of arrival."""
+
+    def __init__(self) -> None:
+        self._flows: dict[str, _Flow] = {}
+        self._heap: list[tuple[float, int, str]] = []
+        self._held: set[str] = set()
+        self._virtual = 0.0
+        self._sequence = 0
+        self._size = 0
+        self._active = 0
+        self._active_weight = 0.0
+
+    def __len__(self) -> int:
+        return self._size
+
+    @property
+    def held(self) -> frozenset[str]:
+        """Customers whose requests wait for their own limit."""
+        return frozenset(self._held)
+
+    @property
+    def earliest_deadline(self) -> float:
+        """Deadline of the request that would be served next; infinite when there is none."""
+        head = self.peek()
+        return float("inf") if head is None else head.request.deadline
+
+    def push(self, waiting: Waiting, weight: float) -> None:
+        """Append a request to its customer's queue.
+
+        Args:
+            waiting: The request.
+            weight: The customer's share relative to others.
+        """
+        flow = self._flow(waiting.request.customer, weight)
+        if not flow.queue:
+            self._active += 1
+            self._active_weight += flow.weight
+        flow.queue.append(waiting)
+        self._size += 1
+        self._schedule(flow)
+
+    def peek(self) -> Waiting | None:
+        """Return the request to be served next, or None when none can be."""
+        while self._heap:
+            flow = self._flows[self._heap[0][2]]
+            if flow.queue and not flow.held:
+                return flow.queue[0]
+            heapq.heappop(self._heap)
+            flow.in_heap = False
+        return None
+
+    def pop(self) -> Waiting | None:
+        """Remove the request that `peek` returns and charge its customer for it."""
+        if self.peek() is None:
+            return None
+        tag, _, name = heapq.heappop(self._heap)
+        flow = self._flows[name]
+        flow.in_heap = False
+        self._virtual = max(self._virtual, tag)
+        waiting = flow.queue.popleft()
+        self._size -= 1
+        flow.finish_tag = tag + waiting.cost / flow.weight
+        self._note_emptied(flow)
+        self._schedule(flow)
+        return waiting
+
+    def remove(self, waiting: Waiting) -> bool:
+        """Remove a request that will not be served; return whether it was in the queue."""
+        flow = self._flows.get(waiting.request.customer)
+        if flow is None or waiting not in flow.queue:
+            return False
+        flow.queue.remove(waiting)
+        self._size -= 1
+        self._note_emptied(flow)
+        return True
+
+    def hold(self, customer: str) -> None:
+        """Pass over a customer until `release`."""
+        flow = self._flows.get(customer)
+        if flow is not None:
+            flow.held = True
+            self._held.add(customer)
+
+    def release(self, customer: str) -> None:
+        """Serve a customer again that was held."""
+        self._held.discard(customer)
+        flow = self._flows.get(customer)
+        if flow is not None:
+            flow.held = False
+            self._schedule(flow)
+
+    def settle(self, customer: str, difference: float) -> None:
+        """Charge a customer the difference between an answer's actual and estimated cost."""
+        flow = self._flows.get(customer)
+        if flow is not None:
+            flow.finish_tag = max(0.0, flow.finish_tag + difference / flow.weight)
+
+    def ahead_of(self, customer: str, weight: float) -> float:
+        """Estimate how many requests would be served before a new one of `customer`."""
+        flow = self._flows.get(customer)
+        own = len(flow.queue) if flow is not None else 0
+        others = self._active_weight - (flow.weight if flow is not None and flow.queue else 0.0)
+        return min(float(self._size), own + (own + 1) * others / weight)
+
+    def queued(self, customer: str) -> int:
+        """Return the number of requests of a customer that wait."""
+        flow = self._flows.get(customer)
+        return 0 if flow is None else len(flow.queue)
+
+    def newest(self) -> Waiting | None:
+        """Return the latest request of the customer with the longest queue."""
+        flows = [flow for flow in self._flows.values() if flow.queue]
+        if not flows:
+            return None
+        return max(flows, key=lambda flow: len(flow.queue) / flow.weight).queue[-1]
+
+    def forget_idle(self) -> None:
+        """Drop the state of customers that have nothing queued and owe nothing."""
+        idle = [
+            name
+            for name, flow in self._flows.items()
+            if not flow.queue and not flow.in_heap and flow.finish_tag <= self._virtual
+        ]
+        for name in idle:
+            del self._flows[name]
+            self._held.discard(name)
+
+    def _flow(self, customer: str, weight: float) -> _Flow:
+        flow = self._flows.get(customer)
+        if flow is None:
+            flow = self._flows[customer] = _Flow(customer, weight)
+        elif flow.weight != weight and not flow.queue:
+            flow.weight = weight
+        return flow
+
+    def _schedule(self, flow: _Flow) -> None:
+        if flow.in_heap or flow.held or not flow.queue:
+            return
+        self._sequence += 1
+        tag = max(self._virtual, flow.finish_tag)
+        heapq.heappush(self._heap, (tag, self._sequence, flow.name))
+        flow.in_heap = True
+
+    def _note_emptied(self, flow: _Flow) -> None:
+        if flow.queue:
+            return
+        self._active -= 1
+        self._active_weight = self._active_weight - flow.weight if self._active else 0.0
--- /dev/null
+++ b/hickoryloom/admission/peers.py
@@ -0,0 +1,189 @@
+"""What an entry knows of the other entries' use of one pool, and what that lets it do."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Collection, Mapping
+
+import attrs
+
+from hickoryloom.admission.shares import equal_part, share_of
+from hickoryloom.membership.messages import Peer, PoolSummary
+
+__all__ = ["LEAVE_S", "MISSING_HOLD_S", "PeerBook", "PoolPeers", "Pressure"]
+
+LEAVE_S = 3.0
+LEAVE_MARGIN_S = 0.1
+MISSING_HOLD_S = 60.0
+NO_SUMMARY = PoolSummary()
+
+
+class PeerBook:
+    """Keeps live peers, and those that went silent and may still run."""
+
+    def __init__(self) -> None:
+        self._live: dict[str, Peer] = {}
+        self._missing: dict[str, float] = {}
+
+    @property
+    def live(self) -> Mapping[str, Peer]:
+        """Peers heard of late, by incarnation."""
+        return self._live
+
+    @property
+    def missing(self) -> Collection[str]:
+        """Peers that are silent and not known to have ended."""
+        return self._missing
+
+    def update(self, peers: Collection[Peer], missing: Collection[str] | None, now: float) -> None:
+        """Take in the peers of membership.
+
+        Args:
+            peers: Live peers.
+            missing: Silent peers that are not known to have ended; None to keep each silent
+                peer for `MISSING_HOLD_S`.
+            now: Monotonic time in seconds.
+        """
+        running = {
+            peer.heartbeat.incarnation: peer for peer in peers if not peer.heartbeat.stopping
+        }
+        stopped = {peer.heartbeat.incarnation for peer in peers if peer.heartbeat.stopping}
+        if missing is None:
+            silent = self._live.keys() - running.keys() - stopped
+            held = {**dict.fromkeys(silent, now + MISSING_HOLD_S), **self._missing}
+            gone = running.keys() | stopped
+            self._missing = {n: end for n, end in held.items() if end > now and n not in gone}
+        else:
+            self._missing = dict.fromkeys(missing, float("inf"))
+        self._live = running
+
+    def expire(self, now: float) -> bool:
+        """Drop silent peers that were held long enough; return whether there were any."""
+        ended = [name for name, end in self._missing.items() if end <= now]
+        for name in ended:
+            del self._missing[name]
+        return bool(ended)
+
+
+@attrs.define
+class PoolPeers:
+    """The other entries' use of one pool, computed once per exchange.
+
+    Attributes:
+        share: Slots that this entry may fill when the peers know that it wants them.
+        equal: Slots that this entry may fill without a word to its peers.
+        peers_in_flight: Requests that peers have started, as last heard.
+        pressure: Highest tier that a peer may refuse soon; 0 for none.
+        leave_until: Monotonic time until which tiers below the top may start, in seconds; each
+            peer gives leave with each heartbeat that it answers.
+        echoed: Monotonic time of the latest own heartbeat that all peers have heard; None
+            while one has heard none.
+        alone: Whether there is no other entry.
+    """
+
+    share: int = 0
+    equal: int = 0
+    peers_in_flight: int = 0
+    pressure: int = 0
+    leave_until: float = float("inf")
+    echoed: float | None = None
+    alone: bool = True
+
+    @classmethod
+    def build(cls, name: str, pool: str, capacity: int, book: PeerBook) -> PoolPeers:
+        """Compute the view of one pool.
+
+        Args:
+            name: This entry's incarnation.
+            pool: Name of the pool.
+            capacity: Slots of the pool.
+            book: Known peers.
+        """
+        summaries = {
+            peer: found.heartbeat.pools.get(pool, NO_SUMMARY) for peer, found in book.live.items()
+        }
+        demands = {peer: max(s.demand, s.in_flight) for peer, s in summaries.items()}
+        demands |= dict.fromkeys(book.missing, capacity)
+        ranked = sorted([name, *demands])
+        heard = [found.echoed for found in book.live.values()]
+        known = [echoed for echoed in heard if echoed is not None]
+        all_heard = len(known) == len(demands)
+        echoed = min(known) if all_heard and known else None
+        if not demands:
+            leave_until = float("inf")
+        else:
+            leave_until = float("-inf") if echoed is None else echoed + LEAVE_S
+        return cls(
+            share=share_of(name, capacity, demands),
+            equal=equal_part(capacity, ranked.index(name), len(ranked)),
+            peers_in_flight=sum(s.in_flight for s in summaries.values()),
+            pressure=min((s.pressure for s in summaries.values() if s.pressure), default=0),
+            leave_until=leave_until,
+            echoed=echoed,
+            alone=not demands,
+        )
+
+
+@attrs.define
+class Pressure:
+    """This entry's own announcements about one pool.
+
+    A tier may be refused once its pressure is in force: every peer has heard of it, or every
+    leave to start lower tiers that was given before has lapsed.
+
+    Attributes:
+        tier: Highest tier announced; 0 for none.
+        epoch: Counts changes.
+        until: Monotonic time at which the announcement may be taken back, in seconds.
+        raised: Monotonic time since which pressure for a tier or a higher one has been
+            announced without a break, by tier.
+        demands: Demands announced, with the monotonic time of each.
+    """
+
+    tier: int = 0
+    epoch: int = 0
+    until: float = 0.0
+    raised: dict[int, float] = attrs.field(factory=dict)
+    demands: deque[tuple[float, int]] = attrs.field(factory=deque)
+
+    def announce(self, tier: int, now: float) -> bool:
+        """Announce the highest tier that may be refused soon; return whether it changed."""
+        if tier == self.tier:
+            return False
+        self.tier = tier
+        self.epoch += 1
+        if not tier:
+            self.raised.clear()
+            return True
+        self.raised = {known: at for known, at in self.raised.items() if known >= tier}
+        self.raised.setdefault(tier, now)
+        return True
+
+    def in_force(self, tier: int, peers: PoolPeers, now: float) -> bool:
+        """Return whether no peer can start a tier below `tier`."""
+        if peers.alone:
+            return True
+        since = min((at for known, at in self.raised.items() if known <= tier), default=None)
+        if since is None:
+            return False
+        heard = peers.echoed is not None and peers.echoed > since
+        return heard or now >= since + LEAVE_S + LEAVE_MARGIN_S
+
+    def in_force_at(self, tier: int) -> float:
+        """Return when pressure for `tier` is in force at the latest, in seconds."""
+        since = min((at for known, at in self.raised.items() if known <= tier), default=0.0)
+        return since + LEAVE_S + LEAVE_MARGIN_S
+
+    def note_demand(self, demand: int, now: float) -> None:
+        """Remember a demand that was put into a heartbeat."""
+        self.demands.append((now, demand))
+
+    def agreed_demand(self, echoed: float | None) -> int:
+        """Return the demand that every peer knows of and that was not taken back since."""
+        if echoed is None:
+            return 0
+        while len(self.demands) > 1 and self.demands[1][0] <= echoed:
+            self.demands.popleft()
+        if not self.demands or self.demands[0][0] > echoed:
+            return 0
+        return min(demand for _, demand in self.demands)
--- /dev/null
+++ b/hickoryloom/admission/pool.py
@@ -0,0 +1,369 @@
+"""Admission to one pool: who starts next, who is refused, who is preempted."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Mapping
+
+from hickoryloom.admission.arrivals import ArrivalRates
+from hickoryloom.admission.decisions import Decision, Preempt, Refuse, Start
+from hickoryloom.admission.estimates import Estimates
+from hickoryloom.admission.limits import LimitBook
+from hickoryloom.admission.messages import Admitted, RefusalReason, Refused, Request
+from hickoryloom.admission.peers import PoolPeers, Pressure
+from hickoryloom.admission.queues import ClassQueue, PoolQueues
+from hickoryloom.admission.running import Running, choose_victim
+from hickoryloom.admission.urgency import Urgency
+from hickoryloom.admission.waiting import Waiting
+from hickoryloom.configuration import RequestClass
+from hickoryloom.membership.messages import PoolSummary
+from hickoryloom.relay.messages import Outcome
+from hickoryloom.verdict import Verdict
+
+__all__ = ["PoolState"]
+
+MAX_WAITING = 2000
+DEMAND_HEADROOM = 1.25
+LEAST_SLOTS_PART = 0.05
+MIN_RETRY_S = 0.5
+MAX_RETRY_S = 60.0
+NO_BACKEND_RETRY_S = 2.0
+RETRY_JITTER = 0.25
+TIME_SLACK_S = 1e-9
+
+DETAILS = {
+    RefusalReason.OVERLOAD: "too many requests wait",
+    RefusalReason.EXPECTED_LATE: "the request would miss its target",
+    RefusalReason.CUSTOMER_LIMIT: "the customer's limit is used up",
+    RefusalReason.NO_BACKEND: "no backend server is known",
+    RefusalReason.CALLER_LEFT: "the caller left",
+}
+ORDERED_REASONS = frozenset(
+    (RefusalReason.OVERLOAD, RefusalReason.EXPECTED_LATE, RefusalReason.NO_BACKEND)
+)
+
+
+class PoolState:
+    """Pure decisions on one pool.
+
+    Args:
+        name: Name of the pool.
+        tokens_per_s: Output tokens per second of one slot, before any is measured.
+        limits: This entry's parts of the customers' limits.
+        rng: Source of jitter.
+    """
+
+    def __init__(
+        self, name: str, tokens_per_s: float, limits: LimitBook, rng: random.Random
+    ) -> None:
+        self.name = name
+        self.capacity = 0
+        self.top_tier = 1
+        self.peers = PoolPeers()
+        self._limits = limits
+        self._rng = rng
+        self._classes: Mapping[str, RequestClass] = {}
+        self._queues = PoolQueues()
+        self._running: dict[str, Running] = {}
+        self._estimates = Estimates(tokens_per_s)
+        self._arrivals = ArrivalRates()
+        self._urgency = Urgency()
+        self._pressure = Pressure()
+        self._late: list[Waiting] = []
+        self._held: dict[tuple[str, int, str], float] = {}
+        self._entries = 1
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that hold a slot."""
+        return len(self._running)
+
+    @property
+    def waiting(self) -> int:
+        """Requests that wait for a slot."""
+        return len(self._queues)
+
+    @property
+    def pressure(self) -> Pressure:
+        """This entry's announcements."""
+        return self._pressure
+
+    @property
+    def limit(self) -> int:
+        """Slots that this entry may fill now."""
+        if self.peers.alone:
+            return self.capacity
+        agreed = self._pressure.agreed_demand(self.peers.echoed)
+        limit = min(self.peers.share, max(self.peers.equal, agreed))
+        free = self.capacity - self.peers.peers_in_flight
+        return max(0, min(max(limit, 1), free))
+
+    def set_classes(self, classes: Mapping[str, RequestClass]) -> None:
+        """Put classes in force."""
+        self._classes = classes
+        self.top_tier = min((found.tier for found in classes.values()), default=1)
+
+    def set_peers(self, peers: PoolPeers, entries: int) -> None:
+        """Take in the other entries' use of the pool."""
+        self.peers = peers
+        for found in self._queues:
+            self._size_reserve(found, entries)
+        self._entries = entries
+
+    def submit(self, waiting: Waiting, now: float) -> None:
+        """Queue a request; `dispatch` decides on it."""
+        request = waiting.request
+        self._arrivals.note(request.tier, self._service_s(request), now)
+        reason = self._foresee(waiting, now)
+        found = self._queues.push(waiting, waiting.weight, now)
+        self._size_reserve(found, self._entries)
+        self._urgency.watch(waiting, now)
+        if reason is not None:
+            self._give_up(waiting, reason)
+        if len(self._queues) > MAX_WAITING:
+            newest = self._queues.newest_of_lowest()
+            if newest is not None and newest.late is None:
+                self._give_up(newest, RefusalReason.OVERLOAD)
+
+    def withdraw(self, waiting: Waiting, now: float) -> None:
+        """Drop a request whose caller left or lost its key."""
+        if not waiting.ended:
+            self._end(waiting, now)
+
+    def finish(self, admitted: Admitted, outcome: Outcome, now: float) -> bool:
+        """Free the slot of a request that ended and learn from it; return whether it held one."""
+        running = self._running.pop(admitted.request.id, None)
+        if running is None:
+            return False
+        request = admitted.request
+        found = self._queues.get(request.request_class, request.tier, now)
+        if admitted.reserved:
+            found.reserve.finished(now)
+        difference = outcome.output_tokens + outcome.wasted_tokens - admitted.estimated_tokens
+        found.queue.settle(request.customer, difference)
+        self._limits.finished(request.customer, difference, now)
+        for held in list(self._held):
+            if held[2] == request.customer:
+                self._release(held)
+        if outcome.whole:
+            self._estimates.learn(
+                request.request_class, outcome.output_tokens, now - admitted.started
+            )
+        return True
+
+    def dispatch(self, now: float) -> list[Decision]:
+        """Start, refuse and preempt whatever is due at `now`."""
+        decisions: list[Decision] = []
+        self._release_due(now)
+        self._start_all(decisions, now)
+        for waiting in self._urgency.pop_due(now):
+            self._give_up(waiting, self._late_reason(waiting))
+        self._announce(now)
+        self._preempt(decisions, now)
+        self._refuse_late(decisions, now)
+        return decisions
+
+    def summary(self, now: float) -> PoolSummary:
+        """Return what peers are told."""
+        backlog = self._queues.backlog()
+        wanted = len(self._running) + sum(backlog.values())
+        demand = int(wanted * DEMAND_HEADROOM) + 1 if wanted else 0
+        self._pressure.note_demand(demand, now)
+        return PoolSummary(
+            in_flight=len(self._running),
+            backlog=backlog,
+            highest_waiting=self._queues.highest,
+            pressure=self._pressure.tier,
+            epoch=self._pressure.epoch,
+            demand=demand,
+        )
+
+    def next_wake(self, now: float) -> float:
+        """Return when `dispatch` is due next without an event, in seconds."""
+        times = [self._urgency.next_due(now), *self._held.values()]
+        times += [self._pressure.in_force_at(waiting.request.tier) for waiting in self._late]
+        if len(self._running) < self.limit:
+            times += self._reserve_times()
+        return min((at for at in times if at > now), default=float("inf"))
+
+    def may_start(self, tier: int, now: float) -> bool:
+        """Return whether a tier may start outside of its reserve, by the order of tiers."""
+        if tier <= self.top_tier:
+            return True
+        if 0 < self._pressure.tier < tier or 0 < self.peers.pressure < tier:
+            return False
+        return now <= self.peers.leave_until
+
+    def wants_word(self) -> bool:
+        """Return whether requests wait for slots that only the peers' answer can free."""
+        if not len(self._queues) or len(self._running) < self.limit:
+            return False
+        return len(self._running) < min(self.peers.share, self.capacity)
+
+    def _start_all(self, decisions: list[Decision], now: float) -> None:
+        while len(self._running) < self.limit:
+            found, reserved = self._choose_class(now)
+            if found is None:
+                return
+            waiting = found.queue.peek()
+            assert waiting is not None
+            request = waiting.request
+            if not self._limits.may_start(request.customer, now):
+                self._hold(found, request.customer, now)
+                continue
+            self._queues.pop(found)
+            decisions.append(self._start(found, waiting, reserved, now))
+
+    def _choose_class(self, now: float) -> tuple[ClassQueue | None, bool]:
+        heads = [found for found in self._queues if found.queue.peek() is not None]
+        if not heads:
+            return None, False
+        tier = heads[0].tier
+        ordered = tier if self.may_start(tier, now) else 0
+        owed = [found for found in heads if found.tier != ordered and found.reserve.may_start(now)]
+        if owed:
+            return max(owed, key=lambda found: found.reserve.credit / found.reserve.slots), True
+        if not ordered:
+            return None, False
+        same = [found for found in heads if found.tier == tier]
+        return min(same, key=lambda found: found.queue.earliest_deadline), False
+
+    def _start(self, found: ClassQueue, waiting: Waiting, reserved: bool, now: float) -> Start:
+        request = waiting.request
+        self._urgency.end(waiting, now)
+        admitted = Admitted(request, now, int(waiting.cost), reserved)
+        known = self._classes.get(request.request_class)
+        self._running[request.id] = Running(admitted, known.resumable if known else False)
+        self._limits.started(request.customer, waiting.cost, now)
+        if reserved:
+            found.reserve.started(now)
+        return Start(waiting, admitted)
+
+    def _foresee(self, waiting: Waiting, now: float) -> RefusalReason | None:
+        request = waiting.request
+        waiting.cost = self._estimates.tokens(request.request_class, request.max_tokens)
+        slack = request.deadline - now
+        found = self._queues.get(request.request_class, request.tier, now)
+        queued = found.queue.queued(request.customer)
+        service_s = self._service_s(request)
+        own = self._limits.expected_wait(request.customer, queued, waiting.cost, service_s, now)
+        if own > slack:
+            return RefusalReason.CUSTOMER_LIMIT
+        if self.expected_wait(waiting, now) > slack + TIME_SLACK_S:
+            return RefusalReason.EXPECTED_LATE if self.capacity else RefusalReason.NO_BACKEND
+        return None
+
+    def expected_wait(self, waiting: Waiting, now: float) -> float:
+        """Estimate how long a new request would wait for a slot, in seconds."""
+        if not self.capacity:
+            return float("inf")
+        request = waiting.request
+        ahead = self._queues.ahead_of(waiting, waiting.weight)
+        limit = max(self.limit, len(self._running), 1)
+        free = limit - len(self._running)
+        if ahead < free:
+            return 0.0
+        slots = limit - self._arrivals.slots_above(request.tier, now)
+        found = self._queues.get(request.request_class, request.tier, now)
+        slots = max(slots, found.reserve.slots, LEAST_SLOTS_PART * limit)
+        return (ahead - free + 1) * self._estimates.service_s / slots
+
+    def _give_up(self, waiting: Waiting, reason: RefusalReason) -> None:
+        if waiting.ended or waiting.late is not None:
+            return
+        waiting.late = reason
+        if reason in ORDERED_REASONS:
+            self._urgency.mark(waiting)
+        self._late.append(waiting)
+
+    def _late_reason(self, waiting: Waiting) -> RefusalReason:
+        request = waiting.request
+        if (request.request_class, request.tier, request.customer) in self._held:
+            return RefusalReason.CUSTOMER_LIMIT
+        return RefusalReason.EXPECTED_LATE if self.capacity else RefusalReason.NO_BACKEND
+
+    def _refuse_late(self, decisions: list[Decision], now: float) -> None:
+        kept = []
+        for waiting in self._late:
+            if waiting.ended:
+                continue
+            ordered = waiting.late in ORDERED_REASONS
+            if ordered and not self._pressure.in_force(waiting.request.tier, self.peers, now):
+                kept.append(waiting)
+                continue
+            decisions.append(self._refuse(waiting, now))
+        self._late = kept
+
+    def _refuse(self, waiting: Waiting, now: float) -> Refuse:
+        reason = waiting.late or RefusalReason.OVERLOAD
+        self._end(waiting, now)
+        retry_s = self._retry_after(waiting, reason, now)
+        return Refuse(waiting, Refused(reason, Verdict.NOT_RUN, retry_s, DETAILS[reason]))
+
+    def _retry_after(self, waiting: Waiting, reason: RefusalReason, now: float) -> float:
+        request = waiting.request
+        found = self._queues.queue_of(waiting)
+        if reason is RefusalReason.NO_BACKEND:
+            wait = NO_BACKEND_RETRY_S
+        elif reason is RefusalReason.CUSTOMER_LIMIT:
+            queued = found.queue.queued(request.customer)
+            service_s = self._service_s(request)
+            wait = self._limits.expected_wait(
+                request.customer, queued, waiting.cost, service_s, now
+            )
+        else:
+            wait = self.expected_wait(waiting, now) - (request.deadline - request.arrived)
+        bounded = min(max(wait, MIN_RETRY_S), MAX_RETRY_S)
+        return bounded * (1.0 + RETRY_JITTER * self._rng.random())
+
+    def _preempt(self, decisions: list[Decision], now: float) -> None:
+        for waiting in self._late:
+            if waiting.ended or waiting.late is not RefusalReason.EXPECTED_LATE:
+                continue
+            if waiting.request.deadline <= now:
+                continue
+            victim = choose_victim(self._running.values(), waiting.request.tier)
+            if victim is None:
+                continue
+            victim.preempted = True
+            waiting.late = None
+            decisions.append(Preempt(victim.admitted))
+        self._late = [waiting for waiting in self._late if waiting.late is not None]
+
+    def _announce(self, now: float) -> None:
+        self._pressure.announce(self._urgency.tier(now), now)
+
+    def _end(self, waiting: Waiting, now: float) -> None:
+        self._queues.remove(waiting)
+        self._urgency.end(waiting, now)
+
+    def _hold(self, found: ClassQueue, customer: str, now: float) -> None:
+        found.queue.hold(customer)
+        self._held[found.name, found.tier, customer] = self._limits.ready_at(customer, now)
+
+    def _release_due(self, now: float) -> None:
+        for held, at in list(self._held.items()):
+            if at <= now:
+                self._release(held)
+
+    def _release(self, held: tuple[str, int, str]) -> None:
+        del self._held[held]
+        for found in self._queues:
+            if (found.name, found.tier) == held[:2]:
+                found.queue.release(held[2])
+
+    def _service_s(self, request: Request) -> float:
+        return self._estimates.class_service_s(request.request_class)
+
+    def _size_reserve(self, found: ClassQueue, entries: int) -> None:
+        known = self._classes.get(found.name)
+        part = known.reserve if known is not None else 0.0
+        found.reserve.slots = part * self.capacity / entries
+
+    def _reserve_times(self) -> list[float]:
+        times = []
+        for found in self._queues:
+            at = found.reserve.ready_at() if len(found.queue) else None
+            if at is not None:
+                times.append(at)
+        return times
--- a/hickoryloom/membership/messages.py
+++ b/hickoryloom/membership/messages.py
@@ -25,8 +25,10 @@
         in_flight: Requests that it has started.
         backlog: Requests that wait, by tier.
         highest_waiting: Highest tier that waits (1 is the highest); 0 for none.
-        pressure: Highest tier that would be refused; 0 for none.
+        pressure: Highest tier that may be refused soon; 0 for none. No peer that knows of it
+            starts a lower tier in the pool.
         epoch: Counts the entry's changes of pressure.
+        demand: Slots that it wants, requests in flight included.
     """
 
     in_flight: int = 0
@@ -34,6 +36,7 @@
     highest_waiting: int = 0
     pressure: int = 0
     epoch: int = 0
+    demand: int = 0
 
 
 @attrs.frozen
@@ -51,6 +54,7 @@
         leaving: Ids of backend servers known to be leaving.
         stopping: Whether it is in a planned stop.
         sequence: Counts its heartbeats.
+        seen: Latest sequence that it has heard of each peer, by incarnation.
     """
 
     incarnation: str
@@ -63,6 +67,7 @@
     leaving: tuple[str, ...] = ()
     stopping: bool = False
     sequence: int = 0
+    seen: dict[str, int] = attrs.field(factory=dict)
 
 
 @attrs.frozen
@@ -72,7 +77,10 @@
     Attributes:
         heartbeat: Its latest heartbeat.
         heard: Monotonic time of this process at which it came, in seconds.
+        echoed: Monotonic time of this process at which it built the latest of its own
+            heartbeats that the peer had heard when it built this one; None for none yet.
     """
 
     heartbeat: Heartbeat
     heard: float
+    echoed: float | None = None
