Take, renew and release leases

LeaseState is a pure state machine over the platform's answers; LeaseKeeper is its task. ObjectStore is the part of the platform's client that duties under a lease need.

--- a/hickoryloom/leases/__init__.py
+++ b/hickoryloom/leases/__init__.py
@@ -1,4 +1,9 @@
 """Leases: duties that one process at a time may hold."""
 
+from hickoryloom.leases import keeper, messages, state, store
+from hickoryloom.leases.keeper import *  # noqa: F403
 from hickoryloom.leases.messages import *  # noqa: F403
-from hickoryloom.leases.messages import __all__ as __all__
+from hickoryloom.leases.state import *  # noqa: F403
+from hickoryloom.leases.store import *  # noqa: F403
+
+__all__ = [*keeper.__all__, *messages.__all__, *state.__all__, *store.__all__]
--- /dev/null
+++ b/hickoryloom/leases/store.py
@@ -0,0 +1,37 @@
+"""The part of the platform's client that duties under a lease use."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from result import Result
+
+from hickoryloom.platform import Listing, PlatformError, Versioned
+
+__all__ = ["Guard", "ObjectStore"]
+
+Guard = Callable[[], bool]
+
+
+class ObjectStore(Protocol):
+    """Objects with versions and conditional updates, as `PlatformClient` offers them."""
+
+    def get(self, key: str) -> Result[Versioned[Any], PlatformError]:
+        """Return one object."""
+
+    def list(self, prefix: str) -> Result[Listing, PlatformError]:
+        """Return all objects under a prefix."""
+
+    def create(
+        self, key: str, value: Any, guard: Guard | None = None
+    ) -> Result[Versioned[Any], PlatformError]:
+        """Create an object that does not exist."""
+
+    def update(
+        self, key: str, value: Any, if_version: int, guard: Guard | None = None
+    ) -> Result[Versioned[Any], PlatformError]:
+        """Replace an object that still has version `if_version`."""
+
+    def delete(self, key: str, if_version: int) -> Result[None, PlatformError]:
+        """Delete an object that still has version `if_version`."""
