Claim calls that must run at most once

The protocol is a generator of platform steps (claims/state.py), so that a hypothesis machine can interleave entries and lose, delay and repeat every answer. The machine found a real fault in the first form: a process frozen for 33 hours between stamping a claim with its epoch and creating it put in force a claim that was at once expired; it was swept after its call had run, and a second frozen request ran the call again. Expiry hangs on an epoch object that no wall clock moves.

Contract: begin takes the call too; lose(); Claim.may_send; RefusalReason gains IN_PROGRESS, OUTCOME_UNKNOWN, ALREADY_RUN and KEY_REUSED, with their statuses in entry/errors.py.

--- /dev/null
+++ b/hickoryloom/claims/tests/test_claims.py
@@ -0,0 +1,235 @@
+"""Claims against the platform stand-in over HTTP, with lost answers and outages."""
+
+from random import Random
+
+import gevent
+import pytest
+
+from hickoryloom.admission import RefusalReason, Request
+from hickoryloom.claims import Claim, Claims, StoredAnswer
+from hickoryloom.claims.codec import claim_key
+from hickoryloom.claims.epochs import EPOCH_KEY
+from hickoryloom.clock import SystemClock
+from hickoryloom.http import Call, JsonClient
+from hickoryloom.platform import CallBudget, PlatformClient
+from hickoryloom.standins import build_platform
+from hickoryloom.verdict import Verdict
+from tests.harness import wait_until
+
+BOOKING = Call("POST", "/bookings", "", (), b'{"bench": 3}')
+STORED = StoredAnswer(201, (("content-type", "application/json"),), b'{"booked": 3}')
+
+
+class OffsetClock(SystemClock):
+    """The machine's clock with a wall time that a test may set."""
+
+    def __init__(self):
+        self.offset = 0.0
+
+    def wall(self):
+        return super().wall() + self.offset
+
+
+@pytest.fixture
+def platform():
+    platform = build_platform()
+    platform.start()
+    yield platform
+    platform.stop()
+
+
+@pytest.fixture
+def build(platform):
+    built = []
+
+    def build_one(name, is_live=None):
+        clock = OffsetClock()
+        budget = CallBudget(clock.monotonic(), processes=1)
+        client = PlatformClient(platform.address, clock, budget, Random(1))
+        claims = Claims(client, clock, name, is_live, Random(1))
+        claims.start()
+        built.append((claims, client))
+        return claims
+
+    yield build_one
+    fault(platform, outage="", lose_answers=0)
+    for claims, client in built:
+        claims.stop()
+        client.close()
+
+
+def fault(platform, **switches):
+    answer = JsonClient(platform.address).call("POST", "/standin/faults", switches).unwrap()
+    assert answer.status == 200, answer.body
+
+
+def request(key="k1", customer="studio"):
+    return Request(
+        id="r",
+        customer=customer,
+        service="bookings",
+        pool="booking",
+        request_class="desk",
+        tier=1,
+        idempotent=False,
+        arrived=0.0,
+        deadline=10.0,
+        idempotency_key=key,
+    )
+
+
+def begin(claims, **options):
+    return claims.begin(request(**options), BOOKING)
+
+
+def state_of(platform, key="k1"):
+    found = platform.store.get(claim_key("studio", "bookings", key))
+    return found.value["state"] if found else None
+
+
+def test_a_repeat_at_any_entry_gets_the_stored_outcome(platform, build):
+    one, two = build("e1"), build("e2")
+    claim = one.mark_sent(begin(one).unwrap()).unwrap()
+    assert claim.may_send(SystemClock().monotonic())
+    refused = begin(two).unwrap_err()
+    assert (refused.reason, refused.verdict) == (
+        RefusalReason.IN_PROGRESS,
+        Verdict.MAY_HAVE_RUN,
+    )
+    assert refused.retry_after_s > 0
+    assert begin(one).unwrap_err().reason is RefusalReason.IN_PROGRESS
+    one.complete(claim, STORED)
+    assert begin(two).unwrap() == begin(one).unwrap() == STORED
+    assert one.active == two.active == 0
+
+
+def test_customers_do_not_share_keys_and_a_key_is_for_one_call(platform, build):
+    one = build("e1")
+    begin(one).unwrap()
+    assert isinstance(begin(one, customer="franchise").unwrap(), Claim)
+    two = build("e2")
+    other = Call("POST", "/bookings", "", (), b'{"bench": 4}')
+    refused = two.begin(request(), other).unwrap_err()
+    assert (refused.reason, refused.verdict) == (RefusalReason.KEY_REUSED, Verdict.NOT_RUN)
+
+
+def test_ten_entries_at_once_get_one_claim(platform, build):
+    entries = [build(f"e{n}") for n in range(10)]
+    fault(platform, lose_answers=5, lose_prefix="/objects/claims/")
+    tasks = [gevent.spawn(begin, entry) for entry in entries]
+    gevent.joinall(tasks, timeout=20)
+    won = [task.value.unwrap() for task in tasks if task.value.is_ok()]
+    assert len(won) == 1
+    assert entries[0].mark_sent(won[0]).is_ok()
+
+
+def test_takeover_and_send_never_both_win(platform, build):
+    frozen, other = build("e1"), build("e2", is_live=lambda incarnation: False)
+    held = begin(frozen).unwrap()
+    taken = begin(other).unwrap()
+    refused = frozen.mark_sent(held).unwrap_err()
+    assert refused.verdict is Verdict.MAY_HAVE_RUN
+    assert other.mark_sent(taken).is_ok()
+    wait_until(lambda: frozen.active == 0)
+    assert state_of(platform) == "sent"
+
+
+def test_a_sent_claim_of_a_dead_entry_never_runs_again(platform, build):
+    dead, other = build("e1"), build("e2", is_live=lambda incarnation: False)
+    dead.mark_sent(begin(dead).unwrap()).unwrap()
+    refused = begin(other).unwrap_err()
+    assert refused.reason is RefusalReason.OUTCOME_UNKNOWN
+    assert refused.verdict is Verdict.MAY_HAVE_RUN
+
+
+def test_a_jump_of_the_wall_clock_frees_no_sent_claim(platform, build):
+    one, other = build("e1"), build("e2")
+    one.mark_sent(begin(one).unwrap()).unwrap()
+    other._clock.offset = 400 * 24 * 3600.0
+    assert begin(other).unwrap_err().verdict is Verdict.MAY_HAVE_RUN
+    other._sweeper.sweep("")
+    assert state_of(platform) == "sent"
+
+
+def test_abandoned_call_may_run_again(platform, build):
+    one, two = build("e1"), build("e2")
+    claim = one.mark_sent(begin(one).unwrap()).unwrap()
+    one.abandon(claim)
+    assert state_of(platform) is None
+    assert two.mark_sent(begin(two).unwrap()).is_ok()
+
+
+def test_lost_answers_of_each_write_are_settled(platform, build):
+    one, two = build("e1"), build("e2")
+    fault(platform, lose_answers=1)
+    claim = begin(one).unwrap()
+    fault(platform, lose_answers=1)
+    claim = one.mark_sent(claim).unwrap()
+    fault(platform, lose_answers=1)
+    one.complete(claim, STORED)
+    wait_until(lambda: one.active == 0)
+    assert begin(two).unwrap() == STORED
+
+
+@pytest.mark.parametrize("outage", ["error", "cut"])
+def test_without_the_platform_a_call_is_refused_as_not_run(platform, build, outage):
+    one = build("e1")
+    begin(one, key="warm").unwrap()
+    fault(platform, outage=outage)
+    refused = begin(one).unwrap_err()
+    assert (refused.reason, refused.verdict) == (
+        RefusalReason.PLATFORM_UNAVAILABLE,
+        Verdict.NOT_RUN,
+    )
+    assert refused.retry_after_s > 0
+
+
+def test_outage_between_claim_and_send_leaves_no_claim_behind(platform, build):
+    one = build("e1")
+    claim = begin(one).unwrap()
+    fault(platform, outage="cut")
+    assert one.mark_sent(claim).unwrap_err().verdict is Verdict.NOT_RUN
+    assert state_of(platform) == "claimed"
+    fault(platform, outage="")
+    wait_until(lambda: state_of(platform) is None, 15)
+
+
+def test_outcome_is_written_when_the_platform_is_back(platform, build):
+    one, two = build("e1"), build("e2")
+    claim = one.mark_sent(begin(one).unwrap()).unwrap()
+    fault(platform, outage="error")
+    one.complete(claim, STORED)
+    assert one.active == 1
+    fault(platform, outage="")
+    wait_until(lambda: one.active == 0, 15)
+    assert begin(two).unwrap() == STORED
+
+
+def test_answer_too_large_to_keep_is_told_as_run(platform, build):
+    one, two = build("e1"), build("e2")
+    claim = one.mark_sent(begin(one).unwrap()).unwrap()
+    one.complete(claim, StoredAnswer(200, (), b"x" * 100_000))
+    refused = begin(two).unwrap_err()
+    assert (refused.reason, refused.verdict) == (RefusalReason.ALREADY_RUN, Verdict.RAN)
+
+
+def test_claim_that_cannot_be_read_is_not_run_again(platform, build):
+    one = build("e1")
+    platform.store.put(claim_key("studio", "bookings", "k1"), {"odd": 1}, 0)
+    assert begin(one).unwrap_err().verdict is Verdict.MAY_HAVE_RUN
+
+
+def test_only_expired_claims_are_swept(platform, build):
+    one = build("e1")
+    one.complete(one.mark_sent(begin(one).unwrap()).unwrap(), STORED)
+    begin(one, key="k2").unwrap()
+    first = platform.store.get(EPOCH_KEY)
+    platform.store.put(EPOCH_KEY, {"epoch": first.value["epoch"] + 25}, first.version)
+    one._sweeper.ensure_epoch()
+    assert one._sweeper.sweep("") == 0
+    second = platform.store.get(EPOCH_KEY)
+    platform.store.put(EPOCH_KEY, {"epoch": second.value["epoch"] + 1}, second.version)
+    two = build("e2")
+    two._sweeper.ensure_epoch()
+    assert two._sweeper.sweep("") == 2
+    assert state_of(platform) is None
--- a/hickoryloom/entry/errors.py
+++ b/hickoryloom/entry/errors.py
@@ -31,6 +31,10 @@
     RefusalReason.CALLER_LEFT: 499,
     RefusalReason.BACKEND_FAILED: 502,
     RefusalReason.RETRY_BUDGET: 503,
+    RefusalReason.IN_PROGRESS: 409,
+    RefusalReason.OUTCOME_UNKNOWN: 409,
+    RefusalReason.ALREADY_RUN: 409,
+    RefusalReason.KEY_REUSED: 422,
 }
 MESSAGE_BY_REASON = {
     RefusalReason.OVERLOAD: "There is no capacity for this class now.",
@@ -45,6 +49,10 @@
     RefusalReason.CALLER_LEFT: "The caller left.",
     RefusalReason.BACKEND_FAILED: "The backend server failed.",
     RefusalReason.RETRY_BUDGET: "The backend server failed and retries are used up for now.",
+    RefusalReason.IN_PROGRESS: "The same call is in progress.",
+    RefusalReason.OUTCOME_UNKNOWN: "The call was sent and its outcome is not known.",
+    RefusalReason.ALREADY_RUN: "The call ran; its answer was too large to be kept.",
+    RefusalReason.KEY_REUSED: "The Idempotency-Key was used for another call.",
 }
 
 
--- a/hickoryloom/platform/client.py
+++ b/hickoryloom/platform/client.py
@@ -108,10 +108,12 @@
         call = _Call("GET", f"/objects/{quote(key)}", CallKind.READ, priority or _priority(key))
         return self._call(call).and_then(answers.read_object)
 
-    def list(self, prefix: str) -> Result[Listing, PlatformError]:
+    def list(
+        self, prefix: str, priority: CallPriority | None = None
+    ) -> Result[Listing, PlatformError]:
         """Read all objects whose key begins with `prefix`."""
         path = f"/objects?{urlencode({'prefix': prefix})}"
-        call = _Call("GET", path, CallKind.READ, _priority(prefix))
+        call = _Call("GET", path, CallKind.READ, priority or _priority(prefix))
         return self._call(call).and_then(answers.read_listing)
 
     def create(
@@ -129,10 +131,12 @@
         stored = self._call(call).and_then(answers.read_version)
         return stored.map(lambda version: Versioned(key, version, value))
 
-    def delete(self, key: str, if_version: int) -> Result[None, PlatformError]:
+    def delete(
+        self, key: str, if_version: int, priority: CallPriority | None = None
+    ) -> Result[None, PlatformError]:
         """Delete an object; `CONFLICT` when its version is not `if_version`."""
         path = f"/delete/{quote(key)}?if_version={if_version}"
-        call = _Call("POST", path, CallKind.WRITE, _priority(key), {})
+        call = _Call("POST", path, CallKind.WRITE, priority or _priority(key), {})
         return self._call(call).map(lambda _: None)
 
     def watch(self, prefix: str, since: int, timeout_s: float) -> Result[WatchBatch, PlatformError]:
--- a/hickoryloom/platform/settle.py
+++ b/hickoryloom/platform/settle.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Generator
 from random import Random
-from typing import Any, Protocol
+from typing import Any, Protocol, TypeVar
 
+import attrs
 import gevent
 from result import Err, Ok, Result
 
@@ -13,26 +14,76 @@
 from hickoryloom.platform.messages import ErrorKind, PlatformError, Versioned
 from hickoryloom.verdict import Applied
 
-__all__ = ["settled_update"]
+__all__ = [
+    "DeleteStep",
+    "PauseStep",
+    "ReadStep",
+    "Step",
+    "Steps",
+    "UpdateStep",
+    "run_steps",
+    "settle_steps",
+    "settled_update",
+]
 
 MAX_TRIES = 4
 STALE_READ_DELAY_S = 0.05
 
+T = TypeVar("T")
+Guard = Callable[[], bool]
+
+
+@attrs.frozen
+class UpdateStep:
+    """A conditional write to be made."""
+
+    key: str
+    value: Any
+    if_version: int
+
+
+@attrs.frozen
+class ReadStep:
+    """An object to be read."""
+
+    key: str
+
+
+@attrs.frozen
+class DeleteStep:
+    """A conditional deletion to be made."""
+
+    key: str
+    if_version: int
+
+
+@attrs.frozen
+class PauseStep:
+    """Seconds to wait."""
+
+    seconds: float
+
+
+Step = UpdateStep | ReadStep | DeleteStep | PauseStep
+Steps = Generator[Step, Any, T]
+
 
 class _Objects(Protocol):
     def get(self, key: str) -> Result[Versioned[Any], PlatformError]: ...
 
     def update(
-        self, key: str, value: Any, if_version: int, guard: Callable[[], bool] | None = None
+        self, key: str, value: Any, if_version: int, guard: Guard | None = None
     ) -> Result[Versioned[Any], PlatformError]: ...
 
+    def delete(self, key: str, if_version: int) -> Result[None, PlatformError]: ...
+
 
 def settled_update(
     client: _Objects,
     key: str,
     value: Any,
     if_version: int,
-    guard: Callable[[], bool] | None = None,
+    guard: Guard | None = None,
     tries: int = MAX_TRIES,
     sleep: Callable[[float], object] = gevent.sleep,
 ) -> Result[Versioned[Any], PlatformError]:
@@ -55,18 +106,44 @@
         The object as written; `CONFLICT` when another writer won; `UNKNOWN` in the error when
         the write may yet be in force.
     """
+    return run_steps(settle_steps(key, value, if_version, tries), client, guard, sleep)
+
+
+def run_steps(
+    steps: Steps[T],
+    client: _Objects,
+    guard: Guard | None = None,
+    sleep: Callable[[float], object] = gevent.sleep,
+) -> T:
+    """Take each step against the platform and return what the generator returns."""
+    answer: Any = None
+    while True:
+        try:
+            step = steps.send(answer)
+        except StopIteration as stop:
+            return stop.value
+        answer = _take_step(step, client, guard, sleep)
+
+
+def settle_steps(
+    key: str, value: Any, if_version: int, tries: int = MAX_TRIES, may_be_applied: bool = False
+) -> Steps[Result[Versioned[Any], PlatformError]]:
+    """Yield the steps of `settled_update`; pure but for the jitter.
+
+    `may_be_applied` tells that the same write may have been made before, so that a conflict
+    may be one with itself.
+    """
     backoff = Backoff(Random())
-    may_be_applied = False
     last = PlatformError(ErrorKind.UNAVAILABLE, Applied.NOT_APPLIED, "not tried")
     for number in range(tries):
         if number:
-            sleep(backoff.next_s())
-        written = client.update(key, value, if_version, guard)
+            yield PauseStep(backoff.next_s())
+        written = yield UpdateStep(key, value, if_version)
         if written.is_ok():
             return written
         last = written.unwrap_err()
         if last.kind is ErrorKind.CONFLICT:
-            return _settle_conflict(client, key, value, last, may_be_applied, sleep)
+            return (yield from _settle_conflict(key, value, last, may_be_applied))
         if last.applied is Applied.UNKNOWN:
             may_be_applied = True
         if last.kind is not ErrorKind.UNAVAILABLE:
@@ -75,20 +152,15 @@
 
 
 def _settle_conflict(
-    client: _Objects,
-    key: str,
-    value: Any,
-    conflict: PlatformError,
-    may_be_applied: bool,
-    sleep: Callable[[float], object],
-) -> Result[Versioned[Any], PlatformError]:
+    key: str, value: Any, conflict: PlatformError, may_be_applied: bool
+) -> Steps[Result[Versioned[Any], PlatformError]]:
     """Tell a conflict with another writer from one with an earlier try of this write."""
     if not may_be_applied:
         return Err(conflict)
     for number in range(MAX_TRIES):
         if number:
-            sleep(STALE_READ_DELAY_S)
-        found = client.get(key)
+            yield PauseStep(STALE_READ_DELAY_S)
+        found = yield ReadStep(key)
         if found.is_err() and found.unwrap_err().kind is not ErrorKind.ABSENT:
             continue
         version = found.unwrap().version if found.is_ok() else 0
@@ -100,8 +172,18 @@
     return Err(_with_doubt(conflict, True))
 
 
+def _take_step(
+    step: Step, client: _Objects, guard: Guard | None, sleep: Callable[[float], object]
+) -> Any:
+    if isinstance(step, UpdateStep):
+        return client.update(step.key, step.value, step.if_version, guard)
+    if isinstance(step, DeleteStep):
+        return client.delete(step.key, step.if_version)
+    if isinstance(step, ReadStep):
+        return client.get(step.key)
+    return sleep(step.seconds)
+
+
 def _with_doubt(error: PlatformError, may_be_applied: bool) -> PlatformError:
     applied = Applied.UNKNOWN if may_be_applied else error.applied
-    return PlatformError(
-        error.kind, applied, error.detail, error.retry_after_s, version=error.version
-    )
+    return attrs.evolve(error, applied=applied)
