Find the other entries and exchange heartbeats with them

Presence through the platform's objects, seeds and peers' word; of each pair one calls. A silent peer is missing until it is known to have ended, so that admission can keep the order of tiers across a cut. A connection without an answer is replaced.

--- a/hickoryloom/admission/peers.py
+++ b/hickoryloom/admission/peers.py
@@ -44,18 +44,18 @@
                 peer for `MISSING_HOLD_S`.
             now: Monotonic time in seconds.
         """
-        running = {
-            peer.heartbeat.incarnation: peer for peer in peers if not peer.heartbeat.stopping
-        }
-        stopped = {peer.heartbeat.incarnation for peer in peers if peer.heartbeat.stopping}
+        live = {peer.heartbeat.incarnation: peer for peer in peers}
         if missing is None:
-            silent = self._live.keys() - running.keys() - stopped
+            silent = [
+                name
+                for name, peer in self._live.items()
+                if name not in live and not peer.heartbeat.stopping
+            ]
             held = {**dict.fromkeys(silent, now + MISSING_HOLD_S), **self._missing}
-            gone = running.keys() | stopped
-            self._missing = {n: end for n, end in held.items() if end > now and n not in gone}
+            self._missing = {n: end for n, end in held.items() if end > now and n not in live}
         else:
             self._missing = dict.fromkeys(missing, float("inf"))
-        self._live = running
+        self._live = live
 
     def expire(self, now: float) -> bool:
         """Drop silent peers that were held long enough; return whether there were any."""
--- a/hickoryloom/membership/__init__.py
+++ b/hickoryloom/membership/__init__.py
@@ -1,4 +1,7 @@
 """Membership: which entries live, and what they tell each other."""
 
+from hickoryloom.membership import messages
 from hickoryloom.membership.messages import *  # noqa: F403
-from hickoryloom.membership.messages import __all__ as __all__
+from hickoryloom.membership.task import Membership
+
+__all__ = [*messages.__all__, "Membership"]
--- /dev/null
+++ b/hickoryloom/membership/tests/test_task.py
@@ -0,0 +1,105 @@
+"""Entries find each other, hear each other and notice silence."""
+
+import pytest
+
+from hickoryloom.http import JsonClient
+from hickoryloom.membership import PoolSummary
+from hickoryloom.membership.tests.fakes import MemoryStore, Node
+from tests.harness import wait_until
+
+
+@pytest.fixture
+def nodes():
+    started = []
+    yield started
+    for node in started:
+        node.close()
+
+
+def start(nodes, *args, **kwargs):
+    node = Node(*args, **kwargs)
+    nodes.append(node)
+    node.membership.start()
+    return node
+
+
+def test_three_entries_find_each_other_through_presence(nodes):
+    store = MemoryStore()
+    entries = [start(nodes, name, store) for name in ("a", "b", "c")]
+    for entry in entries:
+        others = {"a", "b", "c"} - {entry.name}
+        wait_until(lambda entry=entry, others=others: entry.names() == others, 5)
+    assert all(entry.membership.missing == () for entry in entries)
+
+
+def test_entries_find_each_other_through_seeds_while_the_platform_is_down(nodes):
+    store = MemoryStore(down=True)
+    first = start(nodes, "a", store)
+    second = start(nodes, "b", store, seeds=(first.address,))
+    third = start(nodes, "c", store, seeds=(first.address,))
+    wait_until(lambda: second.names() == {"a", "c"} and third.names() == {"a", "b"}, 10)
+
+
+def test_urgent_word_is_heard_and_echoed_at_once(nodes):
+    store = MemoryStore()
+    first = start(nodes, "a", store)
+    second = start(nodes, "b", store)
+    wait_until(lambda: first.names() and second.names(), 5)
+    second.pools["p"] = PoolSummary(pressure=1, epoch=1)
+    raised = second.membership._clock.monotonic()
+    second.membership.send_now()
+
+    def heard():
+        peer = first.membership.peers()[0]
+        echo = second.membership.peers()[0].echoed
+        return peer.heartbeat.pools.get("p") and echo is not None and echo >= raised
+
+    wait_until(heard, 5)
+
+
+def test_a_cut_peer_goes_missing_and_comes_back(nodes):
+    store = MemoryStore()
+    first = start(nodes, "a", store)
+    second = start(nodes, "b", store)
+    wait_until(lambda: first.names() == {"b"} and second.names() == {"a"}, 5)
+    first.link.cut()
+    second.link.cut()
+    wait_until(lambda: first.names() == second.names() == set(), 10)
+    assert first.membership.missing == ("b",)
+    assert second.membership.missing == ("a",)
+    first.link.restore()
+    second.link.restore()
+    wait_until(lambda: first.names() == {"b"} and second.names() == {"a"}, 10)
+
+
+def test_a_connection_that_went_silent_is_replaced(nodes):
+    store = MemoryStore()
+    first = start(nodes, "a", store)
+    second = start(nodes, "b", store)
+    wait_until(lambda: first.names() == {"b"} and second.names() == {"a"}, 5)
+    before = first.membership.peers()[0].heartbeat.sequence
+    first.link.mute_open_connections()
+    second.link.mute_open_connections()
+    wait_until(lambda: first.membership.peers()[0].heartbeat.sequence > before + 2, 10)
+
+
+def test_a_planned_stop_removes_the_entry_without_a_wait(nodes):
+    store = MemoryStore()
+    first = start(nodes, "a", store)
+    second = start(nodes, "b", store)
+    wait_until(lambda: first.names() == {"b"}, 5)
+    second.close()
+    nodes.remove(second)
+    wait_until(lambda: not first.names(), 10)
+    assert first.membership.missing == ()
+    assert not [key for key in store.items if key.endswith("/b")]
+
+
+def test_a_wrong_secret_and_a_malformed_heartbeat_are_refused(nodes):
+    node = start(nodes, "a", MemoryStore())
+    client = JsonClient(node.address)
+    good = {"Authorization": "Bearer s"}
+    assert client.call("POST", "/peer/heartbeat", {}).unwrap().status == 403
+    assert client.call("POST", "/peer/heartbeat", {}, headers=good).unwrap().status == 400
+    assert client.call("POST", "/peer/heartbeat", [1], headers=good).unwrap().status == 400
+    assert node.names() == set()
