--- /dev/null
+++ b/hickoryloom/bench/report.py
@@ -0,0 +1,50 @@
+"""Tables and JSON reports of experiments."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from hickoryloom.bench.driver import Driver
+from hickoryloom.bench.experiment import Experiment
+from hickoryloom.bench.measures import MEASURES, attainment_by_class
+
+__all__ = ["format_table", "run_experiment"]
+
+
+def run_experiment(experiment: Experiment) -> dict[str, Any]:
+    """Run an experiment under each of its policies.
+
+    Returns:
+        The name, the seed and, by policy, each measure and the attainment by class.
+    """
+    results: dict[str, Any] = {}
+    for policy in experiment.policies:
+        journal = Driver(experiment, policy).run()
+        results[policy] = {
+            "classes": attainment_by_class(journal),
+            "measures": {name: found.compute(journal) for name, found in MEASURES.items()},
+        }
+    return {"experiment": experiment.name, "seed": experiment.seed, "policies": results}
+
+
+def format_table(report: dict[str, Any]) -> str:
+    """Return one experiment's report as a table, a row for each measure."""
+    policies = report["policies"]
+    rows = [[report["experiment"], *policies]]
+    first = next(iter(policies.values()))
+    for name in first["classes"]:
+        values = [_format(found["classes"][name]) for found in policies.values()]
+        rows.append([f"attainment of {name}", *values])
+    for name in first["measures"]:
+        values = [_format(found["measures"][name]) for found in policies.values()]
+        rows.append([name, *values])
+    widths = [max(len(row[column]) for row in rows) for column in range(len(rows[0]))]
+    lines = [
+        "  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True))
+        for row in rows
+    ]
+    return "\n".join(line.rstrip() for line in lines)
+
+
+def _format(value: float) -> str:
+    return f"{value:.4g}"
--- a/hickoryloom/commands/bench.py
+++ b/hickoryloom/commands/bench.py
@@ -3,12 +3,39 @@
 from __future__ import annotations
 
 import argparse
+import json
+from pathlib import Path
 
+import attrs
+
+from hickoryloom.bench import format_table, read_experiment, run_experiment
 from hickoryloom.commands.registry import command
-from hickoryloom.exceptions import UnavailableError
 
 
-@command("bench", "Not built yet.", "hickoryloom bench")
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Declare the verb's options."""
+    parser.add_argument("experiments", nargs="+", metavar="FILE", help="experiments as JSON")
+    parser.add_argument("--policy", action="append", help="compare only these policies")
+    parser.add_argument("--seed", type=int, help="use this seed in place of the file's")
+    parser.add_argument("--report", metavar="FILE", help="write the figures as JSON")
+
+
+@command(
+    "bench",
+    "Compare policies on experiments.",
+    "hickoryloom bench bench/experiments/studio.json --report studio-report.json",
+    add_arguments,
+)
 def run(options: argparse.Namespace) -> None:
-    """Fail until the verb is built."""
-    raise UnavailableError("not built yet")
+    """Run experiments, print a table for each and write the report."""
+    reports = []
+    for path in options.experiments:
+        experiment = read_experiment(Path(path))
+        if options.policy:
+            experiment = attrs.evolve(experiment, policies=tuple(options.policy))
+        if options.seed is not None:
+            experiment = attrs.evolve(experiment, seed=options.seed)
+        reports.append(run_experiment(experiment))
+        print(format_table(reports[-1]), end="\n\n", flush=True)
+    if options.report:
+        Path(options.report).write_text(json.dumps(reports, indent=2) + "\n")
