Divide slots tier by tier and set reserves aside

Cause: shares by total demand gave an entry with lower tiers' backlog as many slots as one with the top tier's, and a limit by equal parts kept the top tier waiting while slots were free elsewhere. Demand is now told by tier, and slots are divided one tier after the other. Ruled out: engines' queues alone (two random choices halved them, refusals stayed).

--- a/hickoryloom/admission/peers.py
+++ b/hickoryloom/admission/peers.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from hickoryloom.admission.shares import equal_part, share_of
+from hickoryloom.admission.shares import equal_part
 from hickoryloom.membership.messages import Peer, PoolSummary
 
 __all__ = ["LEAVE_S", "MISSING_HOLD_S", "PeerBook", "PoolPeers", "Pressure"]
@@ -15,6 +15,7 @@
 LEAVE_S = 3.0
 LEAVE_MARGIN_S = 0.1
 MISSING_HOLD_S = 60.0
+MAX_DEMANDS = 2000
 NO_SUMMARY = PoolSummary()
 
 
@@ -65,62 +66,72 @@
         return bool(ended)
 
 
-@attrs.define
+@attrs.frozen
 class PoolPeers:
-    """The other entries' use of one pool, computed once per exchange.
+    """The other entries' use of one pool, as of one exchange.
 
     Attributes:
-        share: Slots that this entry may fill when the peers know that it wants them.
-        equal: Slots that this entry may fill without a word to its peers.
-        peers_in_flight: Requests that peers have started, as last heard.
+        name: This entry's incarnation.
+        summaries: What live peers said of the pool, by incarnation.
+        missing: Silent peers that are not known to have ended.
         pressure: Highest tier that a peer may refuse soon; 0 for none.
         leave_until: Monotonic time until which tiers below the top may start, in seconds; each
             peer gives leave with each heartbeat that it answers.
         echoed: Monotonic time of the latest own heartbeat that all peers have heard; None
             while one has heard none.
-        alone: Whether there is no other entry.
     """
 
-    share: int = 0
-    equal: int = 0
-    peers_in_flight: int = 0
+    name: str = ""
+    summaries: Mapping[str, PoolSummary] = attrs.field(factory=dict)
+    missing: frozenset[str] = frozenset()
     pressure: int = 0
     leave_until: float = float("inf")
     echoed: float | None = None
-    alone: bool = True
+
+    @property
+    def alone(self) -> bool:
+        """Whether there is no other entry."""
+        return not self.summaries and not self.missing
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that peers have started, as last heard."""
+        return sum(summary.in_flight for summary in self.summaries.values())
+
+    def equal_part(self, capacity: int) -> int:
+        """Return the slots that this entry may fill without a word to its peers."""
+        ranked = sorted([self.name, *self.summaries, *self.missing])
+        return equal_part(capacity, ranked.index(self.name), len(ranked))
+
+    def demands(self, tier: int, capacity: int) -> dict[str, int]:
+        """Return the slots that each other entry wants for a tier."""
+        wanted = {peer: found.demand.get(tier, 0) for peer, found in self.summaries.items()}
+        return wanted | dict.fromkeys(self.missing, capacity)
 
     @classmethod
-    def build(cls, name: str, pool: str, capacity: int, book: PeerBook) -> PoolPeers:
+    def build(cls, name: str, pool: str, book: PeerBook) -> PoolPeers:
         """Compute the view of one pool.
 
         Args:
             name: This entry's incarnation.
             pool: Name of the pool.
-            capacity: Slots of the pool.
             book: Known peers.
         """
         summaries = {
             peer: found.heartbeat.pools.get(pool, NO_SUMMARY) for peer, found in book.live.items()
         }
-        demands = {peer: max(s.demand, s.in_flight) for peer, s in summaries.items()}
-        demands |= dict.fromkeys(book.missing, capacity)
-        ranked = sorted([name, *demands])
-        heard = [found.echoed for found in book.live.values()]
-        known = [echoed for echoed in heard if echoed is not None]
-        all_heard = len(known) == len(demands)
-        echoed = min(known) if all_heard and known else None
-        if not demands:
-            leave_until = float("inf")
-        else:
-            leave_until = float("-inf") if echoed is None else echoed + LEAVE_S
+        heard = [found.echoed for found in book.live.values() if found.echoed is not None]
+        all_heard = len(heard) == len(summaries) and not book.missing
+        echoed = min(heard) if all_heard and heard else None
+        leave_until = float("-inf") if echoed is None else echoed + LEAVE_S
+        alone = not summaries and not book.missing
         return cls(
-            share=share_of(name, capacity, demands),
-            equal=equal_part(capacity, ranked.index(name), len(ranked)),
-            peers_in_flight=sum(s.in_flight for s in summaries.values()),
+            name=name,
+            summaries=summaries,
+            missing=frozenset(book.missing),
             pressure=min((s.pressure for s in summaries.values() if s.pressure), default=0),
-            leave_until=leave_until,
+            leave_until=float("inf") if alone else leave_until,
             echoed=echoed,
-            alone=not demands,
         )
 
 
@@ -144,7 +155,7 @@
     epoch: int = 0
     until: float = 0.0
     raised: dict[int, float] = attrs.field(factory=dict)
-    demands: deque[tuple[float, int]] = attrs.field(factory=deque)
+    demands: deque[tuple[float, Mapping[int, int]]] = attrs.field(factory=deque)
 
     def announce(self, tier: int, now: float) -> bool:
         """Announce the highest tier that may be refused soon; return whether it changed."""
@@ -174,16 +185,21 @@
         since = min((at for known, at in self.raised.items() if known <= tier), default=0.0)
         return since + LEAVE_S + LEAVE_MARGIN_S
 
-    def note_demand(self, demand: int, now: float) -> None:
-        """Remember a demand that was put into a heartbeat."""
+    def note_demand(self, demand: Mapping[int, int], now: float) -> None:
+        """Remember a demand by tier that was put into a heartbeat."""
         self.demands.append((now, demand))
+        while len(self.demands) > MAX_DEMANDS:
+            self.demands.popleft()
 
-    def agreed_demand(self, echoed: float | None) -> int:
-        """Return the demand that every peer knows of and that was not taken back since."""
+    def agreed_demand(self, echoed: float | None) -> dict[int, int]:
+        """Return the demand by tier that every peer knows of and that was not taken back since."""
         if echoed is None:
-            return 0
+            return {}
         while len(self.demands) > 1 and self.demands[1][0] <= echoed:
             self.demands.popleft()
         if not self.demands or self.demands[0][0] > echoed:
-            return 0
-        return min(demand for _, demand in self.demands)
+            return {}
+        agreed = dict(self.demands[0][1])
+        for _, demand in self.demands:
+            agreed = {tier: min(wanted, demand.get(tier, 0)) for tier, wanted in agreed.items()}
+        return agreed
--- a/hickoryloom/admission/pool.py
+++ b/hickoryloom/admission/pool.py
@@ -5,6 +5,7 @@
 import random
 from collections.abc import Mapping
 
+from hickoryloom.admission.allotment import Allotment, allot
 from hickoryloom.admission.arrivals import ArrivalRates
 from hickoryloom.admission.decisions import Decision, Preempt, Refuse, Start
 from hickoryloom.admission.estimates import Estimates
@@ -24,6 +25,7 @@
 
 MAX_WAITING = 2000
 DEMAND_HEADROOM = 1.25
+SPARE_DEMAND = 2
 LEAST_SLOTS_PART = 0.05
 MIN_RETRY_S = 0.5
 MAX_RETRY_S = 60.0
@@ -72,6 +74,10 @@
         self._late: list[Waiting] = []
         self._held: dict[tuple[str, int, str], float] = {}
         self._entries = 1
+        self._tiers: frozenset[int] = frozenset()
+        self._busy: dict[int, int] = {}
+        self._reserved = 0
+        self._allotment: Allotment | None = None
 
     @property
     def in_flight(self) -> int:
@@ -89,23 +95,27 @@
         return self._pressure
 
     @property
-    def limit(self) -> int:
-        """Slots that this entry may fill now."""
-        if self.peers.alone:
-            return self.capacity
-        agreed = self._pressure.agreed_demand(self.peers.echoed)
-        limit = min(self.peers.share, max(self.peers.equal, agreed))
-        free = self.capacity - self.peers.peers_in_flight
-        return max(0, min(max(limit, 1), free))
+    def allotment(self) -> Allotment:
+        """Slots that this entry may fill, by tier."""
+        if self._allotment is None:
+            agreed = self._pressure.agreed_demand(self.peers.echoed)
+            self._allotment = allot(
+                self.capacity, self._tiers, self.peers, self._demand(), agreed, self._reserves()
+            )
+        return self._allotment
 
     def set_classes(self, classes: Mapping[str, RequestClass]) -> None:
         """Put classes in force."""
         self._classes = classes
-        self.top_tier = min((found.tier for found in classes.values()), default=1)
+        self._tiers = frozenset(found.tier for found in classes.values())
+        self.top_tier = min(self._tiers, default=1)
+        self._allotment = None
 
-    def set_peers(self, peers: PoolPeers, entries: int) -> None:
-        """Take in the other entries' use of the pool."""
+    def set_view(self, capacity: int, peers: PoolPeers, entries: int) -> None:
+        """Take in the pool's slots and the other entries' use of them."""
+        self.capacity = capacity
         self.peers = peers
+        self._allotment = None
         for found in self._queues:
             self._size_reserve(found, entries)
         self._entries = entries
@@ -136,6 +146,7 @@
         if running is None:
             return False
         request = admitted.request
+        self._count(request.tier, -1, admitted.reserved)
         found = self._queues.get(request.request_class, request.tier, now)
         if admitted.reserved:
             found.reserve.finished(now)
@@ -166,9 +177,9 @@
     def summary(self, now: float) -> PoolSummary:
         """Return what peers are told."""
         backlog = self._queues.backlog()
-        wanted = len(self._running) + sum(backlog.values())
-        demand = int(wanted * DEMAND_HEADROOM) + 1 if wanted else 0
+        demand = self._demand()
         self._pressure.note_demand(demand, now)
+        self._allotment = None
         return PoolSummary(
             in_flight=len(self._running),
             backlog=backlog,
@@ -182,7 +193,7 @@
         """Return when `dispatch` is due next without an event, in seconds."""
         times = [self._urgency.next_due(now), *self._held.values()]
         times += [self._pressure.in_force_at(waiting.request.tier) for waiting in self._late]
-        if len(self._running) < self.limit:
+        if len(self._running) < self.allotment.free:
             times += self._reserve_times()
         return min((at for at in times if at > now), default=float("inf"))
 
@@ -196,12 +207,17 @@
 
     def wants_word(self) -> bool:
         """Return whether requests wait for slots that only the peers' answer can free."""
-        if not len(self._queues) or len(self._running) < self.limit:
+        highest = self._queues.highest
+        if not highest or self.peers.alone or self._room(highest) > 0:
+            return False
+        if self._ordinary >= self.allotment.wanted.get(highest, 0):
             return False
-        return len(self._running) < min(self.peers.share, self.capacity)
+        told = self._pressure.demands[-1][1] if self._pressure.demands else {}
+        wanted = len(self._running) + len(self._queues)
+        return sum(told.values()) < wanted
 
     def _start_all(self, decisions: list[Decision], now: float) -> None:
-        while len(self._running) < self.limit:
+        while True:
             found, reserved = self._choose_class(now)
             if found is None:
                 return
@@ -219,9 +235,9 @@
         if not heads:
             return None, False
         tier = heads[0].tier
-        ordered = tier if self.may_start(tier, now) else 0
+        ordered = tier if self._room(tier) > 0 and self.may_start(tier, now) else 0
         owed = [found for found in heads if found.tier != ordered and found.reserve.may_start(now)]
-        if owed:
+        if owed and len(self._running) < self.allotment.free:
             return max(owed, key=lambda found: found.reserve.credit / found.reserve.slots), True
         if not ordered:
             return None, False
@@ -233,6 +249,7 @@
         self._urgency.end(waiting, now)
         admitted = Admitted(request, now, int(waiting.cost), reserved)
         known = self._classes.get(request.request_class)
+        self._count(request.tier, 1, reserved)
         self._running[request.id] = Running(admitted, known.resumable if known else False)
         self._limits.started(request.customer, waiting.cost, now)
         if reserved:
@@ -259,13 +276,14 @@
             return float("inf")
         request = waiting.request
         ahead = self._queues.ahead_of(waiting, waiting.weight)
-        limit = max(self.limit, len(self._running), 1)
-        free = limit - len(self._running)
+        free = max(0, self._room(request.tier))
         if ahead < free:
             return 0.0
-        slots = limit - self._arrivals.slots_above(request.tier, now)
+        wanted = self.allotment.wanted.get(request.tier, 0)
+        slots = wanted - self._arrivals.slots_above(request.tier, now)
         found = self._queues.get(request.request_class, request.tier, now)
-        slots = max(slots, found.reserve.slots, LEAST_SLOTS_PART * limit)
+        least = LEAST_SLOTS_PART * self.capacity / self._entries
+        slots = max(slots, found.reserve.slots, least)
         return (ahead - free + 1) * self._estimates.service_s / slots
 
     def _give_up(self, waiting: Waiting, reason: RefusalReason) -> None:
@@ -352,6 +370,34 @@
             if (found.name, found.tier) == held[:2]:
                 found.queue.release(held[2])
 
+    @property
+    def _ordinary(self) -> int:
+        return len(self._running) - self._reserved
+
+    def _room(self, tier: int) -> int:
+        return self.allotment.room(tier, len(self._running), self._reserved)
+
+    def _count(self, tier: int, change: int, reserved: bool) -> None:
+        before = self._busy.get(tier, 0)
+        self._busy[tier] = before + change
+        if reserved:
+            self._reserved += change
+        if not before or not self._busy[tier]:
+            self._allotment = None
+
+    def _demand(self) -> dict[int, int]:
+        wanted = self._queues.backlog()
+        for tier, busy in self._busy.items():
+            wanted[tier] = wanted.get(tier, 0) + busy
+        return {tier: int(count * DEMAND_HEADROOM) + 1 for tier, count in wanted.items() if count}
+
+    def _reserves(self) -> dict[int, float]:
+        reserves: dict[int, float] = {}
+        for found in self._classes.values():
+            slots = reserves.get(found.tier, 0.0) + found.reserve * self.capacity
+            reserves[found.tier] = slots
+        return reserves
+
     def _service_s(self, request: Request) -> float:
         return self._estimates.class_service_s(request.request_class)
 
--- a/hickoryloom/admission/shares.py
+++ b/hickoryloom/admission/shares.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Mapping
 
-__all__ = ["equal_part", "share_of"]
+__all__ = ["equal_part", "share_of", "spread"]
 
 
 def equal_part(capacity: int, rank: int, entries: int) -> int:
@@ -19,27 +19,36 @@
     return part + (1 if rank < rest else 0)
 
 
+def spread(capacity: int, demands: Mapping[str, int]) -> dict[str, int]:
+    """Return the max-min division of slots by demand.
+
+    Nobody gets more than its demand, and nobody gets more than another that wants more. All
+    entries that know the same demands come to the same division.
+
+    Args:
+        capacity: Slots to divide.
+        demands: Slots that each entry wants.
+    """
+    left = max(0, capacity)
+    parts: dict[str, int] = {}
+    ordered = sorted(demands.items(), key=lambda item: (item[1], item[0]))
+    for done, (name, demand) in enumerate(ordered):
+        contenders = len(ordered) - done
+        level, rest = divmod(left, contenders)
+        if demand > level:
+            winners = sorted(name for name, _ in ordered[done:])
+            return parts | {n: level + (1 if i < rest else 0) for i, n in enumerate(winners)}
+        parts[name] = demand
+        left -= demand
+    return parts
+
+
 def share_of(name: str, capacity: int, demands: Mapping[str, int]) -> int:
     """Return the slots that entry `name` may fill when it wants as many as it can get.
 
-    Max-min division: nobody gets more than its demand while another wants more and has less.
-    All entries that know the same demands come to shares whose sum is at most `capacity`.
-
     Args:
         name: The entry that asks.
-        capacity: Slots of the pool.
+        capacity: Slots to divide.
         demands: Slots that each other entry wants.
     """
-    level = capacity
-    left = capacity
-    contenders = len(demands) + 1
-    for demand in sorted(demands.values()):
-        level, rest = divmod(left, contenders)
-        if demand > level or (demand == level and rest):
-            break
-        left -= demand
-        contenders -= 1
-        level = left // contenders
-    level, rest = divmod(left, contenders)
-    wanting = sorted([name, *(peer for peer, demand in demands.items() if demand > level)])
-    return level + (1 if wanting.index(name) < rest else 0)
+    return spread(capacity, {**demands, name: max(0, capacity)})[name]
--- a/hickoryloom/admission/state.py
+++ b/hickoryloom/admission/state.py
@@ -132,10 +132,9 @@
         return found
 
     def _view(self, pool: PoolState) -> None:
-        pool.capacity = self._capacities.get(pool.name, 0)
         entries = 1 + len(self._book.live) + len(self._book.missing)
-        peers = PoolPeers.build(self._incarnation, pool.name, pool.capacity, self._book)
-        pool.set_peers(peers, entries)
+        peers = PoolPeers.build(self._incarnation, pool.name, self._book)
+        pool.set_view(self._capacities.get(pool.name, 0), peers, entries)
 
     def _refresh(self, now: float) -> list[Decision]:
         self._limits.set_entries((self._incarnation, *self._book.live, *self._book.missing))
--- a/hickoryloom/admission/task.py
+++ b/hickoryloom/admission/task.py
@@ -48,7 +48,6 @@
         self._preempt_callbacks: dict[str, Callable[[], None]] = {}
         self._urgent_callbacks: list[Callable[[], None]] = []
         self._epochs = 0
-        self._told_want = False
         self._wake = Event()
         self._timer: gevent.Greenlet | None = None
         self._timer_at = float("inf")
@@ -115,7 +114,6 @@
             peers: Live peers.
             missing: Incarnations that are silent and not known to have ended.
         """
-        self._told_want = False
         self._apply(self._state.set_peers(peers, self._clock.monotonic(), missing))
 
     def summaries(self) -> dict[str, PoolSummary]:
@@ -176,9 +174,8 @@
     def _tell_peers(self) -> None:
         epochs = self._state.pressure_epochs()
         wants = self._state.wants_word()
-        urgent = epochs != self._epochs or (wants and not self._told_want)
+        urgent = epochs != self._epochs or wants
         self._epochs = epochs
-        self._told_want = wants
         if urgent:
             for callback in self._urgent_callbacks:
                 callback()
--- a/hickoryloom/membership/messages.py
+++ b/hickoryloom/membership/messages.py
@@ -28,7 +28,7 @@
         pressure: Highest tier that may be refused soon; 0 for none. No peer that knows of it
             starts a lower tier in the pool.
         epoch: Counts the entry's changes of pressure.
-        demand: Slots that it wants, requests in flight included.
+        demand: Slots that it wants by tier, requests in flight included.
     """
 
     in_flight: int = 0
@@ -36,7 +36,7 @@
     highest_waiting: int = 0
     pressure: int = 0
     epoch: int = 0
-    demand: int = 0
+    demand: dict[int, int] = attrs.field(factory=dict)
 
 
 @attrs.frozen
