--- a/hickoryloom/config/settings.py
+++ b/hickoryloom/config/settings.py
@@ -4,8 +4,15 @@
 
 import attrs
 
+from hickoryloom.config.options import Address, Choice, ListOf, Name, Number, Secret, Text
+from hickoryloom.config.records import declare
+
 __all__ = ["Settings"]
 
+LOG_LEVELS = ("DEBUG", "INFO", "NOTICE", "WARNING", "ERROR", "CRITICAL")
+MIN_WINDOW_S = 1.0
+MAX_WINDOW_S = 3600.0
+
 
 @attrs.frozen
 class Settings:
@@ -28,17 +35,19 @@
         log_level: Lowest level written.
     """
 
-    instance: str
-    failure_domain: str
-    platform: str
-    region: str = ""
-    listen: str = "127.0.0.1:0"
-    peer_listen: str = "127.0.0.1:0"
-    admin_listen: str = "127.0.0.1:0"
-    advertise: str = ""
-    seeds: tuple[str, ...] = ()
-    backend_credential: str = ""
-    peer_secret: str = ""
-    ready_file: str = ""
-    window_s: float = 60.0
-    log_level: str = "INFO"
+    instance: str = attrs.field(metadata=declare(Name()))
+    failure_domain: str = attrs.field(metadata=declare(Name()))
+    platform: str = attrs.field(metadata=declare(Address()))
+    region: str = attrs.field(default="", metadata=declare(Name(optional=True)))
+    listen: str = attrs.field(default="127.0.0.1:0", metadata=declare(Address(any_port=True)))
+    peer_listen: str = attrs.field(default="127.0.0.1:0", metadata=declare(Address(any_port=True)))
+    admin_listen: str = attrs.field(default="127.0.0.1:0", metadata=declare(Address(any_port=True)))
+    advertise: str = attrs.field(default="", metadata=declare(Address(optional=True)))
+    seeds: tuple[str, ...] = attrs.field(default=(), metadata=declare(ListOf(Address())))
+    backend_credential: str = attrs.field(default="", repr=False, metadata=declare(Secret()))
+    peer_secret: str = attrs.field(default="", repr=False, metadata=declare(Secret()))
+    ready_file: str = attrs.field(default="", metadata=declare(Text("a path, or an empty string")))
+    window_s: float = attrs.field(
+        default=60.0, metadata=declare(Number(MIN_WINDOW_S, MAX_WINDOW_S))
+    )
+    log_level: str = attrs.field(default="INFO", metadata=declare(Choice(LOG_LEVELS)))
--- a/hickoryloom/configuration/documents.py
+++ b/hickoryloom/configuration/documents.py
@@ -3,11 +3,27 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Mapping
 
 import attrs
 
+from hickoryloom.config import (
+    Address,
+    Choice,
+    Digest,
+    Flag,
+    Integer,
+    ListOf,
+    Name,
+    Number,
+    Pattern,
+    Record,
+    declare,
+)
+
 __all__ = [
     "Customer",
+    "Documents",
     "KeyRecord",
     "Pool",
     "PoolKind",
@@ -17,6 +33,20 @@
     "StaticBackend",
 ]
 
+MAX_SLOTS = 4096
+MAX_SERVERS = 10_000
+MAX_TOKENS_PER_S = 100_000
+MAX_PRICE = 1_000_000
+MAX_LOAD_S = 3600
+MAX_TARGET_MS = 3_600_000
+LOWEST_TIER = 4
+MAX_WEIGHT = 1000
+MAX_TOKENS_PER_MINUTE = 10**12
+MAX_IN_FLIGHT = 1_000_000
+MODEL_NAME = r"([A-Za-z0-9][A-Za-z0-9._:/-]{0,126})?"
+MODEL_NAME_WORDS = "up to 127 letters, digits, '.', '_', ':', '/' and '-', or an empty string"
+METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE")
+
 
 class PoolKind(enum.Enum):
     """What runs on a pool's backend servers."""
@@ -29,10 +59,10 @@
 class StaticBackend:
     """A backend server that operators run themselves, outside the ordering interface."""
 
-    id: str
-    address: str
-    failure_domain: str
-    cheap: bool = False
+    id: str = attrs.field(metadata=declare(Name()))
+    address: str = attrs.field(metadata=declare(Address()))
+    failure_domain: str = attrs.field(metadata=declare(Name()))
+    cheap: bool = attrs.field(default=False, metadata=declare(Flag()))
 
 
 @attrs.frozen
@@ -57,19 +87,21 @@
     """
 
     name: str
-    kind: PoolKind
-    model: str = ""
-    slots: int = 8
-    tokens_per_s: float = 40.0
-    failure_domains: tuple[str, ...] = ()
-    min_servers: int = 0
-    max_servers: int = 0
-    cheap: bool = False
-    price: float = 1.0
-    cheap_price: float = 0.3
-    load_s: float = 60.0
-    fences: bool = True
-    servers: tuple[StaticBackend, ...] = ()
+    kind: PoolKind = attrs.field(metadata=declare(Choice(("engine", "service"), PoolKind)))
+    model: str = attrs.field(default="", metadata=declare(Pattern(MODEL_NAME, MODEL_NAME_WORDS)))
+    slots: int = attrs.field(default=8, metadata=declare(Integer(1, MAX_SLOTS)))
+    tokens_per_s: float = attrs.field(default=40.0, metadata=declare(Number(0.1, MAX_TOKENS_PER_S)))
+    failure_domains: tuple[str, ...] = attrs.field(default=(), metadata=declare(ListOf(Name())))
+    min_servers: int = attrs.field(default=0, metadata=declare(Integer(0, MAX_SERVERS)))
+    max_servers: int = attrs.field(default=0, metadata=declare(Integer(0, MAX_SERVERS)))
+    cheap: bool = attrs.field(default=False, metadata=declare(Flag()))
+    price: float = attrs.field(default=1.0, metadata=declare(Number(0, MAX_PRICE)))
+    cheap_price: float = attrs.field(default=0.3, metadata=declare(Number(0, MAX_PRICE)))
+    load_s: float = attrs.field(default=60.0, metadata=declare(Number(0, MAX_LOAD_S)))
+    fences: bool = attrs.field(default=True, metadata=declare(Flag()))
+    servers: tuple[StaticBackend, ...] = attrs.field(
+        default=(), metadata=declare(ListOf(Record(StaticBackend)))
+    )
 
 
 @attrs.frozen
@@ -83,10 +115,14 @@
         open: Whether it needs no key.
     """
 
-    method: str
-    path: str
-    idempotent: bool = False
-    open: bool = False
+    method: str = attrs.field(metadata=declare(Choice(METHODS)))
+    path: str = attrs.field(
+        metadata=declare(
+            Pattern(r"/[!-)+-~]*\*?", "a path with a leading slash and at most one * at its end")
+        )
+    )
+    idempotent: bool = attrs.field(default=False, metadata=declare(Flag()))
+    open: bool = attrs.field(default=False, metadata=declare(Flag()))
 
 
 @attrs.frozen
@@ -94,8 +130,8 @@
     """Something that callers ask for by name, served by one pool."""
 
     name: str
-    pool: str
-    routes: tuple[Route, ...] = ()
+    pool: str = attrs.field(metadata=declare(Name()))
+    routes: tuple[Route, ...] = attrs.field(default=(), metadata=declare(ListOf(Record(Route))))
 
 
 @attrs.frozen
@@ -113,12 +149,12 @@
     """
 
     name: str
-    tier: int
-    first_token_ms: int
-    token_gap_ms: int
-    answer_ms: int = 0
-    reserve: float = 0.0
-    resumable: bool = True
+    tier: int = attrs.field(metadata=declare(Integer(1, LOWEST_TIER)))
+    first_token_ms: int = attrs.field(metadata=declare(Integer(1, MAX_TARGET_MS)))
+    token_gap_ms: int = attrs.field(metadata=declare(Integer(1, MAX_TARGET_MS)))
+    answer_ms: int = attrs.field(default=0, metadata=declare(Integer(0, MAX_TARGET_MS)))
+    reserve: float = attrs.field(default=0.0, metadata=declare(Number(0, 1)))
+    resumable: bool = attrs.field(default=True, metadata=declare(Flag()))
 
 
 @attrs.frozen
@@ -135,11 +171,13 @@
     """
 
     name: str
-    classes: tuple[str, ...]
-    weight: float = 1.0
-    tokens_per_minute: int = 0
-    max_in_flight: int = 0
-    services: tuple[str, ...] = ()
+    classes: tuple[str, ...] = attrs.field(metadata=declare(ListOf(Name(), at_least=1)))
+    weight: float = attrs.field(default=1.0, metadata=declare(Number(0.001, MAX_WEIGHT)))
+    tokens_per_minute: int = attrs.field(
+        default=0, metadata=declare(Integer(0, MAX_TOKENS_PER_MINUTE))
+    )
+    max_in_flight: int = attrs.field(default=0, metadata=declare(Integer(0, MAX_IN_FLIGHT)))
+    services: tuple[str, ...] = attrs.field(default=(), metadata=declare(ListOf(Name())))
 
 
 @attrs.frozen
@@ -151,9 +189,30 @@
         customer: The customer that it stands for.
         label: A name that operators know it by.
         request_class: Default class; empty for the customer's default.
+        issued: Whether `keys issue` put it in force, and not a document.
     """
 
-    hash: str
-    customer: str
+    hash: str = attrs.field(metadata=declare(Digest()))
+    customer: str = attrs.field(metadata=declare(Name()))
     label: str
-    request_class: str = ""
+    request_class: str = attrs.field(default="", metadata=declare(Name(optional=True), "class"))
+    issued: bool = False
+
+
+@attrs.frozen
+class Documents:
+    """All documents together, checked as a whole.
+
+    Attributes:
+        pools: Pools by name.
+        services: Services by name.
+        classes: Request classes by name.
+        customers: Customers by name.
+        keys: Keys by hash.
+    """
+
+    pools: Mapping[str, Pool] = attrs.field(factory=dict)
+    services: Mapping[str, Service] = attrs.field(factory=dict)
+    classes: Mapping[str, RequestClass] = attrs.field(factory=dict)
+    customers: Mapping[str, Customer] = attrs.field(factory=dict)
+    keys: Mapping[str, KeyRecord] = attrs.field(factory=dict)
--- /dev/null
+++ b/hickoryloom/configuration/peers.py
@@ -0,0 +1,222 @@
+"""Passes the configuration on among entries, and asks them whether it is current."""
+
+from __future__ import annotations
+
+import hmac
+import random
+from collections.abc import Iterable
+from typing import Any
+
+import attrs
+import falcon
+import gevent
+import logbook
+from gevent.event import Event
+from result import Err, Ok, Result
+
+from hickoryloom.clock import Clock
+from hickoryloom.configuration.follower import ConfigurationFollower
+from hickoryloom.configuration.freshness import PeerView
+from hickoryloom.configuration.known_peers import KnownPeers
+from hickoryloom.http import CallFailed, JsonAnswer, JsonClient
+from hickoryloom.logs import log_event
+from hickoryloom.membership import Peer
+from hickoryloom.verdict import Applied
+
+__all__ = ["ConfigurationPeers"]
+
+ROOT_PATH = "/peer/configuration"
+SHARD_PATH = "/peer/configuration/shards"
+ASK_AFTER_S = 2.6
+ASK_SPACING_S = 0.5
+ASK_TIMEOUT_S = 0.8
+SHARD_TIMEOUT_S = 2.0
+TICK_S = 0.25
+
+log = logbook.Logger("hickoryloom.configuration")
+
+
+class ConfigurationPeers:
+    """Asks peers when the platform does not answer, or when one knows a newer generation.
+
+    Args:
+        follower: What is in force here.
+        clock: Source of time.
+        seeds: Addresses to ask before any peer is known.
+        secret: The token that entries show to each other; empty for none.
+        rng: Chooses which peers to ask in a large fleet.
+    """
+
+    def __init__(
+        self,
+        follower: ConfigurationFollower,
+        clock: Clock,
+        seeds: Iterable[str] = (),
+        secret: str = "",
+        rng: random.Random | None = None,
+    ) -> None:
+        self._follower = follower
+        self._clock = clock
+        self._secret = secret
+        self._known = KnownPeers(rng or random.Random(), seeds)
+        self._clients: dict[str, JsonClient] = {}
+        self._wake = Event()
+        self._ahead: set[str] = set()
+        self._task: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Begin to ask peers when that is needed."""
+        self._task = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """Stop asking and close connections to peers."""
+        if self._task is not None:
+            self._task.kill()
+            self._task = None
+        for client in self._clients.values():
+            client.close()
+
+    def set_peers(self, peers: Iterable[Peer]) -> None:
+        """Take the live peers' latest heartbeats; returns at once."""
+        own = self._follower.snapshot.generation
+        for peer in peers:
+            beat = peer.heartbeat
+            self._known.listed(beat.address, beat.failure_domain, beat.stopping, peer.heard)
+            self._follower.evidence.heard_of(beat.generation, 0)
+            if beat.generation > own:
+                self._ahead.add(beat.address)
+        if self._ahead:
+            self._wake.set()
+
+    def add_routes(self, app: falcon.App) -> None:
+        """Add the routes that peers ask."""
+        app.add_route(ROOT_PATH, _RootResource(self._follower, self._secret))
+        app.add_route(f"{SHARD_PATH}/{{name}}", _ShardResource(self._follower, self._secret))
+
+    def ask(self, address: str) -> bool:
+        """Ask one peer, apply what it has newer and record what it knows.
+
+        Returns:
+            Whether it answered.
+        """
+        sent = self._clock.monotonic()
+        have = self._follower.snapshot.generation
+        answer = self._get(address, f"{ROOT_PATH}?have={have}", ASK_TIMEOUT_S)
+        if answer.is_err():
+            if answer.unwrap_err().applied is Applied.NOT_APPLIED:
+                self._known.refused(address)
+            return False
+        try:
+            view, root = _read_answer(answer.unwrap())
+        except (KeyError, TypeError, ValueError) as error:
+            log_event(log, "peer-unsound", peer=address, detail=str(error))
+            return False
+        if root is not None:
+            self._follower.offer_root(root, _PeerShards(self, address))
+        self._follower.evidence.peer_answered(sent, view)
+        return True
+
+    def ask_round(self) -> bool:
+        """Ask enough peers to vouch for the view.
+
+        Returns:
+            Whether they do.
+        """
+        now = self._clock.monotonic()
+        asked = self._known.choose(now)
+        tasks = {address: gevent.spawn(self.ask, address) for address in asked}
+        gevent.joinall(list(tasks.values()), timeout=ASK_TIMEOUT_S)
+        answered = {address for address, task in tasks.items() if task.value}
+        still_known = self._known.choose_among(asked)
+        return self._follower.evidence.round_ended(now, still_known, answered)
+
+    def read_shard(self, address: str, name: str) -> Result[Any, str]:
+        """Return a shard's content from a peer, or why it can't be had."""
+        answer = self._get(address, f"{SHARD_PATH}/{name}", SHARD_TIMEOUT_S)
+        if answer.is_err():
+            return Err(answer.unwrap_err().detail)
+        if answer.unwrap().status != 200:
+            return Err(f"peer {address} answered {answer.unwrap().status}")
+        return Ok(answer.unwrap().body)
+
+    def _run(self) -> None:
+        while True:
+            self._wake.wait(TICK_S)
+            self._wake.clear()
+            ahead, self._ahead = self._ahead, set()
+            if ahead:
+                self.ask(min(ahead))
+            now = self._clock.monotonic()
+            if self._follower.freshness.vouched_age(now) > ASK_AFTER_S:
+                self.ask_round()
+                gevent.sleep(ASK_SPACING_S)
+
+    def _get(self, address: str, path: str, timeout_s: float) -> Result[JsonAnswer, CallFailed]:
+        if address not in self._clients:
+            self._clients[address] = JsonClient(address, connections=2)
+        headers = {"Authorization": f"Bearer {self._secret}"} if self._secret else None
+        return self._clients[address].call("GET", path, timeout_s=timeout_s, headers=headers)
+
+
+class _PeerShards:
+    """Reads shards from one peer."""
+
+    def __init__(self, peers: ConfigurationPeers, address: str) -> None:
+        self._peers = peers
+        self._address = address
+
+    def read(self, name: str, reference: str) -> Result[Any, str]:
+        """Return a shard's content; the caller checks it against the reference."""
+        return self._peers.read_shard(self._address, name)
+
+
+class _PeerResource:
+    """Answers peers that show the secret."""
+
+    def __init__(self, follower: ConfigurationFollower, secret: str) -> None:
+        self._follower = follower
+        self._secret = secret
+
+    def check(self, req: falcon.Request) -> None:
+        """Refuse a caller without the secret."""
+        if not self._secret:
+            return
+        shown = req.get_header("Authorization") or ""
+        if not hmac.compare_digest(shown.encode(), f"Bearer {self._secret}".encode()):
+            raise falcon.HTTPUnauthorized()
+
+
+class _RootResource(_PeerResource):
+    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Tell the view, and the root when it is newer than the asker's."""
+        self.check(req)
+        have = req.get_param_as_int("have", default=0, min_value=0)
+        view = self._follower.peer_view()
+        is_newer = view.generation > have
+        resp.media = {
+            "view": attrs.asdict(view),
+            "root": self._follower.root_json() if is_newer else None,
+        }
+
+
+class _ShardResource(_PeerResource):
+    def on_get(self, req: falcon.Request, resp: falcon.Response, name: str) -> None:
+        """Tell one shard in force."""
+        self.check(req)
+        content = self._follower.shard_content(name)
+        if content is None:
+            raise falcon.HTTPNotFound()
+        resp.media = content
+
+
+def _read_answer(answer: JsonAnswer) -> tuple[PeerView, Any]:
+    if answer.status != 200:
+        raise ValueError(f"status {answer.status}")
+    view = answer.body["view"]
+    built = PeerView(
+        int(view["generation"]),
+        int(view["revision"]),
+        float(view["age_s"]),
+        float(view["vouched_age_s"]),
+    )
+    return built, answer.body["root"]
--- a/hickoryloom/keys/__init__.py
+++ b/hickoryloom/keys/__init__.py
@@ -1,1 +1,28 @@
-"""Keys."""
+"""Callers' keys: authentication, removal from calls, and withdrawal."""
+
+from hickoryloom.keys import (
+    authenticating,
+    form,
+    messages,
+    open_calls,
+    scrubbing,
+    view_guard,
+    withdrawal_task,
+)
+from hickoryloom.keys.authenticating import *  # noqa: F403
+from hickoryloom.keys.form import *  # noqa: F403
+from hickoryloom.keys.messages import *  # noqa: F403
+from hickoryloom.keys.open_calls import *  # noqa: F403
+from hickoryloom.keys.scrubbing import *  # noqa: F403
+from hickoryloom.keys.view_guard import *  # noqa: F403
+from hickoryloom.keys.withdrawal_task import *  # noqa: F403
+
+__all__ = [
+    *authenticating.__all__,
+    *form.__all__,
+    *messages.__all__,
+    *open_calls.__all__,
+    *scrubbing.__all__,
+    *view_guard.__all__,
+    *withdrawal_task.__all__,
+]
--- /dev/null
+++ b/hickoryloom/keys/withdrawal_task.py
@@ -0,0 +1,83 @@
+"""Ends running calls whose key was withdrawn or can't be vouched for any more."""
+
+from __future__ import annotations
+
+import gevent
+import logbook
+
+from hickoryloom.clock import Clock
+from hickoryloom.configuration import ConfigurationFollower, Snapshot
+from hickoryloom.keys.open_calls import OpenCalls
+from hickoryloom.keys.view_guard import ViewGuard
+from hickoryloom.logs import log_event
+
+__all__ = ["WithdrawalTask", "withdrawn_keys"]
+
+TICK_S = 0.25
+
+log = logbook.Logger("hickoryloom.keys")
+
+
+def withdrawn_keys(old: Snapshot, new: Snapshot) -> set[str]:
+    """Return the hashes whose calls must end when `new` follows `old`.
+
+    A key that now stands for another customer counts as withdrawn.
+    """
+    if old.keys is new.keys:
+        return set()
+    gone = set(old.keys.keys() - new.keys.keys())
+    moved = (key for key, record in new.keys.items() if _has_moved(old, key, record.customer))
+    return gone.union(moved)
+
+
+def _has_moved(old: Snapshot, key: str, customer: str) -> bool:
+    record = old.keys.get(key)
+    return record is not None and record.customer != customer
+
+
+class WithdrawalTask:
+    """Follows the configuration and the guard on behalf of the open calls.
+
+    Args:
+        follower: Tells each new generation.
+        guard: Tells whether keyed calls may run.
+        calls: The calls that run.
+        clock: Source of time.
+    """
+
+    def __init__(
+        self,
+        follower: ConfigurationFollower,
+        guard: ViewGuard,
+        calls: OpenCalls,
+        clock: Clock,
+    ) -> None:
+        self._guard = guard
+        self._calls = calls
+        self._clock = clock
+        self._task: gevent.Greenlet | None = None
+        follower.subscribe(self._apply)
+
+    def start(self) -> None:
+        """Begin to check the guard."""
+        self._task = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """Stop checking the guard."""
+        if self._task is not None:
+            self._task.kill()
+            self._task = None
+
+    def _apply(self, old: Snapshot, new: Snapshot) -> None:
+        withdrawn = withdrawn_keys(old, new)
+        if withdrawn:
+            ended = self._calls.withdraw(withdrawn)
+            log_event(log, "keys-withdrawn", keys=len(withdrawn), calls_ended=ended)
+
+    def _run(self) -> None:
+        while True:
+            if not self._guard.allows_keyed(self._clock.monotonic()):
+                ended = self._calls.withdraw_all()
+                if ended:
+                    log_event(log, "view-too-old", calls_ended=ended)
+            gevent.sleep(TICK_S)
