Order backend servers by demand, failure domain and cost

The plan is pure: forecast, targets that survive the loss of any domain, back-off, delayed scale-down.

--- /dev/null
+++ b/hickoryloom/fleet/tests/test_plans.py
@@ -0,0 +1,172 @@
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hickoryloom.configuration import Pool, PoolKind
+from hickoryloom.fleet import (
+    Need,
+    PoolPlanner,
+    ServerState,
+    ServerView,
+    Site,
+    TierDemand,
+    choose_targets,
+    lower_tiers_of,
+    plan,
+    servers_surviving,
+)
+from hickoryloom.fleet.backoff import FIRST_BACKOFF_S, LONGEST_BACKOFF_S, SiteBackoff
+
+DOMAINS = ("huta-a", "huta-b", "sklad-c")
+LOWER = frozenset({2, 3})
+
+
+def make_pool(domains=DOMAINS, cheap=True, most=100, least=0, slots=8):
+    return Pool(
+        "assistant",
+        PoolKind.ENGINE,
+        model="m",
+        slots=slots,
+        failure_domains=domains,
+        min_servers=least,
+        max_servers=most,
+        cheap=cheap,
+        load_s=30.0,
+    )
+
+
+def running(site, count, start=0):
+    return [ServerView(f"{site}-{n}", site, ServerState.RUNNING) for n in range(start, count)]
+
+
+needs = st.builds(Need, st.floats(0, 400), st.floats(0, 400))
+domain_lists = st.integers(2, 6).map(lambda n: tuple(f"d{i}" for i in range(n)))
+sites = st.builds(Site, st.sampled_from([f"d{i}" for i in range(6)]), st.booleans())
+
+
+@given(needs, domain_lists, st.frozensets(sites, max_size=4), st.integers(1, 12))
+def test_any_one_domain_and_all_cheap_capacity_may_go(need, domains, blocked, slots):
+    pool = make_pool(domains, most=10_000, slots=slots)
+    targets = choose_targets(pool, need, blocked, {})
+    can_be_had = {name for name in domains if Site(name, False) not in blocked}
+    if len(can_be_had) < 2:
+        return
+    for lost in domains:
+        left = sum(
+            count
+            for site, count in targets.items()
+            if not site.cheap and site.failure_domain != lost
+        )
+        assert left * slots >= need.upper - 1e-9
+
+
+@given(needs, domain_lists, st.frozensets(sites, max_size=6), st.integers(1, 60))
+def test_targets_keep_to_the_bound_and_serve_all_need_below_it(need, domains, blocked, most):
+    pool = make_pool(domains, most=most)
+    targets = choose_targets(pool, need, blocked, {})
+    total = sum(targets.values())
+    assert total <= most
+    assert not set(targets) & blocked
+    ordinary_can_be_had = any(Site(name, False) not in blocked for name in domains)
+    if total < most and ordinary_can_be_had:
+        assert total * pool.slots >= need.upper + need.lower - 2 * pool.slots
+
+
+def test_lower_tiers_go_to_cheap_servers_and_to_ordinary_ones_while_none_can_be_had():
+    pool, need = make_pool(), Need(upper=32, lower=64)
+    targets = choose_targets(pool, need, frozenset(), {})
+    assert sum(n for site, n in targets.items() if site.cheap) == 6
+    none_cheap = frozenset(Site(name, True) for name in DOMAINS)
+    targets = choose_targets(pool, need, none_cheap, {})
+    assert sum(targets.values()) == 12
+
+
+def test_only_tiers_below_the_highest_whose_classes_resume_may_run_on_cheap_servers():
+    assert lower_tiers_of([(1, True), (2, True), (3, False), (4, True)]) == {2, 4}
+    assert lower_tiers_of([(2, True)]) == frozenset()
+
+
+def test_servers_surviving_is_the_fewest():
+    for needed in range(1, 40):
+        for domains in range(2, 7):
+            total = servers_surviving(needed, domains)
+            assert total - -(-total // domains) >= needed
+            assert total - 1 - -(-(total - 1) // domains) < needed
+
+
+def test_a_plan_orders_within_the_limit_and_releases_nothing_meanwhile():
+    a, b = Site("a", False), Site("b", False)
+    servers = running(b, 9)
+    orders, releases = plan({a: 5, b: 2}, {a: 5, b: 2}, servers, 3)
+    assert orders == (a, a, a)
+    assert releases == ()
+
+
+def test_fixed_servers_are_never_released():
+    site = Site("a", False)
+    servers = [ServerView(f"s{n}", site, ServerState.RUNNING, fixed=True) for n in range(4)]
+    assert plan({site: 0}, {site: 0}, servers, 4) == ((), ())
+
+
+def test_servers_are_kept_until_the_need_was_lower_for_the_whole_delay():
+    planner, pool = PoolPlanner(random.Random(1)), make_pool()
+    busy = {1: TierDemand(in_flight=60, arrivals_per_s=6.0, busy_s=10.0)}
+    servers = running(Site("huta-a", False), 5) + running(Site("huta-b", False), 5)
+    servers += running(Site("sklad-c", False), 5)
+    released_at = None
+    planner.plan(0.0, pool, busy, LOWER, servers)
+    for now in range(2, 900, 2):
+        found = planner.plan(float(now), pool, {}, LOWER, servers)
+        if found.releases and released_at is None:
+            released_at = now
+    assert released_at is not None and released_at > 300
+
+
+def test_a_new_planner_releases_nothing_before_it_knows_the_demand_of_a_whole_delay():
+    planner, pool = PoolPlanner(random.Random(1)), make_pool()
+    servers = running(Site("huta-a", False), 9)
+    for now in range(0, 260, 5):
+        assert planner.plan(float(now), pool, {}, LOWER, servers).releases == ()
+
+
+def test_rising_demand_is_met_ahead_by_the_time_a_server_needs_to_start():
+    planner, pool = PoolPlanner(random.Random(1)), make_pool()
+    for now in range(0, 120, 2):
+        demand = {1: TierDemand(arrivals_per_s=0.05 * now, busy_s=10.0)}
+        found = planner.plan(float(now), pool, demand, LOWER, [])
+    expected_at_start = 0.05 * (118 + pool.load_s) * 10.0
+    assert found.need.upper >= expected_at_start
+
+
+def test_missed_targets_raise_the_need_and_met_ones_let_it_decay():
+    planner, pool = PoolPlanner(random.Random(1)), make_pool()
+
+    def need_after(missed, start):
+        for now in range(start, start + 40, 2):
+            demand = {1: TierDemand(arrivals_per_s=4.0, busy_s=10.0, missed_part=missed)}
+            found = planner.plan(float(now), pool, demand, LOWER, [])
+        return found.need.upper
+
+    calm = need_after(0.0, 0)
+    missed = need_after(0.3, 40)
+    assert missed > 1.5 * calm
+    for start in range(80, 400, 40):
+        after = need_after(0.0, start)
+    assert after < 1.1 * calm
+
+
+def test_backoff_doubles_up_to_a_bound_and_ends_with_success():
+    backoff, site = SiteBackoff(random.Random(1)), Site("a", True)
+    now, waits = 0.0, []
+    for _ in range(10):
+        backoff.on_no_capacity(now, site)
+        start = now
+        while site in backoff.blocked(now):
+            now += 1.0
+        waits.append(now - start)
+    assert waits[0] >= FIRST_BACKOFF_S
+    assert all(later >= earlier for earlier, later in zip(waits[:5], waits[1:6], strict=True))
+    assert max(waits) <= 1.2 * LONGEST_BACKOFF_S + 1
+    backoff.on_capacity(site)
+    assert backoff.blocked(now) == frozenset()
