--- a/hickoryloom/entry/messages.py
+++ b/hickoryloom/entry/messages.py
@@ -6,9 +6,10 @@
 
 import attrs
 
+from hickoryloom.metrics import Attainment
 from hickoryloom.verdict import Verdict
 
-__all__ = ["CallerError", "ErrorAnswer", "Reply"]
+__all__ = ["CallerError", "ClassSummary", "ErrorAnswer", "Reply"]
 
 
 @attrs.frozen
@@ -60,3 +61,18 @@
     status: int
     headers: list[tuple[str, str]]
     body: Iterable[bytes]
+
+
+@attrs.frozen
+class ClassSummary:
+    """How the requests of one class fared at one entry.
+
+    Attributes:
+        attainment: Counts by result.
+        first_token_p95_s: Seconds to the first token for 95 in 100.
+        answer_p95_s: Seconds to the whole answer for 95 in 100.
+    """
+
+    attainment: Attainment
+    first_token_p95_s: float
+    answer_p95_s: float
--- a/hickoryloom/entry/requests.py
+++ b/hickoryloom/entry/requests.py
@@ -6,19 +6,19 @@
 import json
 from typing import Any
 
-import attrs
 from result import Err, Ok, Result
 
 from hickoryloom.admission import Request
-from hickoryloom.configuration import Customer, KeyRecord, Pool, RequestClass, Snapshot
+from hickoryloom.configuration import Pool, RequestClass, Snapshot
 from hickoryloom.entry.messages import CallerError
 from hickoryloom.http import Call
+from hickoryloom.keys import Identity
 
 __all__ = [
     "CLASS_HEADER",
     "MODEL_PATHS",
     "SERVICE_PREFIX",
-    "Caller",
+    "allowed_models",
     "parse_model_request",
     "parse_service_request",
 ]
@@ -30,26 +30,19 @@
 MAX_IDEMPOTENCY_KEY_CHARACTERS = 200
 MAX_JSON_DEPTH_ERROR = "The body is nested too deeply."
 BYTES_PER_TOKEN = 4
-PREFIX_CHARACTERS = 2048
+PREFIX_CHARACTERS = 1024
+PREFIX_HASH_CHARACTERS = 16
 MS_PER_S = 1000.0
 
 
-@attrs.frozen
-class Caller:
-    """Who sent a call: a customer's key, or nobody on a route open to all."""
-
-    customer: Customer | None
-    key: KeyRecord | None
-
-
 def parse_model_request(
-    call: Call, caller: Caller, snapshot: Snapshot, request_id: str, now: float
+    call: Call, identity: Identity, snapshot: Snapshot, request_id: str, now: float
 ) -> Result[Request, CallerError]:
     """Check a chat or text completion.
 
     Args:
         call: The call, method `POST`, path one of `MODEL_PATHS`.
-        caller: Who sent it.
+        identity: Who sent it.
         snapshot: Configuration in force.
         request_id: Id for the request.
         now: Monotonic time of arrival, in seconds.
@@ -65,15 +58,15 @@
     if fault is not None:
         return Err(fault)
     pool = snapshot.pool_for_model(body["model"])
-    if pool is None or not _may_call(caller, body["model"], pool, snapshot):
+    if pool is None or not _may_call(identity, body["model"], pool, snapshot):
         return Err(CallerError(404, "unknown-model", "No such model for this key."))
-    chosen = _choose_class(call, caller, snapshot)
+    chosen = _choose_class(call, identity, snapshot)
     if isinstance(chosen, Err):
         return chosen
     return Ok(
         Request(
             id=request_id,
-            customer=caller.customer.name if caller.customer else "",
+            customer=identity.customer.name,
             service=body["model"],
             pool=pool.name,
             request_class=chosen.ok_value.name,
@@ -90,7 +83,13 @@
 
 
 def parse_service_request(
-    call: Call, service: str, path: str, caller: Caller, snapshot: Snapshot, now: float, **ids: str
+    call: Call,
+    service: str,
+    path: str,
+    identity: Identity,
+    snapshot: Snapshot,
+    now: float,
+    **ids: str,
 ) -> Result[Request, CallerError]:
     """Check a call of a plain service.
 
@@ -98,7 +97,7 @@
         call: The call.
         service: Service's name.
         path: Path below the service, with a leading slash.
-        caller: Who sent it.
+        identity: Who sent it.
         snapshot: Configuration in force.
         now: Monotonic time of arrival, in seconds.
         **ids: `request_id`, the id for the request.
@@ -107,7 +106,7 @@
         The request, or what is wrong with it.
     """
     route = snapshot.route_of(service, call.method, path)
-    if route is None or not _may_call_service(caller, service):
+    if route is None or not _may_call_service(identity, service):
         return Err(CallerError(404, "unknown-route", "No such call of this service."))
     key = call.header(IDEMPOTENCY_HEADER)
     if not route.idempotent and not key:
@@ -115,14 +114,14 @@
     if len(key) > MAX_IDEMPOTENCY_KEY_CHARACTERS:
         allowed = f"at most {MAX_IDEMPOTENCY_KEY_CHARACTERS} characters"
         return Err(CallerError(400, "bad-idempotency-key", f"Idempotency-Key: {allowed}."))
-    chosen = _choose_class(call, caller, snapshot)
+    chosen = _choose_class(call, identity, snapshot)
     if isinstance(chosen, Err):
         return chosen
     request_class = chosen.ok_value
     return Ok(
         Request(
             id=ids["request_id"],
-            customer=caller.customer.name if caller.customer else "",
+            customer=identity.customer.name,
             service=service,
             pool=snapshot.services[service].pool,
             request_class=request_class.name,
@@ -168,9 +167,15 @@
     return None
 
 
-def _may_call(caller: Caller, model: str, pool: Pool, snapshot: Snapshot) -> bool:
-    customer = caller.customer
-    if customer is None:
+def allowed_models(identity: Identity, snapshot: Snapshot) -> list[str]:
+    """Return the models that a caller may use, by name."""
+    pools = [pool for pool in snapshot.pools.values() if pool.model]
+    return sorted(pool.model for pool in pools if _may_call(identity, pool.model, pool, snapshot))
+
+
+def _may_call(identity: Identity, model: str, pool: Pool, snapshot: Snapshot) -> bool:
+    customer = identity.customer
+    if identity.is_anonymous:
         return False
     if not customer.services or model in customer.services:
         return True
@@ -181,21 +186,20 @@
     )
 
 
-def _may_call_service(caller: Caller, service: str) -> bool:
-    customer = caller.customer
-    return customer is None or not customer.services or service in customer.services
+def _may_call_service(identity: Identity, service: str) -> bool:
+    allowed = identity.customer.services
+    return not allowed or service in allowed
 
 
 def _choose_class(
-    call: Call, caller: Caller, snapshot: Snapshot
+    call: Call, identity: Identity, snapshot: Snapshot
 ) -> Result[RequestClass, CallerError]:
     asked = call.header(CLASS_HEADER)
-    if caller.customer is None:
+    if identity.is_anonymous:
         return Ok(lowest_class(snapshot))
-    if asked and asked not in caller.customer.classes:
+    if asked and asked not in identity.customer.classes:
         return Err(CallerError(403, "class-not-allowed", "The customer may not use this class."))
-    default = caller.key.request_class if caller.key else ""
-    name = asked or default or caller.customer.classes[0]
+    name = asked or identity.default_class
     if name not in snapshot.classes:
         return Err(CallerError(403, "class-not-allowed", "The class is no longer configured."))
     return Ok(snapshot.classes[name])
@@ -207,10 +211,10 @@
 
 
 def _hash_prefix(body: dict[str, Any]) -> str:
-    """Hash the head of the prompt, which engines cache together with the model."""
+    """Hash the head of the prompt as engines name it in their cache events."""
     if "messages" in body:
-        head = "\x00".join(str(message.get("content", "")) for message in body["messages"])
+        prompt = "\n".join(str(message.get("content", "")) for message in body["messages"])
     else:
-        head = body["prompt"]
-    text = f"{body['model']}\x00{head[:PREFIX_CHARACTERS]}"
-    return hashlib.blake2b(text.encode("utf-8", "surrogatepass"), digest_size=8).hexdigest()
+        prompt = body["prompt"]
+    head = prompt[:PREFIX_CHARACTERS].encode("utf-8", "surrogatepass")
+    return hashlib.sha256(head).hexdigest()[:PREFIX_HASH_CHARACTERS]
--- a/hickoryloom/entry/tests/test_requests.py
+++ b/hickoryloom/entry/tests/test_requests.py
@@ -7,7 +7,6 @@
 
 from hickoryloom.configuration import (
     Customer,
-    KeyRecord,
     Pool,
     PoolKind,
     RequestClass,
@@ -15,8 +14,9 @@
     Service,
     Snapshot,
 )
-from hickoryloom.entry.requests import Caller, parse_model_request, parse_service_request
+from hickoryloom.entry.requests import parse_model_request, parse_service_request
 from hickoryloom.http import Call
+from hickoryloom.keys import Identity, anonymous
 
 SNAPSHOT = Snapshot(
     generation=1,
@@ -39,9 +39,9 @@
         "limited": Customer("limited", ("draft",), services=("desk",)),
     },
 )
-STUDIO = Caller(SNAPSHOT.customers["studio"], KeyRecord("00", "studio", "till"))
-LIMITED = Caller(SNAPSHOT.customers["limited"], KeyRecord("01", "limited", "till"))
-NOBODY = Caller(None, None)
+STUDIO = Identity("00", SNAPSHOT.customers["studio"], "guest")
+LIMITED = Identity("01", SNAPSHOT.customers["limited"], "draft")
+NOBODY = anonymous()
 
 
 def model_call(body, headers=()):
--- a/hickoryloom/http/server.py
+++ b/hickoryloom/http/server.py
@@ -50,6 +50,14 @@
         """Requests being served."""
         return self._active
 
+    def bind(self) -> None:
+        """Take the address without serving yet, so that it can be told to others.
+
+        Raises:
+            OSError: The address can't be bound.
+        """
+        self._server.init_socket()
+
     def start(self) -> None:
         """Begin to accept connections.
 
@@ -58,8 +66,12 @@
         """
         self._server.start()
 
+    def drain(self) -> None:
+        """Go on accepting, but ask callers to close kept connections after each answer."""
+        self._stopping = True
+
     def stop_accepting(self) -> None:
-        """Close the listening socket and ask callers to close kept connections."""
+        """Accept no new connections; those that are open go on."""
         self._stopping = True
         self._server.stop_accepting()
 
--- a/hickoryloom/membership/messages.py
+++ b/hickoryloom/membership/messages.py
@@ -9,12 +9,21 @@
 
 @attrs.frozen
 class Presence:
-    """An entry or control process as it stands in the platform's objects."""
+    """An entry or control process as it stands in the platform's objects.
+
+    Attributes:
+        incarnation: New with each start of a process.
+        address: `host:port` for other processes.
+        failure_domain: Where it runs.
+        role: `entry` or `control`.
+        admin: `host:port` for operators.
+    """
 
     incarnation: str
     address: str
     failure_domain: str
     role: str = "entry"
+    admin: str = ""
 
 
 @attrs.frozen
--- a/hickoryloom/membership/task.py
+++ b/hickoryloom/membership/task.py
@@ -63,7 +63,8 @@
         self._state = MembershipState(incarnation)
         address = settings.advertise or settings.peer_listen
         self._presence = PresenceKeeper(
-            client, Presence(incarnation, address, settings.failure_domain)
+            client,
+            Presence(incarnation, address, settings.failure_domain, admin=settings.admin_listen),
         )
         self._links: dict[str, PeerLink] = {}
         self._seed_links: dict[str, PeerLink] = {}
--- a/hickoryloom/routing/task.py
+++ b/hickoryloom/routing/task.py
@@ -89,8 +89,11 @@
 
     def apply_peers(self, peers: Iterable[Peer]) -> None:
         """Take the peers' words on leaving backend servers."""
-        told = {id for peer in peers for id in peer.heartbeat.leaving}
-        self._state.apply_peers(told)
+        self.apply_leaving({id for peer in peers for id in peer.heartbeat.leaving})
+
+    def apply_leaving(self, backend_ids: Iterable[str]) -> None:
+        """Take anybody's word that these backend servers are leaving."""
+        self._state.apply_peers(backend_ids)
         self._publish()
 
     def start(self) -> None:
