--- a/hickoryloom/commands/publish.py
+++ b/hickoryloom/commands/publish.py
@@ -4,11 +4,28 @@
 
 import argparse
 
+from hickoryloom.commands.changing import unwrap_change
+from hickoryloom.commands.check import load_documents, summarize
+from hickoryloom.commands.platform_option import add_platform_option, connect_platform
 from hickoryloom.commands.registry import command
-from hickoryloom.exceptions import UnavailableError
+from hickoryloom.configuration import publish
 
+__all__: list[str] = []
 
-@command("publish", "Not built yet.", "hickoryloom publish")
+
+def _add_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("directory", help="where services' folders with documents lie")
+    add_platform_option(parser)
+
+
+@command(
+    "publish",
+    "Check operators' documents as a whole and put them in force.",
+    "hickoryloom publish examples/studio --platform 10.20.0.10:9000",
+    _add_arguments,
+)
 def run(options: argparse.Namespace) -> None:
-    """Fail until the verb is built."""
-    raise UnavailableError("not built yet")
+    """Check the documents below a directory and publish them."""
+    documents = load_documents(options.directory)
+    generation = unwrap_change(publish(connect_platform(options), documents))
+    print(f"generation {generation} is in force: {summarize(documents)}")
