--- a/hickoryloom/commands/keys.py
+++ b/hickoryloom/commands/keys.py
@@ -103,8 +103,9 @@
 def _check_name(option: str, value: str) -> None:
     try:
         Name().read(value)
-    except InvalidValueError as invalid:
-        raise UsageError(f"{option}: found {invalid.found}; allowed: {invalid.allowed}")
+    except InvalidValueError as error:
+        [reason] = error.reasons
+        raise UsageError(f"{option}: found {reason.found}; allowed: {reason.allowed}")
 
 
 VERBS = {"issue": _issue, "withdraw": _withdraw, "list": _list}
--- a/hickoryloom/commands/platform_option.py
+++ b/hickoryloom/commands/platform_option.py
@@ -36,8 +36,9 @@
         raise UsageError(f"name the platform by --platform HOST:PORT or ${VARIABLE}")
     try:
         Address().read(options.platform)
-    except InvalidValueError as invalid:
-        raise UsageError(f"--platform: found {invalid.found}; allowed: {invalid.allowed}")
+    except InvalidValueError as error:
+        [reason] = error.reasons
+        raise UsageError(f"--platform: found {reason.found}; allowed: {reason.allowed}")
     clock = SystemClock()
     budget = CallBudget(clock.monotonic(), PROCESSES_SHARING)
     return PlatformClient(options.platform, clock, budget)
--- a/hickoryloom/config/options.py
+++ b/hickoryloom/config/options.py
@@ -5,7 +5,6 @@
 import enum
 import json
 import re
-from collections.abc import Iterable
 from typing import Any, Protocol
 
 import attrs
@@ -16,6 +15,7 @@
     "Digest",
     "Flag",
     "Integer",
+    "Invalid",
     "InvalidValueError",
     "ListOf",
     "Name",
@@ -32,21 +32,33 @@
 MAX_PORT = 65535
 
 
-@attrs.define
-class InvalidValueError(Exception):
-    """A value that an option doesn't allow.
+@attrs.frozen
+class Invalid:
+    """One value that an option doesn't allow.
 
     Attributes:
         found: What was found, fit to be shown.
         allowed: What the option allows.
         remedy: What to do; empty for the usual advice.
-        index: Position within a list, None outside one.
+        place: Where it stands within the value read, such as `[2].address`; empty for the whole.
     """
 
     found: str
     allowed: str
     remedy: str = ""
-    index: int | None = None
+    place: str = ""
+
+
+class InvalidValueError(Exception):
+    """A value that an option doesn't allow, with everything that is wrong in it.
+
+    Attributes:
+        reasons: What is wrong, at least one.
+    """
+
+    def __init__(self, *reasons: Invalid) -> None:
+        super().__init__("; ".join(f"{reason.found}" for reason in reasons))
+        self.reasons = reasons
 
 
 class Option(Protocol):
@@ -64,6 +76,14 @@
         """
 
 
+def _refuse(found: str, allowed: str, remedy: str = "") -> InvalidValueError:
+    return InvalidValueError(Invalid(found, allowed, remedy))
+
+
+def _placed(reason: Invalid, place: str) -> Invalid:
+    return attrs.evolve(reason, place=f"{place}{reason.place}")
+
+
 def show(value: Any) -> str:
     """Return a short form of a JSON value for a message."""
     text = json.dumps(value, ensure_ascii=False)
@@ -80,11 +100,9 @@
     def read(self, value: Any) -> str:
         """Return the string."""
         if not isinstance(value, str):
-            raise InvalidValueError(show(value), self.allowed)
+            raise _refuse(show(value), self.allowed)
         if len(value) > self.max_chars:
-            raise InvalidValueError(
-                f"{len(value)} characters", f"at most {self.max_chars} characters"
-            )
+            raise _refuse(f"{len(value)} characters", f"at most {self.max_chars} characters")
         return value
 
 
@@ -98,7 +116,7 @@
     def read(self, value: Any) -> str:
         """Return the string."""
         if not isinstance(value, str) or not re.fullmatch(self.expression, value):
-            raise InvalidValueError(show(value), self.allowed)
+            raise _refuse(show(value), self.allowed)
         return value
 
 
@@ -119,7 +137,7 @@
         if self.optional and value == "":
             return ""
         if not isinstance(value, str) or not re.fullmatch(r"[a-z0-9][a-z0-9._-]{0,62}", value):
-            raise InvalidValueError(show(value), self.allowed)
+            raise _refuse(show(value), self.allowed)
         return value
 
 
@@ -142,7 +160,7 @@
         if self.optional and value == "":
             return ""
         if not isinstance(value, str) or not self._is_valid(value):
-            raise InvalidValueError(show(value), self.allowed)
+            raise _refuse(show(value), self.allowed)
         return value
 
     def _is_valid(self, value: str) -> bool:
@@ -169,9 +187,9 @@
     def read(self, value: Any) -> int:
         """Return the number."""
         if isinstance(value, bool) or not isinstance(value, int):
-            raise InvalidValueError(show(value), self.allowed)
+            raise _refuse(show(value), self.allowed)
         if not self.lowest <= value <= self.highest:
-            raise InvalidValueError(show(value), self.allowed)
+            raise _refuse(show(value), self.allowed)
         return value
 
 
@@ -190,9 +208,9 @@
     def read(self, value: Any) -> float:
         """Return the number as a float."""
         if isinstance(value, bool) or not isinstance(value, (int, float)):
-            raise InvalidValueError(show(value), self.allowed)
+            raise _refuse(show(value), self.allowed)
         if not self.lowest <= value <= self.highest:
-            raise InvalidValueError(show(value), self.allowed)
+            raise _refuse(show(value), self.allowed)
         return float(value)
 
 
@@ -205,7 +223,7 @@
     def read(self, value: Any) -> bool:
         """Return the flag."""
         if not isinstance(value, bool):
-            raise InvalidValueError(show(value), self.allowed)
+            raise _refuse(show(value), self.allowed)
         return value
 
 
@@ -224,7 +242,7 @@
     def read(self, value: Any) -> Any:
         """Return the choice."""
         if not isinstance(value, str) or value not in self.choices:
-            raise InvalidValueError(show(value), self.allowed)
+            raise _refuse(show(value), self.allowed)
         return self.kind(value) if self.kind else value
 
 
@@ -244,21 +262,26 @@
     def read(self, value: Any) -> tuple[Any, ...]:
         """Return the items."""
         if not isinstance(value, list) or len(value) < self.at_least:
-            raise InvalidValueError(show(value), self.allowed)
-        return tuple(self._read_items(value))
+            raise _refuse(show(value), self.allowed)
+        return self._read_items(value)
 
-    def _read_items(self, value: list[Any]) -> Iterable[Any]:
+    def _read_items(self, value: list[Any]) -> tuple[Any, ...]:
+        items: list[Any] = []
+        reasons: list[Invalid] = []
         seen: set[str] = set()
         for index, item in enumerate(value):
             text = json.dumps(item, sort_keys=True)
             if text in seen:
-                raise InvalidValueError(
-                    f"{show(item)} twice", "each item once", "Remove one.", index
-                )
+                found = f"{show(item)} twice"
+                reasons.append(Invalid(found, "each item once", "Remove one.", f"[{index}]"))
+            seen.add(text)
             try:
-                yield self.item.read(item)
-            except InvalidValueError as invalid:
-                raise attrs.evolve(invalid, index=index)
+                items.append(self.item.read(item))
+            except InvalidValueError as error:
+                reasons.extend(_placed(reason, f"[{index}]") for reason in error.reasons)
+        if reasons:
+            raise InvalidValueError(*reasons)
+        return tuple(items)
 
 
 @attrs.frozen
@@ -270,9 +293,9 @@
     def read(self, value: Any) -> str:
         """Return the secret."""
         if not isinstance(value, str):
-            raise InvalidValueError(f"a {type(value).__name__} (not shown)", self.allowed)
+            raise _refuse(f"a {type(value).__name__} (not shown)", self.allowed)
         if not re.fullmatch(r"[!-~]*", value):
-            raise InvalidValueError(f"{len(value)} characters (not shown)", self.allowed)
+            raise _refuse(f"{len(value)} characters (not shown)", self.allowed)
         return value
 
 
@@ -287,5 +310,5 @@
         if not isinstance(value, str) or not re.fullmatch(r"[0-9a-f]{64}", value):
             length = len(value) if isinstance(value, str) else 0
             remedy = "Write the SHA-256 of the key, never the key itself."
-            raise InvalidValueError(f"{length} characters (not shown)", self.allowed, remedy)
+            raise _refuse(f"{length} characters (not shown)", self.allowed, remedy)
         return value
--- a/hickoryloom/config/records.py
+++ b/hickoryloom/config/records.py
@@ -8,7 +8,7 @@
 import attrs
 
 from hickoryloom.config.faults import Fault
-from hickoryloom.config.options import InvalidValueError, Option, show
+from hickoryloom.config.options import Invalid, InvalidValueError, Option, show
 
 __all__ = [
     "Record",
@@ -46,12 +46,17 @@
         return f"an object with keys among {', '.join(declared_fields(self.kind))}"
 
     def read(self, value: Any) -> Any:
-        """Return the instance; stops at its first fault."""
+        """Return the instance."""
         faults: list[Fault] = []
         found = read_record(self.kind, value, "", "", faults)
         if faults:
-            first = faults[0]
-            raise InvalidValueError(f"{first.found} for {first.key}", first.allowed, first.remedy)
+            reasons = (
+                Invalid(
+                    fault.found, fault.allowed, fault.remedy, f".{fault.key}" if fault.key else ""
+                )
+                for fault in faults
+            )
+            raise InvalidValueError(*reasons)
         return found
 
 
@@ -144,10 +149,11 @@
         return
     try:
         values[field.name] = option.read(value[key])
-    except InvalidValueError as invalid:
-        where = path if invalid.index is None else f"{path}[{invalid.index}]"
-        remedy = invalid.remedy or "Change the value."
-        faults.append(Fault(file, where, invalid.found, invalid.allowed, remedy))
+    except InvalidValueError as error:
+        for reason in error.reasons:
+            remedy = reason.remedy or "Change the value."
+            where = f"{path}{reason.place}"
+            faults.append(Fault(file, where, reason.found, reason.allowed, remedy))
 
 
 def join(place: str, key: str) -> str:
--- a/hickoryloom/configuration/reading.py
+++ b/hickoryloom/configuration/reading.py
@@ -110,9 +110,9 @@
         for name, record in records.items():
             try:
                 Name().read(name)
-            except InvalidValueError as invalid:
-                place = f"{section} name"
-                self._fault(file, place, invalid.found, invalid.allowed, "Rename it.")
+            except InvalidValueError as error:
+                [reason] = error.reasons
+                self._fault(file, f"{section} name", reason.found, reason.allowed, "Rename it.")
                 continue
             self._add_record(file, section, name, record)
 
