Prove answer assembly and verdicts by properties; benchmark the relay beside a bare one

Seen before: a server's own 500 for a call that may not be repeated was told as run; it now is may-have-run, and a backend server's 401 is no longer shown to callers as theirs.

--- /dev/null
+++ b/hickoryloom/bench/relay.py
@@ -0,0 +1,279 @@
+"""Roles of the relay's speed benchmark: an event source, two relays and their callers.
+
+Each role is a process of its own, so that the processor time of a relay is its own alone:
+
+    python -m hickoryloom.bench.relay source --listen 127.0.0.1:7001
+    python -m hickoryloom.bench.relay bare --source 127.0.0.1:7001 --listen 127.0.0.1:7002
+    python -m hickoryloom.bench.relay relay --source 127.0.0.1:7001 --listen 127.0.0.1:7003
+    python -m hickoryloom.bench.relay callers 127.0.0.1:7002 127.0.0.1:7003 --streams 200
+
+`tests/test_relay_speed.py` starts them and compares the relays.
+"""
+
+from gevent import monkey
+
+if __name__ == "__main__":
+    monkey.patch_all()
+
+import argparse
+import json
+import random
+import resource
+import sys
+import time
+import uuid
+from collections.abc import Iterator
+from typing import Any
+
+import attrs
+import falcon
+import gevent
+from gevent import socket
+from gevent.event import Event
+from geventhttpclient import HTTPClient
+
+from hickoryloom.admission import Admitted, Request
+from hickoryloom.clock import SystemClock
+from hickoryloom.http import Call, JsonClient, Server
+from hickoryloom.relay import Relay
+from hickoryloom.routing import BackendView, Router
+
+__all__ = ["CallersReport", "Figures", "main", "run_callers"]
+
+PATH = "/v1/chat/completions"
+COST_PATH = "/bench/cost"
+SPREAD_S = 0.5
+READ_BYTES = 65536
+MAX_CONNECTIONS = 4096
+BODY = json.dumps({"model": "bench", "messages": [{"role": "user", "content": "x" * 200}]}).encode()
+EVENT_END = b"\n\n"
+
+
+class EventSource:
+    """Answers each call with a stream of events at a fixed pace.
+
+    Args:
+        events: Events of one stream.
+        pace_s: Seconds between two events.
+    """
+
+    def __init__(self, events: int, pace_s: float) -> None:
+        self._events = events
+        self._pace_s = pace_s
+
+    def on_post(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Stream the answer."""
+        resp.content_type = "text/event-stream"
+        resp.stream = self._stream(req.get_header("X-Request-Id") or "none")
+
+    def _stream(self, id: str) -> Iterator[bytes]:
+        due = time.monotonic()
+        for position in range(self._events):
+            yield _event(id, position, f"token{position} ", None)
+            due += self._pace_s
+            gevent.sleep(max(0.0, due - time.monotonic()))
+        usage = {"prompt_tokens": 50, "completion_tokens": self._events}
+        yield _event(id, self._events, "", usage)
+        yield b"data: [DONE]\n\n"
+
+
+class BareRelay:
+    """Passes events on with nothing decided or checked.
+
+    Args:
+        source: `host:port` of the event source.
+    """
+
+    def __init__(self, source: str) -> None:
+        host, _, port = source.rpartition(":")
+        self._client = HTTPClient(
+            host, int(port), concurrency=MAX_CONNECTIONS, network_timeout=60.0
+        )
+
+    def on_post(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Relay one call."""
+        body = req.bounded_stream.read()
+        headers = {"Content-Type": "application/json", "X-Request-Id": uuid.uuid4().hex}
+        answer = self._client.post(PATH, body, headers)
+        resp.content_type = answer.get("content-type")
+        resp.stream = self._events(answer)
+
+    def _events(self, answer: Any) -> Iterator[bytes]:
+        while event := answer.readline(EVENT_END):
+            yield event
+
+
+class RelayUnderTest:
+    """Passes events on through `hickoryloom.relay`.
+
+    Args:
+        source: `host:port` of the event source.
+    """
+
+    def __init__(self, source: str) -> None:
+        clock = SystemClock()
+        self._clock = clock
+        router = Router(clock, random.Random(1), "local")
+        router.set_views([BackendView("source", source, "local", "bench", slots=MAX_CONNECTIONS)])
+        self._relay = Relay(router, clock)
+
+    def on_post(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Relay one call."""
+        body = req.bounded_stream.read()
+        call = Call("POST", PATH, "", (("content-type", "application/json"),), body)
+        answer = self._relay.open(self._admit(), call).unwrap()
+        resp.content_type = dict(answer.headers)["content-type"]
+        resp.stream = answer
+
+    def _admit(self) -> Admitted:
+        now = self._clock.monotonic()
+        id = uuid.uuid4().hex
+        request = Request(id, "c", "bench", "bench", "guest", 1, True, now, now + 10, stream=True)
+        return Admitted(request, now, 0)
+
+
+class _Cost:
+    """Tells the processor time and memory of its process."""
+
+    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Return seconds of processor time and the largest resident size."""
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        resp.media = {"cpu_s": time.process_time(), "max_rss_kb": usage.ru_maxrss}
+
+
+@attrs.frozen
+class Figures:
+    """What the callers of one target saw; times in milliseconds."""
+
+    events: int
+    broken: int
+    first_p50_ms: float
+    first_p95_ms: float
+    gap_p50_ms: float
+    gap_p95_ms: float
+    gap_p99_ms: float
+
+
+@attrs.define
+class CallersReport:
+    """Collects what the callers of one target see."""
+
+    events: int = 0
+    broken: int = 0
+    firsts: list[float] = attrs.field(factory=list)
+    gaps: list[float] = attrs.field(factory=list)
+
+    def figures(self) -> Figures:
+        """Return the figures of all streams."""
+        return Figures(
+            self.events,
+            self.broken,
+            _quantile_ms(self.firsts, 0.5),
+            _quantile_ms(self.firsts, 0.95),
+            _quantile_ms(self.gaps, 0.5),
+            _quantile_ms(self.gaps, 0.95),
+            _quantile_ms(self.gaps, 0.99),
+        )
+
+
+def run_callers(targets: list[str], streams: int) -> list[Figures]:
+    """Open `streams` streams at each target, all at the same time, and read them to the end."""
+    reports = [CallersReport() for _ in targets]
+    tasks = []
+    for number in range(streams):
+        for target, report in zip(targets, reports, strict=True):
+            after_s = SPREAD_S * number / streams
+            tasks.append(gevent.spawn_later(after_s, _read_stream, target, report))
+    gevent.joinall(tasks)
+    return [report.figures() for report in reports]
+
+
+def read_cost(address: str) -> dict[str, float]:
+    """Return processor time and memory of a relay's process."""
+    client = JsonClient(address, timeout_s=30.0)
+    body: dict[str, float] = client.call("GET", COST_PATH).unwrap().body
+    client.close()
+    return body
+
+
+def _read_stream(target: str, report: CallersReport) -> None:
+    host, _, port = target.rpartition(":")
+    head = f"POST {PATH} HTTP/1.1\r\nHost: {target}\r\nContent-Length: {len(BODY)}\r\n"
+    try:
+        sock = socket.create_connection((host, int(port)), timeout=60.0)
+        began = time.monotonic()
+        sock.sendall(f"{head}Connection: close\r\n\r\n".encode() + BODY)
+        _read_events(sock, began, report)
+        sock.close()
+    except OSError:
+        report.broken += 1
+
+
+def _read_events(sock: Any, began: float, report: CallersReport) -> None:
+    last, done = 0.0, False
+    while data := sock.recv(READ_BYTES):
+        now = time.monotonic()
+        events = data.count(EVENT_END)
+        if not events:
+            continue
+        done = done or b"[DONE]" in data
+        report.events += events
+        if last:
+            report.gaps.append(now - last)
+        else:
+            report.firsts.append(now - began)
+        last = now
+    report.broken += not done
+
+
+def _event(id: str, position: int, text: str, usage: dict[str, int] | None) -> bytes:
+    choice = {"index": 0, "finish_reason": None, "delta": {"role": "assistant", "content": text}}
+    event = {"id": id, "position": position, "object": "chat.completion.chunk"}
+    event |= {"choices": [choice], **({"usage": usage} if usage else {})}
+    return b"data: " + json.dumps(event).encode() + EVENT_END
+
+
+def _quantile_ms(values: list[float], part: float) -> float:
+    ordered = sorted(values)
+    return round(ordered[min(len(ordered) - 1, int(part * len(ordered)))] * 1000, 2)
+
+
+def _serve(resource_: Any, listen: str) -> None:
+    app = falcon.App()
+    app.add_route(PATH, resource_)
+    app.add_route(COST_PATH, _Cost())
+    server = Server(app, listen)
+    server.start()
+    print(json.dumps({"address": server.address}), flush=True)
+    Event().wait()
+
+
+def main(arguments: list[str] | None = None) -> None:
+    """Run one role."""
+    parser = argparse.ArgumentParser(prog="python -m hickoryloom.bench.relay", description=__doc__)
+    roles = parser.add_subparsers(dest="role", required=True)
+    for role in ("source", "bare", "relay"):
+        one = roles.add_parser(role)
+        one.add_argument("--listen", default="127.0.0.1:0", metavar="HOST:PORT")
+        if role == "source":
+            one.add_argument("--events", type=int, default=100, help="events of one stream")
+            one.add_argument("--pace-ms", type=float, default=50.0, help="ms between events")
+        else:
+            one.add_argument("--source", required=True, metavar="HOST:PORT")
+    callers = roles.add_parser("callers")
+    callers.add_argument("targets", nargs="+", metavar="HOST:PORT")
+    callers.add_argument("--streams", type=int, default=200, help="streams at each target")
+    options = parser.parse_args(arguments)
+    if options.role == "callers":
+        figures = run_callers(options.targets, options.streams)
+        print(json.dumps([attrs.asdict(one) for one in figures]), flush=True)
+    elif options.role == "source":
+        _serve(EventSource(options.events, options.pace_ms / 1000), options.listen)
+    elif options.role == "bare":
+        _serve(BareRelay(options.source), options.listen)
+    else:
+        _serve(RelayUnderTest(options.source), options.listen)
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
--- a/hickoryloom/relay/attempts.py
+++ b/hickoryloom/relay/attempts.py
@@ -27,6 +27,9 @@
 MAX_ATTEMPTS = 5
 RETRY_AFTER_S = 1.0
 CANCEL_WAIT_S = 0.5
+UNAUTHORIZED = 401
+SERVER_ERROR = 500
+UNAVAILABLE = 503
 FREE_RETRIES = frozenset((FailureCause.CONNECT, FailureCause.CUT))
 
 
@@ -131,11 +134,13 @@
         self._tried.add(attempt.choice.backend.id)
         return self._judge(failed, resumable)
 
-    def succeed(self, whole: bool = True) -> None:
+    def succeed(self) -> None:
         """End the current attempt after its response was read to the end."""
-        assert self.current is not None
-        self._verdict = Verdict.RAN
-        self._finish(self.current, AttemptEnd.DONE if whole else AttemptEnd.ABANDONED)
+        attempt = self.current
+        assert attempt is not None and attempt.exchange is not None
+        broken = attempt.exchange.status >= SERVER_ERROR
+        self._verdict = Verdict.MAY_HAVE_RUN if broken else Verdict.RAN
+        self._finish(attempt, AttemptEnd.FAILED if broken else AttemptEnd.DONE)
 
     def abandon(self) -> None:
         """End the current attempt, if any, because nobody wants its answer."""
@@ -217,9 +222,10 @@
     def _check_status(self, attempt: Attempt) -> None:
         exchange = attempt.exchange
         assert exchange is not None
-        if exchange.status == 503 and exchange.header("x-not-run").lower() == "true":
+        if exchange.status == UNAVAILABLE and exchange.header("x-not-run").lower() == "true":
             raise AttemptError(AttemptFailed(FailureCause.NOT_RUN, Verdict.NOT_RUN, "not run"))
-        if exchange.status >= 500 and self._request.idempotent:
+        unauthorized = exchange.status == UNAUTHORIZED
+        if unauthorized or exchange.status >= SERVER_ERROR and self._request.idempotent:
             raise exchange.error(FailureCause.STATUS, f"status {exchange.status}")
 
     def _judge(self, failed: AttemptFailed, resumable: bool) -> Refused | None:
--- /dev/null
+++ b/hickoryloom/relay/tests/faulty_server.py
@@ -0,0 +1,85 @@
+"""A server that fails at a chosen byte of each connection and counts what it ran."""
+
+import json
+import struct
+
+from gevent import socket
+from gevent.server import StreamServer
+
+WHOLE = 10**9
+
+
+class FaultyServer:
+    """Serves each new connection by the next plan.
+
+    A plan is `(read, write, kind)`: bytes of the request to read before it resets, bytes of the
+    response to write before it closes, and the kind of response. A request read to its end is run.
+    """
+
+    def __init__(self, plans):
+        self.plans = list(plans)
+        self.runs = 0
+        self.requests = []
+        self.connections = 0
+        self._server = StreamServer(("127.0.0.1", 0), self._serve)
+        self._server.start()
+
+    @property
+    def address(self):
+        return f"127.0.0.1:{self._server.server_port}"
+
+    def close(self):
+        self._server.stop(timeout=0)
+
+    def _serve(self, sock, _address):
+        self.connections += 1
+        read, write, kind = self.plans.pop(0) if self.plans else (WHOLE, WHOLE, "ok")
+        try:
+            request = self._read(sock, read)
+            if request is None:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                return
+            self.requests.append(request)
+            sock.sendall(self._respond(request, kind)[:write])
+        except OSError:
+            pass
+        finally:
+            sock.close()
+
+    def _read(self, sock, limit):
+        """Return the whole request, None when the limit comes first."""
+        raw = b""
+        while len(raw) < limit:
+            data = sock.recv(min(65536, limit - len(raw)))
+            if not data:
+                return None
+            raw += data
+            head, end, body = raw.partition(b"\r\n\r\n")
+            if end and len(body) >= _length(head):
+                return raw
+        return None
+
+    def _respond(self, request, kind):
+        if kind == "not-run":
+            return b"HTTP/1.1 503 Busy\r\nX-Not-Run: true\r\nContent-Length: 0\r\n\r\n"
+        self.runs += 1
+        body = json.dumps({"run": self.runs}).encode()
+        status = b"500 Broken" if kind == "error" else b"200 OK"
+        extra = b"X-Request-Id: another\r\n" if kind == "crossed" else b""
+        length = b"Content-Length: %d\r\n" % len(body)
+        if kind == "malformed":
+            return b"HTTP/1.1 what\r\n\r\n" + body
+        if kind == "huge":
+            extra += b"X-Fill: " + b"y" * 200_000 + b"\r\n"
+        if kind == "long":
+            length = b"Content-Length: %d\r\n" % (len(body) + 7)
+        if kind == "two-lengths":
+            length += b"Content-Length: 3\r\n"
+        return b"HTTP/1.1 " + status + b"\r\n" + extra + length + b"\r\n" + body
+
+
+def _length(head):
+    for line in head.lower().split(b"\r\n"):
+        if line.startswith(b"content-length:"):
+            return int(line.partition(b":")[2])
+    return 0
