--- a/hickoryloom/admission/pool.py
+++ b/hickoryloom/admission/pool.py
@@ -169,6 +169,7 @@
         self._start_all(decisions, now)
         for waiting in self._urgency.pop_due(now):
             self._give_up(waiting, self._late_reason(waiting))
+            self._queues.remove(waiting)
         self._announce(now)
         self._preempt(decisions, now)
         self._refuse_late(decisions, now)
--- a/hickoryloom/bench/driver.py
+++ b/hickoryloom/bench/driver.py
@@ -20,13 +20,13 @@
 from hickoryloom.admission.waiting import Waiting
 from hickoryloom.bench.engine import Engine, Job
 from hickoryloom.bench.exchange import Exchange
-from hickoryloom.bench.experiment import Experiment, Loss, PoolLoad
+from hickoryloom.bench.experiment import ClassLoad, Experiment, Loss, PoolLoad
 from hickoryloom.bench.journal import Journal, Try
 from hickoryloom.bench.policies import POLICIES, EntryContext, Policy
 from hickoryloom.bench.workload import Arrival, build_arrivals
 from hickoryloom.clock import ManualClock
 from hickoryloom.relay.messages import Outcome
-from hickoryloom.routing.messages import BackendView, Choice, LoadReport
+from hickoryloom.routing import AttemptEnd, AttemptOutcome, BackendView, Choice, LoadReport
 from hickoryloom.verdict import Verdict
 
 __all__ = ["Driver"]
@@ -57,6 +57,7 @@
     job: Job | None = None
     engine: Engine | None = None
     choice: Choice | None = None
+    sent_at: float = 0.0
     tries: int = 0
 
 
@@ -114,7 +115,9 @@
                     name = f"{pool.name}-{group.domain}-{len(engines)}"
                     view = BackendView(name, "", group.domain, pool.name, group.cheap, pool.slots)
                     token_s = (slow.pop(0) if slow else 1.0) / pool.tokens_per_s
-                    engines[name] = Engine(view, group.price, token_s, self._at, self._job_done)
+                    engines[name] = Engine(
+                        view, group.price, token_s, self._at, self._first, self._job_done
+                    )
         return engines
 
     def _build_entry(self, policy: str, number: int) -> _Entry:
@@ -156,7 +159,7 @@
     def _arrive(self, arrival: Arrival, tries: int, begun: int = 0) -> None:
         now = self._clock.now
         entry = self._entries[(arrival.entry + tries) % len(self._entries)]
-        request = self._request(arrival, tries, now)
+        request = self._request(arrival, tries, now, begun)
         record = self.journal.begin(arrival, request, tries, begun)
         attempt = _Attempt(record, arrival, request, entry, tries=tries)
         self._open[request.id] = attempt
@@ -168,7 +171,12 @@
         else:
             self._after(self._experiment.delay_s, lambda: self._submit(attempt, decider))
 
-    def _request(self, arrival: Arrival, tries: int, now: float) -> Request:
+    def _wait_s(self, found: ClassLoad, begun: int) -> float:
+        """Return how long a request may wait; one that goes on has shown its first token."""
+        times = self._experiment.patience if begun else 1.0
+        return times * found.first_token_ms / 1000
+
+    def _request(self, arrival: Arrival, tries: int, now: float, begun: int) -> Request:
         found = arrival.request_class
         prompt_s = found.prompt_tokens / self._pools[found.pool].prompt_tokens_per_s
         return Request(
@@ -180,7 +188,7 @@
             tier=found.tier,
             idempotent=True,
             arrived=now,
-            deadline=now + found.first_token_ms / 1000 - prompt_s,
+            deadline=now + self._wait_s(found, begun) - prompt_s,
             prompt_tokens=found.prompt_tokens,
             prefix_hash=arrival.prefix,
             stream=True,
@@ -245,7 +253,7 @@
             self._send(attempt, tried | {choice.backend.id})
             return
         attempt.choice, attempt.engine = choice, engine
-        attempt.entry.policy.router.started(choice, attempt.request)
+        attempt.sent_at = attempt.entry.policy.router.started(choice, attempt.request)
         found = attempt.arrival.request_class
         prompt = found.prompt_tokens + attempt.record.delivered
         priority = attempt.request.tier if attempt.entry.policy.engine_priorities else 0
@@ -257,6 +265,18 @@
         )
         engine.submit(attempt.job, now)
 
+    def _first(self, job: Job) -> None:
+        attempt: _Attempt = job.owner
+        if attempt.choice is not None:
+            attempt.entry.policy.router.first_token(attempt.choice, attempt.sent_at)
+
+    def _close_choice(self, attempt: _Attempt, end: AttemptEnd) -> None:
+        if attempt.choice is None:
+            return
+        outcome = AttemptOutcome(end, attempt.sent_at, self._clock.now)
+        attempt.entry.policy.router.finished(attempt.choice, attempt.request, outcome)
+        attempt.choice = None
+
     def _job_done(self, job: Job) -> None:
         attempt: _Attempt = job.owner
         self._take_tokens(attempt)
@@ -283,9 +303,7 @@
             first_token_at=attempt.record.first_token_at,
             finished_at=now,
         )
-        if attempt.choice is not None:
-            attempt.entry.policy.router.finished(attempt.choice, attempt.request, outcome)
-            attempt.choice = None
+        self._close_choice(attempt, AttemptEnd.DONE if whole else AttemptEnd.ABANDONED)
         if attempt.admitted is None:
             return
         decider = self._decider(attempt.entry, attempt.request)
@@ -366,10 +384,7 @@
             self._take_tokens(attempt)
         for job in lost:
             attempt = job.owner
-            if attempt.choice is not None:
-                outcome = Outcome(Verdict.MAY_HAVE_RUN, False)
-                attempt.entry.policy.router.finished(attempt.choice, attempt.request, outcome)
-                attempt.choice = None
+            self._close_choice(attempt, AttemptEnd.FAILED)
             self._send(attempt, frozenset((engine.view.id,)))
 
     def pool_of(self, name: str) -> PoolLoad:
--- a/hickoryloom/bench/engine.py
+++ b/hickoryloom/bench/engine.py
@@ -42,6 +42,7 @@
         price: Cost of an hour.
         token_s: Seconds between two tokens of a job.
         schedule: Calls a function at a time.
+        first: Called with a job that has its first token.
         done: Called with a job that is over.
     """
 
@@ -51,6 +52,7 @@
         price: float,
         token_s: float,
         schedule: Callable[[float, Callable[[], None]], None],
+        first: Callable[[Job], None],
         done: Callable[[Job], None],
     ) -> None:
         self.view = view
@@ -58,6 +60,7 @@
         self.alive = True
         self._token_s = token_s
         self._schedule = schedule
+        self._first = first
         self._done = done
         self._running: set[Job] = set()
         self._queue: list[tuple[float, int, Job]] = []
@@ -115,9 +118,14 @@
     def _begin(self, job: Job, now: float) -> None:
         job.begun = now
         self._running.add(job)
+        self._schedule(now + job.prompt_s, lambda: self._show_first(job))
         end = now + job.prompt_s + job.tokens * self._token_s
         self._schedule(end, lambda: self._finish(job, end))
 
+    def _show_first(self, job: Job) -> None:
+        if not job.ended:
+            self._first(job)
+
     def _finish(self, job: Job, now: float) -> None:
         if job.ended:
             return
--- a/hickoryloom/bench/policies.py
+++ b/hickoryloom/bench/policies.py
@@ -20,7 +20,8 @@
 from hickoryloom.admission.shares import equal_part
 from hickoryloom.bench.baselines import PassThrough, StrictQueue
 from hickoryloom.bench.experiment import Experiment
-from hickoryloom.routing.messages import BackendView, Choice, LoadReport
+from hickoryloom.clock import Clock
+from hickoryloom.routing import AttemptOutcome, BackendView, Choice, LoadReport, Router
 
 __all__ = ["POLICIES", "EntryContext", "Policy", "RoutingPolicy", "policy"]
 
@@ -37,10 +38,13 @@
     def choose(self, request: Request, tried: frozenset[str]) -> Choice | None:
         """Return a backend server for a request, or None."""
 
-    def started(self, choice: Choice, request: Request) -> None:
-        """Count an attempt."""
+    def started(self, choice: Choice, request: Request) -> float:
+        """Count an attempt and return its start."""
 
-    def finished(self, choice: Choice, request: Request, outcome: Any) -> None:
+    def first_token(self, choice: Choice, started: float) -> None:
+        """Learn from the first token of an attempt that began at `started`."""
+
+    def finished(self, choice: Choice, request: Request, outcome: AttemptOutcome) -> None:
         """Count the end of an attempt."""
 
 
@@ -51,7 +55,7 @@
     experiment: Experiment
     number: int
     name: str
-    clock: Any
+    clock: Clock
     rng: random.Random
 
 
@@ -91,7 +95,8 @@
 class RoundRobin:
     """Takes backend servers of the pool in turn."""
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
         self._views: list[BackendView] = []
         self._next = 0
 
@@ -110,18 +115,22 @@
         self._next += 1
         return Choice(fitting[self._next % len(fitting)], "round-robin")
 
-    def started(self, choice: Choice, request: Request) -> None:
-        """Count nothing."""
+    def started(self, choice: Choice, request: Request) -> float:
+        """Return the time."""
+        return self._clock.monotonic()
 
-    def finished(self, choice: Choice, request: Request, outcome: Any) -> None:
+    def first_token(self, choice: Choice, started: float) -> None:
+        """Learn nothing."""
+
+    def finished(self, choice: Choice, request: Request, outcome: AttemptOutcome) -> None:
         """Count nothing."""
 
 
 class LeastInFlight(RoundRobin):
     """Takes the backend server with the fewest attempts of this entry in flight."""
 
-    def __init__(self) -> None:
-        super().__init__()
+    def __init__(self, clock: Clock) -> None:
+        super().__init__(clock)
         self._own: dict[str, int] = {}
 
     def choose(self, request: Request, tried: frozenset[str]) -> Choice | None:
@@ -134,11 +143,12 @@
         rotated = fitting[turn:] + fitting[:turn]
         return Choice(min(rotated, key=self._load), "least-in-flight")
 
-    def started(self, choice: Choice, request: Request) -> None:
-        """Count an attempt."""
+    def started(self, choice: Choice, request: Request) -> float:
+        """Count an attempt and return its start."""
         self._own[choice.backend.id] = self._own.get(choice.backend.id, 0) + 1
+        return super().started(choice, request)
 
-    def finished(self, choice: Choice, request: Request, outcome: Any) -> None:
+    def finished(self, choice: Choice, request: Request, outcome: AttemptOutcome) -> None:
         """Count the end of an attempt."""
         self._own[choice.backend.id] -= 1
 
@@ -146,42 +156,9 @@
         return self._own.get(view.id, 0) / view.slots
 
 
-class TwoChoices(LeastInFlight):
-    """Takes the less loaded of two random backend servers, by own attempts and reports.
-
-    Args:
-        rng: Source of the draws.
-    """
-
-    def __init__(self, rng: random.Random) -> None:
-        super().__init__()
-        self._rng = rng
-        self._reported: dict[str, LoadReport] = {}
-        self._since: dict[str, int] = {}
-
-    def report(self, backend_id: str, report: LoadReport) -> None:
-        """Keep the latest report, and count anew what was started after it."""
-        self._reported[backend_id] = report
-        self._since[backend_id] = 0
-
-    def choose(self, request: Request, tried: frozenset[str]) -> Choice | None:
-        """Return the less loaded of two backend servers of the pool."""
-        fitting = [v for v in self._views if v.pool == request.pool and v.id not in tried]
-        if not fitting:
-            return None
-        pair = self._rng.sample(fitting, min(2, len(fitting)))
-        return Choice(min(pair, key=self._load), "two-choices")
-
-    def started(self, choice: Choice, request: Request) -> None:
-        """Count an attempt."""
-        super().started(choice, request)
-        self._since[choice.backend.id] = self._since.get(choice.backend.id, 0) + 1
-
-    def _load(self, view: BackendView) -> float:
-        report = self._reported.get(view.id)
-        if report is None:
-            return super()._load(view)
-        return (report.running + report.waiting + self._since.get(view.id, 0)) / view.slots
+def _router(context: EntryContext) -> Router:
+    domains = sorted({g.domain for pool in context.experiment.pools for g in pool.groups})
+    return Router(context.clock, context.rng, domains[context.number % len(domains)])
 
 
 class IndependentShares(AdmissionState):
@@ -208,36 +185,36 @@
 def build_chosen(context: EntryContext) -> Policy:
     """Demand shares with pressure, reserves, fair queueing and early refusal."""
     admission = AdmissionState(context.name, context.rng)
-    return Policy(admission, TwoChoices(context.rng), exchanges=True)
+    return Policy(admission, _router(context), exchanges=True)
 
 
 @policy("independent-shares")
 def build_independent(context: EntryContext) -> Policy:
     """The chosen admission with a fixed part of each pool and no word between entries."""
     admission = IndependentShares(context.name, context.rng, context)
-    return Policy(admission, TwoChoices(context.rng))
+    return Policy(admission, _router(context))
 
 
 @policy("dispatcher")
 def build_dispatcher(context: EntryContext) -> Policy:
     """The chosen admission at one entry per pool, chosen by rendezvous hashing."""
     admission = AdmissionState(context.name, context.rng)
-    return Policy(admission, TwoChoices(context.rng), dispatcher=True)
+    return Policy(admission, _router(context), dispatcher=True)
 
 
 @policy("fcfs-round-robin")
 def build_fcfs(context: EntryContext) -> Policy:
     """First come first served at the engines, which are taken in turn."""
-    return Policy(PassThrough(), RoundRobin(), engine_priorities=False)
+    return Policy(PassThrough(), RoundRobin(context.clock), engine_priorities=False)
 
 
 @policy("least-in-flight")
 def build_least_in_flight(context: EntryContext) -> Policy:
     """First come first served at the engine with the fewest own requests."""
-    return Policy(PassThrough(), LeastInFlight(), engine_priorities=False)
+    return Policy(PassThrough(), LeastInFlight(context.clock), engine_priorities=False)
 
 
 @policy("strict-priority")
 def build_strict(context: EntryContext) -> Policy:
     """Strict tiers in each entry's part of the slots, without reserve or refusal."""
-    return Policy(StrictQueue(context.experiment.entries), LeastInFlight())
+    return Policy(StrictQueue(context.experiment.entries), LeastInFlight(context.clock))
