--- a/hickoryloom/commands/__init__.py
+++ b/hickoryloom/commands/__init__.py
@@ -5,6 +5,7 @@
 import argparse
 import importlib
 import sys
+from collections.abc import Sequence
 
 from hickoryloom.commands.registry import COMMANDS
 from hickoryloom.exceptions import HickoryloomError
@@ -27,16 +28,16 @@
 )
 
 
-def build_parser() -> argparse.ArgumentParser:
-    """Build the parser of all registered verbs."""
-    for verb in VERBS:
+def build_parser(chosen: Sequence[str] = VERBS) -> argparse.ArgumentParser:
+    """Build the parser of the chosen verbs, whose modules alone are imported."""
+    for verb in chosen:
         importlib.import_module(f"hickoryloom.commands.{verb}")
     parser = argparse.ArgumentParser(
         prog="hickoryloom",
         description="A router for language-model traffic with service levels and priorities.",
     )
     verbs = parser.add_subparsers(dest="verb", required=True, metavar="VERB")
-    for verb in VERBS:
+    for verb in chosen:
         command = COMMANDS[verb]
         sub = verbs.add_parser(
             verb,
@@ -51,7 +52,8 @@
 
 def run(arguments: list[str]) -> int:
     """Parse `arguments`, run the verb and return the exit code."""
-    options = build_parser().parse_args(arguments)
+    known = arguments[:1] if arguments and arguments[0] in VERBS else VERBS
+    options = build_parser(known).parse_args(arguments)
     try:
         return int(options.run(options) or 0)
     except HickoryloomError as error:
--- a/hickoryloom/commands/keys.py
+++ b/hickoryloom/commands/keys.py
@@ -12,6 +12,7 @@
 from hickoryloom.configuration import KeyRecord, issue_key, list_keys, withdraw_key
 from hickoryloom.exceptions import UsageError
 from hickoryloom.keys import hash_key, is_key, new_key
+from hickoryloom.tables import render_table
 
 __all__: list[str] = []
 
@@ -84,8 +85,7 @@
 def _list(options: argparse.Namespace) -> None:
     keys = unwrap_change(list_keys(connect_platform(options)))
     shown = [key for key in keys if options.customer in ("", key.customer)]
-    rows = [("CUSTOMER", "LABEL", "ID", "CLASS", "FROM")]
-    rows += [
+    rows = [
         (
             key.customer,
             key.label,
@@ -95,9 +95,7 @@
         )
         for key in shown
     ]
-    widths = [max(len(row[column]) for row in rows) for column in range(len(rows[0]))]
-    for row in rows:
-        print("  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)).strip())
+    print(render_table(("CUSTOMER", "LABEL", "ID", "CLASS", "FROM"), rows))
 
 
 def _check_name(option: str, value: str) -> None:
--- /dev/null
+++ b/hickoryloom/tables.py
@@ -0,0 +1,28 @@
+"""Plain text tables for the command line."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+
+__all__ = ["render_table"]
+
+COLUMN_GAP = "  "
+
+
+def render_table(
+    headings: Sequence[str], rows: Iterable[Sequence[object]], indent: str = ""
+) -> str:
+    """Return a table with columns as wide as their widest cell.
+
+    Args:
+        headings: One for each column.
+        rows: Cells, as many as headings.
+        indent: Put before each line.
+    """
+    cells = [tuple(headings), *(tuple(str(cell) for cell in row) for row in rows)]
+    widths = [max(len(row[column]) for row in cells) for column in range(len(headings))]
+    lines = (
+        indent + COLUMN_GAP.join(cell.ljust(width) for cell, width in zip(row, widths, strict=True))
+        for row in cells
+    )
+    return "\n".join(line.rstrip() for line in lines)
