--- a/hickoryloom/leases/keeper.py
+++ b/hickoryloom/leases/keeper.py
@@ -150,7 +150,7 @@
 
     def _on_failed_write(self, now: float, step: WriteStep, error: PlatformError) -> None:
         if error.kind in (ErrorKind.CONFLICT, ErrorKind.ABSENT):
-            self._state.on_conflict(now, step)
+            self._state.on_conflict(now)
         else:
             self._state.on_write(now, step, error.applied)
 
--- a/hickoryloom/leases/state.py
+++ b/hickoryloom/leases/state.py
@@ -24,7 +24,8 @@
 
     The right of a holder is counted from before the write that renewed it was sent. A successor
     counts from after it saw the last change, and waits out the duration and the margin. Both
-    use only their own monotonic clock, and the platform's versions decide every race.
+    use only their own monotonic clock, and the platform's versions decide every race: a stale
+    read leads at worst to a write that conflicts.
 
     Args:
         incarnation: The candidate.
@@ -38,8 +39,6 @@
     _changed: float | None = None
     _read_at: float | None = None
     _must_read: bool = True
-    _above_version: int = 0
-    _older_since: float | None = None
     _highest_term: int = 0
     _attempts: int = 0
     _sent: dict[int, float] = attrs.field(factory=dict)
@@ -71,15 +70,11 @@
 
     def on_read(self, now: float, version: int, record: LeaseRecord | None) -> None:
         """Take in an answer to a read that came at `now`; version 0 means no object."""
-        if self._is_stale(now, version):
-            self._retry_at = now + self.times.retry_s
-            return
         self._must_read = False
         self._read_at = now
         if self._changed is None or version != self._version or record != self._record:
             self._changed = now
         self._version = version
-        self._above_version = 0
         self._record = record
         if record is None:
             self._right = None
@@ -104,11 +99,10 @@
             self._must_read = True
         self._retry_at = now + self.times.retry_s
 
-    def on_conflict(self, now: float, step: WriteStep) -> None:
+    def on_conflict(self, now: float) -> None:
         """Take in that the object no longer had the version that a write expected."""
         self._must_read = True
-        self._above_version = step.if_version + 1
-        self._retry_at = now
+        self._retry_at = now + self.times.retry_s
 
     def release(self) -> LeaseRecord | None:
         """End the own right for good and return the record that tells so, None when not held."""
@@ -169,23 +163,6 @@
     def _is_mine(self) -> bool:
         return self._record is not None and self._record.holder == self.incarnation
 
-    def _is_stale(self, now: float, version: int) -> bool:
-        """Tell whether a read shows an older state than one already known.
-
-        An object that was deleted and created again counts its versions anew, so older ones that
-        keep coming for as long as a lease lasts are believed. Versions still decide each write.
-        """
-        if version == 0:
-            older = self._above_version > 0 and self._version == 0
-        else:
-            older = version < max(self._version, self._above_version)
-        if not older:
-            self._older_since = None
-            return False
-        if self._older_since is None:
-            self._older_since = now
-        return now - self._older_since < self.times.duration_s + self.times.margin_s
-
     def _settle_right(self, record: LeaseRecord) -> None:
         """Set the right from a record that is known to stand in the platform."""
         if record.holder != self.incarnation:
