--- a/hickoryloom/commands/control.py
+++ b/hickoryloom/commands/control.py
@@ -3,12 +3,27 @@
 from __future__ import annotations
 
 import argparse
+import os
 
 from hickoryloom.commands.registry import command
-from hickoryloom.exceptions import UnavailableError
+from hickoryloom.config import load_settings
+from hickoryloom.control import build_control
+from hickoryloom.lifecycle import run_until_stopped
+from hickoryloom.logs import configure_logging
 
 
-@command("control", "Not built yet.", "hickoryloom control")
-def run(options: argparse.Namespace) -> None:
-    """Fail until the verb is built."""
-    raise UnavailableError("not built yet")
+def _add_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("--settings", required=True, metavar="FILE", help="settings of the process")
+
+
+@command(
+    "control",
+    "Run a control process: ordering of backend servers and usage reports, under leases.",
+    "hickoryloom control --settings control.json",
+    _add_arguments,
+)
+def run(options: argparse.Namespace) -> int:
+    """Run until SIGTERM, then release the leases and return 0."""
+    settings = load_settings(options.settings, os.environ)
+    configure_logging(settings.log_level)
+    return run_until_stopped(build_control(settings), settings.ready_file)
--- a/hickoryloom/config/settings.py
+++ b/hickoryloom/config/settings.py
@@ -12,6 +12,8 @@
 LOG_LEVELS = ("DEBUG", "INFO", "NOTICE", "WARNING", "ERROR", "CRITICAL")
 MIN_WINDOW_S = 1.0
 MAX_WINDOW_S = 3600.0
+MIN_LEASE_S = 1.0
+MAX_LEASE_S = 60.0
 MAX_DRAIN_S = 600.0
 
 
@@ -33,6 +35,7 @@
         peer_secret: The token that entries show to each other.
         ready_file: File that is written with the bound addresses as JSON, empty for none.
         window_s: Seconds of one usage window.
+        lease_s: Seconds for which a renewal of a lease lasts; the same in all control processes.
         drain_s: Seconds for which a stopping entry still accepts, until the balancer has noticed.
         log_level: Lowest level written.
     """
@@ -52,5 +55,6 @@
     window_s: float = attrs.field(
         default=60.0, metadata=declare(Number(MIN_WINDOW_S, MAX_WINDOW_S))
     )
+    lease_s: float = attrs.field(default=10.0, metadata=declare(Number(MIN_LEASE_S, MAX_LEASE_S)))
     drain_s: float = attrs.field(default=5.0, metadata=declare(Number(0.0, MAX_DRAIN_S)))
     log_level: str = attrs.field(default="INFO", metadata=declare(Choice(LOG_LEVELS)))
--- a/hickoryloom/fleet/engines.py
+++ b/hickoryloom/fleet/engines.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 import attrs
-from result import Err, Ok
+from result import Err
 
 from hickoryloom.clock import Clock
 from hickoryloom.http import JsonClient
@@ -69,11 +69,9 @@
     def _call(self, address: str, method: str, path: str, body: Any, guard: Guard | None) -> Any:
         client = JsonClient(address, CALL_TIMEOUT_S, connections=1)
         try:
-            if guard is not None and not guard():
-                return None
-            answer = client.call(method, path, body, CALL_TIMEOUT_S, self._headers)
+            answer = client.call(method, path, body, CALL_TIMEOUT_S, self._headers, guard)
         finally:
             client.close()
         if isinstance(answer, Err) or answer.ok_value.status != 200:
             return None
-        return answer.ok_value.body if isinstance(answer, Ok) else None
+        return answer.ok_value.body
