--- a/hickoryloom/config/records.py
+++ b/hickoryloom/config/records.py
@@ -166,4 +166,7 @@
         return [_to_json(item) for item in value]
     if attrs.has(type(value)):
         return write_record(value)
+    if isinstance(value, float) and value.is_integer():
+        # Stores may write 2.0 as 2, and a record must keep one form to keep its digest.
+        return int(value)
     return getattr(value, "value", value)
