Prove how long an entry may vouch for its view

The state machine found that a stale listing counted as contact with the platform for an entry that knew no revision yet; only a watch's answer counts now, and one follows each listing at once.

--- a/hickoryloom/configuration/follower.py
+++ b/hickoryloom/configuration/follower.py
@@ -75,6 +75,7 @@
         self._subscribers: list[Subscriber] = []
         self._task: gevent.Greenlet | None = None
         self._since: int | None = None
+        self._watch_timeout_s = WATCH_TIMEOUT_S
 
     @property
     def snapshot(self) -> Snapshot:
@@ -172,18 +173,21 @@
         return self._rng.uniform(FIRST_RETRY_S, longest)
 
     def _list(self) -> Result[None, PlatformError]:
-        sent = self._clock.monotonic()
+        # A listing may be a stale read, so it shows nothing about the view's age; the watch that
+        # follows at once does, since it tells all changes after the listing's revision.
         answer = self._client.list(ROOT_KEY)
         if answer.is_err():
             return Err(answer.unwrap_err())
         listing = answer.unwrap()
         values = [item.value for item in listing.items if item.key == ROOT_KEY]
-        return self._take(values, listing.revision, sent)
+        self._take(values, listing.revision)
+        self._watch_timeout_s = 0.0
+        return Ok(None)
 
     def _watch(self, since: int) -> Result[None, PlatformError]:
         sent = self._clock.monotonic()
         answer: Result[WatchBatch, PlatformError]
-        answer = self._client.watch(ROOT_KEY, since, WATCH_TIMEOUT_S)
+        answer = self._client.watch(ROOT_KEY, since, self._watch_timeout_s)
         if answer.is_err():
             return Err(answer.unwrap_err())
         batch = answer.unwrap()
@@ -191,18 +195,19 @@
             self._since = None
             return Ok(None)
         values = [change.value for change in batch.changes if change.key == ROOT_KEY]
-        return self._take(values, batch.revision, sent)
+        if self._take(values, batch.revision):
+            self._evidence.platform_answered(sent, batch.revision)
+        self._watch_timeout_s = WATCH_TIMEOUT_S
+        return Ok(None)
 
-    def _take(self, values: list[Any], revision: int, sent: float) -> Result[None, PlatformError]:
-        newest = values[-1] if values else None
-        if newest is not None:
-            self.offer_root(newest, PlatformShards(self._client))
-            if self._is_behind(newest):
+    def _take(self, values: list[Any], revision: int) -> bool:
+        if values:
+            self.offer_root(values[-1], PlatformShards(self._client))
+            if self._is_behind(values[-1]):
                 self._since = None
-                return Ok(None)
+                return False
         self._since = revision
-        self._evidence.platform_answered(sent, revision)
-        return Ok(None)
+        return True
 
     def _is_behind(self, value: Any) -> bool:
         generation = value.get("generation", 0) if isinstance(value, dict) else 0
