--- a/hickoryloom/commands/entry.py
+++ b/hickoryloom/commands/entry.py
@@ -3,12 +3,27 @@
 from __future__ import annotations
 
 import argparse
+import os
 
 from hickoryloom.commands.registry import command
-from hickoryloom.exceptions import UnavailableError
+from hickoryloom.config import load_settings
+from hickoryloom.entry import build_entry
+from hickoryloom.lifecycle import run_until_stopped
+from hickoryloom.logs import configure_logging
 
 
-@command("entry", "Not built yet.", "hickoryloom entry")
-def run(options: argparse.Namespace) -> None:
-    """Fail until the verb is built."""
-    raise UnavailableError("not built yet")
+def _add_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("--settings", required=True, metavar="FILE", help="settings, JSON")
+
+
+@command(
+    "entry",
+    "Serve callers; ends after SIGTERM once every request has ended.",
+    "hickoryloom entry --settings entry.json",
+    _add_arguments,
+)
+def run(options: argparse.Namespace) -> int:
+    """Run an entry process until it is asked to stop."""
+    settings = load_settings(options.settings, os.environ)
+    configure_logging(settings.log_level)
+    return run_until_stopped(build_entry(settings), settings.ready_file)
--- /dev/null
+++ b/hickoryloom/entry/exchange.py
@@ -0,0 +1,244 @@
+"""The life of one request: admit, claim, relay, account."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+
+import attrs
+import logbook
+from gevent.event import Event
+from result import Err, Result
+
+from hickoryloom.admission import Admission, Admitted, RefusalReason, Refused, Request
+from hickoryloom.claims import Claim, Claims, StoredAnswer
+from hickoryloom.clock import Clock
+from hickoryloom.configuration import ConfigurationFollower
+from hickoryloom.entry.accounting import Accounting
+from hickoryloom.entry.errors import (
+    answer_for_refusal,
+    error_body,
+    error_event,
+    error_headers,
+)
+from hickoryloom.entry.messages import ErrorAnswer, Reply
+from hickoryloom.http import Call
+from hickoryloom.keys import OpenCalls, ViewGuard
+from hickoryloom.relay import Answer, Outcome, Relay
+from hickoryloom.verdict import Verdict
+
+__all__ = ["Exchange", "Slices", "reply_with_error"]
+
+log = logbook.Logger("hickoryloom.entry")
+
+STORED_BODY_LIMIT_BYTES = 256 * 1024
+
+
+@attrs.frozen
+class Slices:
+    """The parts of an entry that a request passes through."""
+
+    clock: Clock
+    follower: ConfigurationFollower
+    view_guard: ViewGuard
+    open_calls: OpenCalls
+    admission: Admission
+    claims: Claims
+    relay: Relay
+    accounting: Accounting
+
+
+class Exchange:
+    """Serves one identified request from admission to its last byte.
+
+    Args:
+        slices: The parts of the entry.
+        request: The request.
+        call: The call without the caller's key.
+        key_hash: Hash of the caller's key, empty on a route open to all.
+    """
+
+    def __init__(self, slices: Slices, request: Request, call: Call, key_hash: str) -> None:
+        self._slices = slices
+        self._request = request
+        self._call = call
+        self._key_hash = key_hash
+        self._cancelled = Event()
+        self._cancel_reason: RefusalReason | None = None
+        self._admitted: Admitted | None = None
+        self._ended = False
+        self._on_end: Callable[[], None] | None = None
+        self._handle = slices.open_calls.register(key_hash, self.withdraw)
+
+    def on_end(self, callback: Callable[[], None]) -> None:
+        """Call back once when the request has ended."""
+        self._on_end = callback
+
+    def run(self) -> Reply:
+        """Admit the request and begin its answer; return what to send."""
+        self._slices.accounting.arrived(self._request)
+        admitted = self._slices.admission.admit(self._request, self._cancelled)
+        if isinstance(admitted, Err):
+            return self._refuse(self._with_cancel_reason(admitted.err_value))
+        self._admitted = admitted.ok_value
+        self._slices.accounting.started(self._admitted)
+        self._slices.admission.on_preempt(self._admitted, self.preempt)
+        if self._request.idempotent:
+            return self._relay()
+        return self._run_at_most_once()
+
+    def withdraw(self) -> None:
+        """End the request because its key has been withdrawn."""
+        self._cancel(RefusalReason.KEY_WITHDRAWN)
+
+    def leave(self) -> None:
+        """End the request because its caller left."""
+        self._cancel(RefusalReason.CALLER_LEFT)
+
+    def preempt(self) -> None:
+        """End the request in favour of one of a higher tier."""
+        self._cancel(RefusalReason.PREEMPTED)
+
+    def _cancel(self, reason: RefusalReason) -> None:
+        if self._ended or self._cancel_reason is not None:
+            return
+        self._cancel_reason = reason
+        self._cancelled.set()
+        self._slices.relay.cancel(self._request.id, reason)
+
+    def _with_cancel_reason(self, refused: Refused) -> Refused:
+        if self._cancel_reason is None:
+            return refused
+        return attrs.evolve(refused, reason=self._cancel_reason, detail="")
+
+    def _relay(self) -> Reply:
+        opened = self._open()
+        if isinstance(opened, Err):
+            return self._refuse(opened.err_value)
+        answer = opened.ok_value
+        return Reply(answer.status, self._headers(answer), _Body(self, answer))
+
+    def _open(self) -> Result[Answer, Refused]:
+        assert self._admitted is not None
+        if self._cancel_reason is not None:
+            return Err(Refused(self._cancel_reason, Verdict.NOT_RUN, 0.0))
+        return self._slices.relay.open(self._admitted, self._call)
+
+    def _headers(self, answer: Answer) -> list[tuple[str, str]]:
+        own = [("X-Request-Id", self._request.id)]
+        return [*answer.headers, *own]
+
+    def _run_at_most_once(self) -> Reply:
+        begun = self._slices.claims.begin(self._request, self._call)
+        if isinstance(begun, Err):
+            return self._refuse(begun.err_value)
+        if isinstance(begun.ok_value, StoredAnswer):
+            return self._replay(begun.ok_value)
+        sent = self._slices.claims.mark_sent(begun.ok_value)
+        if isinstance(sent, Err):
+            return self._refuse(sent.err_value)
+        return self._relay_claimed(sent.ok_value)
+
+    def _relay_claimed(self, claim: Claim) -> Reply:
+        opened = self._open()
+        if isinstance(opened, Err):
+            if opened.err_value.verdict is Verdict.NOT_RUN:
+                self._slices.claims.abandon(claim)
+            return self._refuse(opened.err_value)
+        answer = opened.ok_value
+        body = b"".join(answer)
+        outcome = _outcome_of(answer)
+        if not outcome.whole:
+            return self._refuse(self._failure(answer, outcome), outcome)
+        headers = self._headers(answer)
+        self._slices.claims.complete(claim, StoredAnswer(answer.status, tuple(headers), body))
+        self._end(outcome)
+        return Reply(answer.status, [*headers, ("X-Verdict", outcome.verdict.value)], [body])
+
+    def _replay(self, stored: StoredAnswer) -> Reply:
+        now = self._slices.clock.monotonic()
+        self._end(Outcome(Verdict.NOT_RUN, whole=True, finished_at=now))
+        replayed = [("Idempotency-Replayed", "true"), ("X-Verdict", Verdict.RAN.value)]
+        return Reply(stored.status, [*stored.headers, *replayed], [stored.body])
+
+    def _failure(self, answer: Answer, outcome: Outcome) -> Refused:
+        if self._cancel_reason is not None:
+            return Refused(self._cancel_reason, outcome.verdict, 0.0)
+        if answer.failure is not None:
+            return answer.failure
+        return Refused(RefusalReason.BACKEND_FAILED, outcome.verdict, 1.0)
+
+    def _refuse(self, refused: Refused, outcome: Outcome | None = None) -> Reply:
+        ended = outcome or Outcome(
+            refused.verdict, whole=False, finished_at=self._slices.clock.monotonic()
+        )
+        self._slices.accounting.refused(self._request, refused)
+        self._end(ended)
+        return reply_with_error(answer_for_refusal(refused, self._request.id))
+
+    def _end(self, outcome: Outcome) -> None:
+        """Give back all that the request holds, once."""
+        if self._ended:
+            return
+        self._ended = True
+        if self._on_end is not None:
+            self._on_end()
+        self._slices.open_calls.release(self._handle)
+        if self._admitted is not None:
+            self._slices.admission.finish(self._admitted, outcome)
+        self._slices.accounting.ended(self._request, self._admitted, outcome)
+
+    def finish_stream(self, answer: Answer) -> bytes:
+        """Account for an answer that has been relayed; return what is still to be sent."""
+        outcome = _outcome_of(answer)
+        if outcome.whole:
+            self._end(outcome)
+            return b""
+        failure = self._failure(answer, outcome)
+        self._slices.accounting.refused(self._request, failure)
+        self._end(outcome)
+        return error_event(answer_for_refusal(failure, self._request.id))
+
+    def abort_stream(self, answer: Answer) -> None:
+        """Account for an answer whose caller left."""
+        if self._ended:
+            return
+        self.leave()
+        answer.close()
+        self._end(_outcome_of(answer))
+
+
+class _Body:
+    """A relayed answer as WSGI iterates over it."""
+
+    def __init__(self, exchange: Exchange, answer: Answer) -> None:
+        self._exchange = exchange
+        self._answer = answer
+
+    def __iter__(self) -> Iterator[bytes]:
+        yield from self._answer
+        tail = self._exchange.finish_stream(self._answer)
+        if tail:
+            if not _is_event_stream(self._answer):
+                raise ConnectionAbortedError("the answer is not whole")
+            yield tail
+
+    def close(self) -> None:
+        """End the request if it has not ended, since its caller left."""
+        self._exchange.abort_stream(self._answer)
+
+
+def _outcome_of(answer: Answer) -> Outcome:
+    assert answer.outcome is not None, "an answer that was read or closed has an outcome"
+    return answer.outcome
+
+
+def _is_event_stream(answer: Answer) -> bool:
+    return any(
+        name.lower() == "content-type" and value.startswith("text/event-stream")
+        for name, value in answer.headers
+    )
+
+
+def reply_with_error(answer: ErrorAnswer) -> Reply:
+    """Return an error as a reply that is complete at once."""
+    return Reply(answer.status, error_headers(answer), [error_body(answer)])
--- /dev/null
+++ b/hickoryloom/entry/process.py
@@ -0,0 +1,312 @@
+"""An entry process: builds the slices, joins them and runs them."""
+
+from __future__ import annotations
+
+import random
+import uuid
+from collections.abc import Iterable
+
+import attrs
+import falcon
+import gevent
+import logbook
+
+from hickoryloom.admission import Admission
+from hickoryloom.claims import Claims
+from hickoryloom.clock import Clock, SystemClock
+from hickoryloom.config import Settings
+from hickoryloom.configuration import ConfigurationFollower, ConfigurationPeers, Snapshot
+from hickoryloom.entry.accounting import Accounting
+from hickoryloom.entry.admin import DecisionLog, build_admin_app
+from hickoryloom.entry.app import build_caller_app
+from hickoryloom.entry.exchange import Slices
+from hickoryloom.entry.messages import ClassSummary
+from hickoryloom.fleet import DemandMeter, add_demand_routes
+from hickoryloom.http import Server
+from hickoryloom.keys import OpenCalls, ViewGuard, WithdrawalTask
+from hickoryloom.logs import log_event
+from hickoryloom.membership import Heartbeat, Membership, Peer
+from hickoryloom.metrics import Attainment, Measure, MetricsRecorder
+from hickoryloom.platform import PlatformClient
+from hickoryloom.relay import Relay
+from hickoryloom.routing import BackendDirectory, BackendView, Router
+from hickoryloom.usage import UsageCounter
+
+__all__ = ["Entry", "build_entry"]
+
+FIRST_GENERATION_WAIT_S = 5.0
+FIRST_GENERATION_POLL_S = 0.02
+IDLE_CONNECTION_GRACE_S = 0.5
+UNKNOWN_AGE_S = 1e9
+
+log = logbook.Logger("hickoryloom.entry")
+
+
+class Entry:
+    """Serves callers; every instance runs one process of this kind for each core granted.
+
+    Args:
+        settings: Settings of the process.
+        clock: Source of time.
+        rng: Source of random numbers.
+    """
+
+    def __init__(self, settings: Settings, clock: Clock, rng: random.Random) -> None:
+        self._clock = clock
+        self._incarnation = f"{settings.instance}-{uuid.uuid4().hex[:12]}"
+        self._stopping = False
+        self._peer_app = falcon.App()
+        self._peer_server = _bind(self._peer_app, settings.peer_listen)
+        self._metrics = MetricsRecorder()
+        self._decisions = DecisionLog()
+        admin_app = build_admin_app(
+            self.why_not_ready, self._render_metrics, self.status, self._decisions
+        )
+        self._admin_server = _bind(admin_app, settings.admin_listen)
+        self._settings = attrs.evolve(
+            settings,
+            peer_listen=self._peer_server.address,
+            admin_listen=self._admin_server.address,
+        )
+        self._client = PlatformClient(settings.platform, clock)
+        self._follower = ConfigurationFollower(self._client, clock, settings.failure_domain, rng)
+        self._configuration_peers = ConfigurationPeers(
+            self._follower, clock, settings.seeds, settings.peer_secret, rng
+        )
+        self._membership = Membership(
+            self._settings, self._incarnation, clock, self._client, self._build_heartbeat
+        )
+        self._view_guard = ViewGuard(self._follower)
+        self._open_calls = OpenCalls(lambda key_hash: key_hash in self._follower.snapshot.keys)
+        self._withdrawals = WithdrawalTask(
+            self._follower, self._view_guard, self._open_calls, clock
+        )
+        self._admission = Admission(self._incarnation, clock, rng)
+        self._router = Router(clock, rng, settings.failure_domain)
+        self._directory = BackendDirectory(self._client, clock, rng, self._router.report)
+        self._relay = Relay(self._router, clock, settings.backend_credential)
+        self._claims = Claims(self._client, clock, self._incarnation)
+        self._usage = UsageCounter(
+            self._client,
+            clock,
+            self._incarnation,
+            settings.window_s,
+            self._membership.peers,
+            settings.failure_domain,
+            settings.peer_secret,
+        )
+        self._demand = DemandMeter(self._incarnation)
+        self._accounting = Accounting(
+            clock, self._metrics, self._usage, self._decisions, self._demand
+        )
+        self._caller_server = _bind(build_caller_app(self._slices()), settings.listen)
+        self._join_slices()
+
+    @property
+    def incarnation(self) -> str:
+        """New with each start of a process."""
+        return self._incarnation
+
+    @property
+    def addresses(self) -> dict[str, str]:
+        """Bound addresses for callers, peers and operators."""
+        return {
+            "listen": self._caller_server.address,
+            "peer": self._peer_server.address,
+            "admin": self._admin_server.address,
+        }
+
+    @property
+    def open_requests(self) -> int:
+        """Requests that hold a slot or a place in a queue."""
+        return self._admission.waiting + self._admission.in_flight
+
+    def why_not_ready(self) -> list[str]:
+        """Return the reasons why the balancer should send nothing here."""
+        reasons = []
+        if self._stopping:
+            reasons.append("stopping")
+        if not self._follower.snapshot.generation:
+            reasons.append("no configuration")
+        elif not self._view_guard.ready(self._clock.monotonic()):
+            reasons.append("cut off from the platform and from peers")
+        return reasons
+
+    def status(self) -> dict[str, object]:
+        """Return what operators see of this entry."""
+        fresh = self._follower.freshness
+        return {
+            "role": "entry",
+            "instance": self._settings.instance,
+            "incarnation": self._incarnation,
+            "failure_domain": self._settings.failure_domain,
+            "addresses": self.addresses,
+            "ready": not self.why_not_ready(),
+            "reasons": self.why_not_ready(),
+            "generation": self._follower.snapshot.generation,
+            "platform_age_s": _finite(fresh.age(self._clock.monotonic())),
+            "peers": [peer.heartbeat.incarnation for peer in self._membership.peers()],
+            "pools": self._pool_status(),
+            "attainment": {
+                name: {**attrs.asdict(counts), "rate": round(counts.rate, 4)}
+                for name, counts in sorted(self._metrics.attainment.items())
+            },
+            "open_requests": self.open_requests,
+            "open_attempts": self._relay.open_requests,
+            "open_calls": len(self._open_calls),
+        }
+
+    def summarize_class(self, name: str) -> ClassSummary:
+        """Return how the requests of one class fared here."""
+        return ClassSummary(
+            self._metrics.attainment.get(name, Attainment()),
+            self._metrics.quantile_s(name, Measure.FIRST_TOKEN, 0.95),
+            self._metrics.quantile_s(name, Measure.ANSWER, 0.95),
+        )
+
+    def start(self) -> None:
+        """Serve peers and operators, follow the configuration, then serve callers."""
+        self._peer_server.start()
+        self._admin_server.start()
+        self._follower.start()
+        self._configuration_peers.start()
+        self._await_first_generation()
+        self._membership.start()
+        self._withdrawals.start()
+        self._directory.start()
+        self._usage.start()
+        self._caller_server.start()
+
+    def stop(self) -> None:
+        """Stop as planned: tell the balancer, finish every request, hand over what is kept."""
+        self._stopping = True
+        self._caller_server.drain()
+        gevent.sleep(self._settings.drain_s)
+        self._caller_server.stop_accepting()
+        self._caller_server.wait_idle()
+        gevent.sleep(IDLE_CONNECTION_GRACE_S)
+        self._caller_server.wait_idle()
+        self._usage.stop()
+        self._membership.stop()
+        self._stop_tasks()
+
+    def _stop_tasks(self) -> None:
+        self._withdrawals.stop()
+        self._directory.stop()
+        self._configuration_peers.stop()
+        self._follower.stop()
+        self._admission.stop()
+        self._relay.stop()
+        for server in (self._caller_server, self._peer_server, self._admin_server):
+            server.close()
+
+    def _slices(self) -> Slices:
+        return Slices(
+            clock=self._clock,
+            follower=self._follower,
+            view_guard=self._view_guard,
+            open_calls=self._open_calls,
+            admission=self._admission,
+            claims=self._claims,
+            relay=self._relay,
+            accounting=self._accounting,
+        )
+
+    def _join_slices(self) -> None:
+        self._membership.add_routes(self._peer_app)
+        self._configuration_peers.add_routes(self._peer_app)
+        self._usage.add_routes(self._peer_app)
+        add_demand_routes(
+            self._peer_app,
+            lambda: self._demand.demand(self._clock.monotonic()),
+            self._directory.apply_leaving,
+            self._settings.peer_secret,
+        )
+        self._follower.subscribe(self._apply_snapshot)
+        self._directory.subscribe(self._apply_views)
+        self._membership.subscribe(self._apply_peers)
+        self._admission.on_urgent(self._membership.send_now)
+
+    def _apply_snapshot(self, old: Snapshot, new: Snapshot) -> None:
+        self._directory.set_snapshot(new)
+        self._admission.set_snapshot(new)
+        self._accounting.set_classes(new.classes)
+        log_event(log, "configuration-in-force", generation=new.generation)
+
+    def _apply_views(self, views: Iterable[BackendView]) -> None:
+        known = tuple(views)
+        self._router.set_views(known)
+        self._admission.set_backends(known)
+
+    def _apply_peers(self, peers: tuple[Peer, ...]) -> None:
+        self._admission.apply_peers(peers, self._membership.missing)
+        self._directory.apply_peers(peers)
+        self._configuration_peers.set_peers(peers)
+
+    def _build_heartbeat(self) -> Heartbeat:
+        fresh = self._follower.freshness
+        return Heartbeat(
+            incarnation=self._incarnation,
+            address=self._settings.advertise or self._peer_server.address,
+            failure_domain=self._settings.failure_domain,
+            generation=fresh.generation,
+            revision=fresh.revision,
+            platform_age_s=_finite(fresh.age(self._clock.monotonic())),
+            pools=self._admission.summaries(),
+            leaving=self._directory.leaving,
+            stopping=self._stopping,
+        )
+
+    def _await_first_generation(self) -> None:
+        with gevent.Timeout(FIRST_GENERATION_WAIT_S, False):
+            while not self._follower.snapshot.generation:
+                gevent.sleep(FIRST_GENERATION_POLL_S)
+
+    def _pool_status(self) -> dict[str, dict[str, int]]:
+        summaries = self._admission.summaries()
+        pools = {}
+        for name in sorted(self._follower.snapshot.pools):
+            views = [view for view in self._directory.views if view.pool == name]
+            summary = summaries.get(name)
+            pools[name] = {
+                "backend_servers": len(views),
+                "leaving": sum(1 for view in views if view.leaving),
+                "slots": sum(view.slots for view in views if not view.leaving),
+                "in_flight": summary.in_flight if summary else 0,
+                "waiting": sum(summary.backlog.values()) if summary else 0,
+            }
+        return pools
+
+    def _render_metrics(self) -> str:
+        return self._metrics.render(
+            {
+                "generation": self._follower.snapshot.generation,
+                "open_requests": self.open_requests,
+                "open_attempts": self._relay.open_requests,
+                "open_calls": len(self._open_calls),
+                "requests_in_flight": self._admission.in_flight,
+                "requests_waiting": self._admission.waiting,
+                "peers": len(self._membership.peers()),
+                "backend_connections": self._relay.connections.in_use,
+            }
+        )
+
+
+def _finite(age_s: float) -> float:
+    """JSON has no infinity; an age that is not known becomes a very long one."""
+    return min(age_s, UNKNOWN_AGE_S)
+
+
+def _bind(app: falcon.App, address: str) -> Server:
+    server = Server(app, address)
+    server.bind()
+    return server
+
+
+def build_entry(settings: Settings) -> Entry:
+    """Build an entry with the machine's clock and a seed of the system's.
+
+    Raises:
+        OSError: An address can't be bound.
+    """
+    return Entry(settings, SystemClock(), random.Random())
