--- /dev/null
+++ b/tests/test_planned_stop.py
@@ -0,0 +1,140 @@
+"""A planned stop cuts no request, and a rolling replacement of all entries fails none."""
+
+import signal
+
+import gevent
+import pytest
+
+from hickoryloom.http import JsonClient
+from hickoryloom.standins import answer_tokens
+from tests.harness import wait_until
+from tests.site import start_site
+
+pytestmark = pytest.mark.processes
+
+LOAD_CALLERS = 12
+
+
+@pytest.fixture
+def site(tmp_path):
+    site = start_site(tmp_path)
+    yield site
+    site.stop()
+
+
+class Balancer:
+    """Sends callers to entries that say they are ready, as the platform's balancer does."""
+
+    def __init__(self, site):
+        self._site = site
+        self._ready = []
+        self._task = gevent.spawn(self._run)
+        wait_until(lambda: self._ready)
+
+    def choose(self, number):
+        return self._ready[number % len(self._ready)]
+
+    def stop(self):
+        self._task.kill()
+
+    def _run(self):
+        while True:
+            names = [name for name in self._site.addresses if name.startswith("entry-")]
+            self._ready = [name for name in names if self._is_ready(name)]
+            gevent.sleep(0.05)
+
+    def _is_ready(self, name):
+        client = JsonClient(self._site.addresses[name]["admin"], timeout_s=2)
+        answer = client.call("GET", "/readyz")
+        client.close()
+        return answer.is_ok() and answer.unwrap().status == 200
+
+
+class Load:
+    """Callers that ask one question after the other and keep every answer."""
+
+    def __init__(self, site, key, choose):
+        self.replies = []
+        self.faults = []
+        self._site = site
+        self._key = key
+        self._choose = choose
+        self._stopping = False
+        self._tasks = [gevent.spawn(self._run, number) for number in range(LOAD_CALLERS)]
+
+    def finish(self):
+        self._stopping = True
+        gevent.joinall(self._tasks, raise_error=True)
+
+    def _run(self, number):
+        asked = 0
+        while not self._stopping:
+            asked += 1
+            messages = [{"role": "user", "content": f"question {asked} of caller {number}"}]
+            try:
+                reply = self._site.ask(
+                    self._choose(number), self._key, messages=messages, max_tokens=40
+                )
+            except Exception as error:
+                self.faults.append(repr(error))
+                continue
+            expected = {"model": "assistant", "max_tokens": 40, "messages": messages}
+            self.replies.append((reply, "".join(answer_tokens(expected))))
+
+    def failed(self):
+        return [
+            (reply.status, reply.body[-300:])
+            for reply, text in self.replies
+            if reply.status != 200 or not reply.whole or reply.text != text
+        ]
+
+
+def test_sigterm_under_load_cuts_no_request_and_exits_with_0(site):
+    key = site.issue_key("studio")
+    wait_until(lambda: site.ask("entry-1", key).status == 200)
+    wait_until(lambda: site.ask("entry-2", key).status == 200)
+    balancer = Balancer(site)
+    load = Load(site, key, balancer.choose)
+    wait_until(lambda: len(load.replies) > 2 * LOAD_CALLERS)
+    entry = site.entries[0]
+    entry.signal(signal.SIGTERM)
+    gevent.sleep(0.2)
+    assert entry.terminate() == 0
+    gevent.sleep(0.5)
+    load.finish()
+    balancer.stop()
+    assert load.faults == []
+    assert load.failed() == []
+
+
+def test_rolling_replacement_of_all_entries_fails_no_request(site):
+    key = site.issue_key("studio")
+    wait_until(lambda: site.ask("entry-2", key).status == 200)
+    balancer = Balancer(site)
+    load = Load(site, key, balancer.choose)
+    wait_until(lambda: len(load.replies) > LOAD_CALLERS)
+    for entry in list(site.entries):
+        fresh = site.add_entry()
+        site.wait_serving(fresh)
+        wait_until(lambda fresh=fresh: site.ask(fresh, key).status == 200)
+        assert entry.terminate() == 0
+    load.finish()
+    balancer.stop()
+    assert len(load.replies) > 5 * LOAD_CALLERS
+    assert load.faults == []
+    assert load.failed() == []
+
+
+def test_an_answer_in_progress_is_finished_after_sigterm(site):
+    key = site.issue_key("studio")
+    wait_until(lambda: site.ask("entry-1", key).status == 200)
+    task = gevent.spawn(site.ask, "entry-1", key, max_tokens=400, answer_tokens=400)
+    wait_until(lambda: site.status("entry-1")["open_requests"] == 1)
+    entry = site.entries[0]
+    entry.signal(signal.SIGTERM)
+    gevent.sleep(0.7)
+    entry.signal(signal.SIGTERM)
+    reply = task.get(timeout=20)
+    assert reply.status == 200 and reply.whole
+    assert len(reply.events) >= 400
+    assert entry.terminate() == 0
