--- a/hickoryloom/configuration/freshness.py
+++ b/hickoryloom/configuration/freshness.py
@@ -92,9 +92,10 @@
         self._newest_revision = max(self._newest_revision, revision)
 
     def platform_answered(self, sent: float, revision: int) -> None:
-        """Record a watch's or listing's answer, after its change was applied.
+        """Record a watch's answer, after its change was applied.
 
-        An answer of a revision before the newest known one is a stale read and shows nothing.
+        An answer of a revision before the newest known one, or while a newer generation is known
+        elsewhere, is a stale read and shows nothing.
 
         Args:
             sent: Monotonic time at which the question was sent.
@@ -102,6 +103,8 @@
         """
         if revision < self._newest_revision:
             return
+        if self._newest_generation > self._freshness.generation:
+            return
         self._newest_revision = revision
         self._freshness = attrs.evolve(self._freshness, revision=revision)
         self._raise_seen(sent)
--- a/hickoryloom/configuration/tests/test_freshness.py
+++ b/hickoryloom/configuration/tests/test_freshness.py
@@ -36,8 +36,9 @@
     """Entries, links and the platform come and go, and answers take their time.
 
     `side` splits the entries: a whole failure domain, or one entry of a domain that keeps others,
-    may be cut off. The platform is reached from one side or from none; it accepts changes while it
-    is reached from any. A lone entry that alone sees the platform is left out, as the docs say.
+    may be cut off. The platform is reached from one side or from none. Left out, as the design note
+    says: a lone entry that alone sees the platform, and a change that no entry is told of before
+    the platform goes down.
     """
 
     def __init__(self):
@@ -63,14 +64,51 @@
     def reaches_platform(self, number):
         return self.platform_up and (number in self.cut) == self.platform_side
 
+    @rule(steps=st.integers(1, 6), ask=st.booleans(), fetched=st.booleans())
+    def run(self, steps, ask, fetched=True):
+        """Let time pass as usual: every entry watches, and asks its peers when it has to."""
+        for _ in range(steps):
+            self.now += 0.7
+            for number in ENTRIES:
+                self.ask_platform(number, 0.0, 0)
+                if ask:
+                    self.ask_round(number, 0.0, fetched)
+            self.deliver()
+            self.no_allowed_entry_misses_an_old_change()
+
+    @rule(
+        domain=st.sampled_from(sorted(set(DOMAINS))),
+        entry=st.sampled_from(ENTRIES),
+        platform_side=st.booleans(),
+        what=st.sampled_from(["domain", "entry", "minority"]),
+        fetched=st.booleans(),
+    )
+    def change_during_a_cut(self, domain, entry, platform_side, what, fetched):
+        """Cut some entries off, change the configuration, and let time pass."""
+        self.set_platform(True)
+        if what == "domain":
+            self.cut_domain(domain, platform_side)
+        elif what == "entry":
+            self.cut_entry(entry)
+        else:
+            self.cut_minority()
+        self.run(2, True)
+        self.change(None)
+        self.run(9, True, fetched)
+
     @rule(seconds=st.floats(0.05, 1.5))
     def wait(self, seconds):
         self.now += seconds
 
-    @rule()
-    def change(self):
-        if self.platform_up:
-            self._change()
+    @rule(missed=st.none() | st.sampled_from(ENTRIES))
+    def change(self, missed):
+        """The platform accepts a change; waiting watches tell it at once, but for one lost one."""
+        if not self.platform_up:
+            return
+        self._change()
+        for number in ENTRIES:
+            if self.reaches_platform(number) and (number != missed or self.platform_side):
+                self.entries[number].take(self.generation)
 
     @rule(up=st.booleans())
     def set_platform(self, up):
@@ -86,6 +124,12 @@
         self.cut = frozenset([number])
         self.platform_side = False
 
+    @rule()
+    def cut_minority(self):
+        """Cut off one entry of each failure domain; they still reach each other."""
+        self.cut = frozenset(DOMAINS.index(domain) for domain in set(DOMAINS))
+        self.platform_side = False
+
     @rule()
     def heal(self):
         self.cut = frozenset()
@@ -101,14 +145,17 @@
         arrival = self.now + answer_s
         self.in_flight.append((arrival, kind, number, self.now, generation, self.revision))
 
-    @rule(number=st.sampled_from(ENTRIES), answer_s=st.floats(0, 0.8))
-    def ask_round(self, number, answer_s):
-        """Ask all peers; those on the same side answer at once, and the round ends later."""
+    @rule(number=st.sampled_from(ENTRIES), answer_s=st.floats(0, 0.8), fetched=st.booleans())
+    def ask_round(self, number, answer_s, fetched=True):
+        """Ask all peers; those on the same side answer at once, and the round ends later.
+
+        What a peer knows may not be had from it, as when it goes on to a later generation.
+        """
         views = {}
         for peer in ENTRIES:
             if peer != number and (peer in self.cut) == (number in self.cut):
                 views[peer] = (self._view_of(peer), self.entries[peer].generation)
-        self.in_flight.append((self.now + answer_s, "round", number, self.now, views, None))
+        self.in_flight.append((self.now + answer_s, "round", number, self.now, views, fetched))
 
     def _view_of(self, number):
         entry = self.entries[number]
@@ -125,15 +172,16 @@
     def deliver(self):
         due = [message for message in self.in_flight if message[0] <= self.now]
         self.in_flight = [message for message in self.in_flight if message[0] > self.now]
-        for _, kind, number, sent, content, revision in due:
+        for _, kind, number, sent, content, more in due:
             entry = self.entries[number]
             if kind != "round":
                 entry.take(content)
                 if kind == "watch":
-                    entry.evidence.platform_answered(sent, revision)
+                    entry.evidence.platform_answered(sent, more)
                 continue
             for view, generation in content.values():
-                entry.take(generation)
+                if more:
+                    entry.take(generation)
                 entry.evidence.peer_answered(sent, view)
             asked = {str(peer): DOMAINS[peer] for peer in ENTRIES if peer != number}
             entry.evidence.round_ended(sent, asked, {str(peer) for peer in content})
@@ -168,6 +216,16 @@
     assert found.freshness.seen == 40.0
 
 
+def test_a_watch_answer_without_a_generation_known_elsewhere_shows_nothing():
+    found = evidence(generation=3)
+    found.heard_of(4, 0)
+    found.platform_answered(10.0, 1)
+    assert found.freshness.vouched_age(10.0) == float("inf")
+    found.applied(4)
+    found.platform_answered(11.0, 2)
+    assert found.freshness.seen == 11.0
+
+
 def test_a_peer_with_a_newer_generation_vouches_for_nothing_here():
     found = evidence(generation=3)
     found.peer_answered(10.0, PeerView(4, 1, 0.5, 0.5))
