Prove tier order and reserves across entries, and keep a reserve that nobody queues for

Cause: a reserved class that was refused at once never queued, so no entry set its reserve aside, and with all slots full of the top tier it never progressed (0 starts in 50 s, seen by test_each_class_progresses_at_its_reserve_under_endless_top_tier_overload). Now a class that arrived of late counts as demand, and a request that its reserve can take is not foreseen late. Seen to fail first, by taking out one mechanism at a time: acknowledgement of pressure ('e0 refused tier 1 while e1 could start tier 2'), the lapse of leave, peers' pressure, the reserve (0 starts), agreed demand (25 in flight of 12 slots), peers' slots in flight (22 of 12).

--- a/hickoryloom/admission/pool.py
+++ b/hickoryloom/admission/pool.py
@@ -26,6 +26,7 @@
 MAX_WAITING = 2000
 DEMAND_HEADROOM = 1.25
 SPARE_DEMAND = 2
+RESERVE_MEMORY_S = 10.0
 LEAST_SLOTS_PART = 0.05
 MIN_RETRY_S = 0.5
 MAX_RETRY_S = 60.0
@@ -77,6 +78,7 @@
         self._tiers: frozenset[int] = frozenset()
         self._busy: dict[int, int] = {}
         self._reserved = 0
+        self._own_demand: dict[int, int] = {}
         self._allotment: Allotment | None = None
 
     @property
@@ -100,7 +102,7 @@
         if self._allotment is None:
             agreed = self._pressure.agreed_demand(self.peers.echoed)
             self._allotment = allot(
-                self.capacity, self._tiers, self.peers, self._demand(), agreed, self._reserves()
+                self.capacity, self._tiers, self.peers, self._own_demand, agreed, self._reserves()
             )
         return self._allotment
 
@@ -165,6 +167,7 @@
     def dispatch(self, now: float) -> list[Decision]:
         """Start, refuse and preempt whatever is due at `now`."""
         decisions: list[Decision] = []
+        self._own_demand = self._demand(now)
         self._release_due(now)
         self._start_all(decisions, now)
         for waiting in self._urgency.pop_due(now):
@@ -178,7 +181,7 @@
     def summary(self, now: float) -> PoolSummary:
         """Return what peers are told."""
         backlog = self._queues.backlog()
-        demand = self._demand()
+        demand = self._demand(now)
         self._pressure.note_demand(demand, now)
         self._allotment = None
         return PoolSummary(
@@ -283,6 +286,8 @@
         wanted = self.allotment.wanted.get(request.tier, 0)
         slots = wanted - self._arrivals.slots_above(request.tier, now)
         found = self._queues.get(request.request_class, request.tier, now)
+        if not len(found.queue) and found.reserve.may_start(now):
+            return 0.0
         least = LEAST_SLOTS_PART * self.capacity / self._entries
         slots = max(slots, found.reserve.slots, least)
         return (ahead - free + 1) * self._estimates.service_s / slots
@@ -386,10 +391,13 @@
         if not before or not self._busy[tier]:
             self._allotment = None
 
-    def _demand(self) -> dict[int, int]:
+    def _demand(self, now: float) -> dict[int, int]:
         wanted = self._queues.backlog()
         for tier, busy in self._busy.items():
             wanted[tier] = wanted.get(tier, 0) + busy
+        for found in self._queues:
+            if found.reserve.slots and now - found.arrived <= RESERVE_MEMORY_S:
+                wanted[found.tier] = wanted.get(found.tier, 0) or 1
         return {tier: int(count * DEMAND_HEADROOM) + 1 for tier, count in wanted.items() if count}
 
     def _reserves(self) -> dict[int, float]:
--- a/hickoryloom/admission/queues.py
+++ b/hickoryloom/admission/queues.py
@@ -22,12 +22,14 @@
         tier: Its tier.
         queue: Its requests.
         reserve: Its reserved share.
+        arrived: Monotonic time of its latest request, in seconds.
     """
 
     name: str
     tier: int
     queue: FairQueue = attrs.field(factory=FairQueue)
     reserve: Reserve = attrs.field(factory=Reserve)
+    arrived: float = float("-inf")
 
 
 class PoolQueues:
@@ -69,6 +71,7 @@
         """Append a request to the queue of its class."""
         found = self.get(waiting.request.request_class, waiting.request.tier, now)
         found.queue.push(waiting, weight)
+        found.arrived = now
         self._size += 1
         return found
 
--- /dev/null
+++ b/hickoryloom/admission/tests/cluster.py
@@ -0,0 +1,198 @@
+"""Several entries' pure decisions, with messages that a test delays, drops and cuts."""
+
+import random
+
+import attrs
+
+from hickoryloom.admission import AdmissionState, RefusalReason, Request
+from hickoryloom.admission.decisions import Preempt, Refuse, Start
+from hickoryloom.clock import ManualClock
+from hickoryloom.configuration import Customer, Pool, PoolKind, RequestClass, Snapshot
+from hickoryloom.membership.messages import Heartbeat, Presence
+from hickoryloom.membership.state import MembershipState
+from hickoryloom.platform.messages import Listing, Versioned
+from hickoryloom.relay.messages import Outcome
+from hickoryloom.routing.messages import BackendView
+from hickoryloom.verdict import Verdict
+
+SLOTS = 12
+POOL = "p"
+TICK_S = 1e-6
+ORDERED = (RefusalReason.OVERLOAD, RefusalReason.EXPECTED_LATE, RefusalReason.NO_BACKEND)
+CLASSES = {
+    "high": RequestClass("high", 1, 1000, 50),
+    "mid": RequestClass("mid", 2, 2000, 50, reserve=0.1),
+    "low": RequestClass("low", 3, 4000, 50, reserve=0.1),
+}
+
+
+def snapshot(customers=()):
+    return Snapshot(
+        generation=1,
+        pools={POOL: Pool(POOL, PoolKind.ENGINE, slots=4)},
+        classes=CLASSES,
+        customers={found.name: found for found in customers},
+    )
+
+
+@attrs.define(eq=False)
+class Node:
+    name: str
+    admission: AdmissionState
+    members: MembershipState
+    running: list = attrs.field(factory=list)
+    inbox: list = attrs.field(factory=list)
+    frozen: bool = False
+    renewals: int = 0
+
+
+class Cluster:
+    """Entries on one clock. Each step moves the clock a little, so that no two coincide."""
+
+    def __init__(self, count, customers=(Customer("c", tuple(CLASSES)),), slots=SLOTS):
+        self.clock = ManualClock(now=100.0)
+        self.slots = slots
+        self.wire = []
+        self.cuts = set()
+        self.starts = []
+        self.refusals = []
+        self.on_refuse = lambda node, refuse: None
+        self.on_start = lambda node, start: None
+        self._numbers = iter(range(10**9))
+        self.nodes = [self._build(f"e{number}", customers) for number in range(count)]
+        for node in self.nodes:
+            node.members.list_presence(self._presence(), self.now)
+            self._refresh(node)
+
+    @property
+    def now(self):
+        return self.clock.now
+
+    def in_flight(self):
+        return sum(len(node.running) for node in self.nodes)
+
+    def _build(self, name, customers):
+        admission = AdmissionState(name, random.Random(name))
+        admission.set_snapshot(snapshot(customers), self.now)
+        views = [BackendView("b", "", "d", POOL, slots=self.slots)]
+        admission.set_backends(views, self.now)
+        admission.dispatch(POOL, self.now)
+        return Node(name, admission, MembershipState(name))
+
+    def _presence(self):
+        return Listing(
+            1,
+            tuple(
+                Versioned(f"presence/{n.name}", n.renewals + 1, attrs.asdict(presence_of(n)))
+                for n in self.nodes
+            ),
+        )
+
+    def step(self):
+        self.clock.advance(TICK_S)
+
+    def arrive(self, node, request_class, slack_s, customer="c"):
+        self.step()
+        found = CLASSES[request_class]
+        request = Request(
+            f"r{next(self._numbers)}",
+            customer,
+            "m",
+            POOL,
+            request_class,
+            found.tier,
+            True,
+            self.now,
+            self.now + slack_s,
+        )
+        node.admission.submit(request, self.now)
+        self.apply(node, node.admission.dispatch(POOL, self.now))
+        return request
+
+    def finish(self, node, admitted, tokens=10):
+        self.step()
+        node.running.remove(admitted)
+        outcome = Outcome(Verdict.RAN, True, output_tokens=tokens)
+        self.apply(node, node.admission.finish(admitted, outcome, self.now))
+
+    def apply(self, node, decisions):
+        for decision in decisions:
+            if isinstance(decision, Start):
+                node.running.append(decision.admitted)
+                self.starts.append((self.now, node.name, decision.admitted))
+                self.on_start(node, decision)
+            elif isinstance(decision, Refuse):
+                self.refusals.append((self.now, node.name, decision))
+                self.on_refuse(node, decision)
+        for decision in decisions:
+            if isinstance(decision, Preempt):
+                self.finish(node, decision.admitted)
+
+    def send(self, sender, receiver):
+        self.step()
+        if sender.frozen:
+            return
+        built = Heartbeat(
+            sender.name, "", "d", 1, 0, 0.0, pools=sender.admission.summaries(self.now)
+        )
+        stamped = sender.members.stamp(built, self.now)
+        addressed = sender.members.address_to(stamped, receiver.name)
+        if frozenset((sender.name, receiver.name)) not in self.cuts:
+            self.wire.append((receiver, addressed))
+
+    def deliver(self, index):
+        self.step()
+        receiver, heartbeat = self.wire.pop(index % len(self.wire))
+        if receiver.frozen:
+            receiver.inbox.append(heartbeat)
+            return
+        self._hear(receiver, heartbeat)
+
+    def deliver_all(self):
+        while self.wire:
+            self.deliver(0)
+
+    def exchange_all(self):
+        for sender in self.nodes:
+            for receiver in self.nodes:
+                if receiver is not sender:
+                    self.send(sender, receiver)
+        self.deliver_all()
+
+    def thaw(self, node):
+        self.step()
+        node.frozen = False
+        inbox, node.inbox = node.inbox, []
+        for heartbeat in inbox:
+            self._hear(node, heartbeat)
+        self.tick(node)
+
+    def advance(self, seconds, renew=True):
+        self.clock.advance(seconds)
+        for node in self.nodes:
+            if not node.frozen:
+                node.renewals += 1
+        for node in self.nodes:
+            if node.frozen:
+                continue
+            if renew:
+                node.members.list_presence(self._presence(), self.now)
+            node.members.expire(self.now)
+            self._refresh(node)
+            self.tick(node)
+
+    def tick(self, node):
+        self.apply(node, node.admission.dispatch_due(self.now))
+
+    def _hear(self, node, heartbeat):
+        if node.members.hear(heartbeat, self.now):
+            self._refresh(node)
+
+    def _refresh(self, node):
+        peers = node.members.live(self.now)
+        missing = node.members.missing(self.now)
+        self.apply(node, node.admission.set_peers(peers, self.now, missing))
+
+
+def presence_of(node):
+    return Presence(node.name, f"{node.name}:1", "d")
