--- a/hickoryloom/platform/budget.py
+++ b/hickoryloom/platform/budget.py
@@ -139,7 +139,7 @@
         """Begin anew without saved-up calls, so that the end of an outage makes no burst."""
         for bucket in (self._writes, self._reads):
             bucket.refill(now)
-            bucket.level = min(bucket.level, KEPT_FREE[CallPriority.BACKGROUND] * bucket.size)
+            bucket.level = min(bucket.level, KEPT_FREE[CallPriority.NORMAL] * bucket.size)
 
     def _bucket(self, kind: CallKind) -> _Bucket:
         return self._writes if kind is CallKind.WRITE else self._reads
--- /dev/null
+++ b/hickoryloom/platform/tests/test_budget.py
@@ -0,0 +1,87 @@
+"""The call budget holds over any span, shares the fleet's calls, and lets urgent calls through."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hickoryloom.platform import CallBudget, CallKind, CallPriority
+from hickoryloom.platform.budget import (
+    BURST_S,
+    FLEET_SHARE,
+    MAX_WAIT_S,
+    MAX_WATCHES,
+    MIN_BURST_CALLS,
+    PLATFORM_READS_PER_S,
+    PLATFORM_WRITES_PER_S,
+)
+
+GAPS = st.sampled_from([0.0, 0.0, 0.001, 0.05, 0.5, 3.0, 600.0])
+PRIORITIES = st.sampled_from(list(CallPriority))
+KINDS = st.sampled_from([CallKind.READ, CallKind.WRITE])
+CALLS = st.lists(st.tuples(GAPS, KINDS, PRIORITIES), max_size=200)
+
+
+@given(CALLS, st.sampled_from([1, 7, 24, 1110]))
+def test_calls_over_any_span_stay_in_budget(calls, processes):
+    budget = CallBudget(0.0, processes=processes)
+    now = 0.0
+    made = {CallKind.READ: [], CallKind.WRITE: []}
+    for gap, kind, priority in calls:
+        now += gap
+        wait_s = budget.take(kind, priority, now)
+        if wait_s is not None:
+            assert 0 <= wait_s <= MAX_WAIT_S[priority]
+            made[kind].append(now + wait_s)
+    for kind, times in made.items():
+        times.sort()
+        size = max(MIN_BURST_CALLS, budget.rate(kind) * BURST_S)
+        for first in range(len(times)):
+            for last in range(first, len(times)):
+                span = times[last] - times[first]
+                assert last - first + 1 <= size + budget.rate(kind) * span + 1.001
+
+
+@given(st.integers(1, 2000))
+def test_all_processes_together_stay_below_the_platform(processes):
+    budget = CallBudget(0.0)
+    budget.set_processes(processes, 0.0)
+    assert processes * budget.rate(CallKind.WRITE) <= PLATFORM_WRITES_PER_S * FLEET_SHARE + 1e-6
+    assert processes * budget.rate(CallKind.READ) <= PLATFORM_READS_PER_S * FLEET_SHARE + 1e-6
+
+
+@pytest.mark.parametrize("kind", [CallKind.READ, CallKind.WRITE])
+def test_background_and_normal_calls_leave_room_for_urgent_ones(kind):
+    budget = CallBudget(0.0, processes=24)
+    for priority in (CallPriority.BACKGROUND, CallPriority.NORMAL):
+        while budget.take(kind, priority, 0.0) == 0.0:
+            pass
+    assert budget.take(kind, CallPriority.BACKGROUND, 0.0) is None
+    assert budget.take(kind, CallPriority.URGENT, 0.0) == 0.0
+
+
+def test_budget_fills_up_again_and_no_further():
+    budget = CallBudget(0.0, processes=24)
+    while budget.take(CallKind.WRITE, CallPriority.URGENT, 0.0) == 0.0:
+        pass
+    taken = 0
+    while budget.take(CallKind.WRITE, CallPriority.URGENT, 3600.0) == 0.0:
+        taken += 1
+    assert taken == int(budget.rate(CallKind.WRITE) * BURST_S)
+
+
+def test_a_refused_call_is_told_when_it_would_pass():
+    budget = CallBudget(0.0, processes=24)
+    while budget.take(CallKind.WRITE, CallPriority.BACKGROUND, 0.0) is not None:
+        pass
+    wait_s = budget.retry_after_s(CallKind.WRITE, CallPriority.BACKGROUND, 0.0)
+    assert wait_s > 0
+    assert budget.take(CallKind.WRITE, CallPriority.BACKGROUND, wait_s + 1e-6) == 0.0
+
+
+def test_waiting_watches_are_bounded():
+    budget = CallBudget(0.0, processes=1)
+    taken = [budget.take(CallKind.WATCH, CallPriority.NORMAL, 0.0) for _ in range(MAX_WATCHES)]
+    assert None not in taken
+    assert budget.take(CallKind.WATCH, CallPriority.NORMAL, 0.0) is None
+    budget.end_watch()
+    assert budget.take(CallKind.WATCH, CallPriority.NORMAL, 0.0) is not None
