--- a/hickoryloom/admission/messages.py
+++ b/hickoryloom/admission/messages.py
@@ -80,6 +80,7 @@
     CALLER_LEFT = "caller-left"
     BACKEND_FAILED = "backend-server-failed"
     RETRY_BUDGET = "retry-budget"
+    INTERNAL = "internal"
     IN_PROGRESS = "in-progress"
     OUTCOME_UNKNOWN = "outcome-unknown"
     ALREADY_RUN = "already-run"
--- a/hickoryloom/admission/tests/cluster.py
+++ b/hickoryloom/admission/tests/cluster.py
@@ -46,10 +46,13 @@
     renewals: int = 0
 
 
+ONE_CUSTOMER = (Customer("c", tuple(CLASSES)),)
+
+
 class Cluster:
     """Entries on one clock. Each step moves the clock a little, so that no two coincide."""
 
-    def __init__(self, count, customers=(Customer("c", tuple(CLASSES)),), slots=SLOTS):
+    def __init__(self, count, customers=ONE_CUSTOMER, slots=SLOTS):
         self.clock = ManualClock(now=100.0)
         self.slots = slots
         self.wire = []
--- a/hickoryloom/entry/exchange.py
+++ b/hickoryloom/entry/exchange.py
@@ -30,7 +30,7 @@
 
 log = logbook.Logger("hickoryloom.entry")
 
-STORED_BODY_LIMIT_BYTES = 256 * 1024
+FAULT_RETRY_S = 1.0
 
 
 @attrs.frozen
@@ -65,6 +65,7 @@
         self._cancelled = Event()
         self._cancel_reason: RefusalReason | None = None
         self._admitted: Admitted | None = None
+        self._claim: Claim | None = None
         self._ended = False
         self._on_end: Callable[[], None] | None = None
         self._handle = slices.open_calls.register(key_hash, self.withdraw)
@@ -74,7 +75,26 @@
         self._on_end = callback
 
     def run(self) -> Reply:
-        """Admit the request and begin its answer; return what to send."""
+        """Admit the request and begin its answer; return what to send.
+
+        A fault of this program ends the request too, so that it holds nothing any more.
+        """
+        try:
+            return self._run()
+        except Exception:
+            log.exception("request_id={} ended by a fault of this program", self._request.id)
+            return self._refuse(self._fault())
+        except BaseException:
+            self._refuse(self._fault())
+            raise
+
+    def _fault(self) -> Refused:
+        verdict = Verdict.NOT_RUN if self._admitted is None else Verdict.MAY_HAVE_RUN
+        if self._claim is not None:
+            self._slices.claims.lose(self._claim)
+        return Refused(RefusalReason.INTERNAL, verdict, FAULT_RETRY_S)
+
+    def _run(self) -> Reply:
         self._slices.accounting.arrived(self._request)
         admitted = self._slices.admission.admit(self._request, self._cancelled)
         if isinstance(admitted, Err):
@@ -117,11 +137,11 @@
         answer = opened.ok_value
         return Reply(answer.status, self._headers(answer), _Body(self, answer))
 
-    def _open(self) -> Result[Answer, Refused]:
+    def _open(self, may_send: Callable[[], bool] | None = None) -> Result[Answer, Refused]:
         assert self._admitted is not None
         if self._cancel_reason is not None:
             return Err(Refused(self._cancel_reason, Verdict.NOT_RUN, 0.0))
-        return self._slices.relay.open(self._admitted, self._call)
+        return self._slices.relay.open(self._admitted, self._call, may_send)
 
     def _headers(self, answer: Answer) -> list[tuple[str, str]]:
         own = [("X-Request-Id", self._request.id)]
@@ -136,24 +156,32 @@
         sent = self._slices.claims.mark_sent(begun.ok_value)
         if isinstance(sent, Err):
             return self._refuse(sent.err_value)
+        self._claim = sent.ok_value
         return self._relay_claimed(sent.ok_value)
 
     def _relay_claimed(self, claim: Claim) -> Reply:
-        opened = self._open()
+        opened = self._open(lambda: claim.may_send(self._slices.clock.monotonic()))
         if isinstance(opened, Err):
-            if opened.err_value.verdict is Verdict.NOT_RUN:
-                self._slices.claims.abandon(claim)
+            self._end_claim(claim, opened.err_value.verdict)
             return self._refuse(opened.err_value)
         answer = opened.ok_value
         body = b"".join(answer)
         outcome = _outcome_of(answer)
         if not outcome.whole:
+            self._end_claim(claim, outcome.verdict)
             return self._refuse(self._failure(answer, outcome), outcome)
         headers = self._headers(answer)
         self._slices.claims.complete(claim, StoredAnswer(answer.status, tuple(headers), body))
         self._end(outcome)
         return Reply(answer.status, [*headers, ("X-Verdict", outcome.verdict.value)], [body])
 
+    def _end_claim(self, claim: Claim, verdict: Verdict) -> None:
+        """End a claim without a whole answer, so that only what never ran may run again."""
+        if verdict is Verdict.NOT_RUN:
+            self._slices.claims.abandon(claim)
+        else:
+            self._slices.claims.lose(claim)
+
     def _replay(self, stored: StoredAnswer) -> Reply:
         now = self._slices.clock.monotonic()
         self._end(Outcome(Verdict.NOT_RUN, whole=True, finished_at=now))
--- a/hickoryloom/entry/process.py
+++ b/hickoryloom/entry/process.py
@@ -85,7 +85,7 @@
         self._router = Router(clock, rng, settings.failure_domain)
         self._directory = BackendDirectory(self._client, clock, rng, self._router.report)
         self._relay = Relay(self._router, clock, settings.backend_credential)
-        self._claims = Claims(self._client, clock, self._incarnation)
+        self._claims = Claims(self._client, clock, self._incarnation, self._is_live)
         self._usage = UsageCounter(
             self._client,
             clock,
@@ -175,6 +175,7 @@
         self._withdrawals.start()
         self._directory.start()
         self._usage.start()
+        self._claims.start()
         self._caller_server.start()
 
     def stop(self) -> None:
@@ -186,6 +187,7 @@
         self._caller_server.wait_idle()
         gevent.sleep(IDLE_CONNECTION_GRACE_S)
         self._caller_server.wait_idle()
+        self._claims.stop()
         self._usage.stop()
         self._membership.stop()
         self._stop_tasks()
@@ -257,6 +259,11 @@
             stopping=self._stopping,
         )
 
+    def _is_live(self, incarnation: str) -> bool:
+        """Return whether an entry is known to live; a silent one counts as live for a while."""
+        known = {peer.heartbeat.incarnation for peer in self._membership.peers()}
+        return incarnation in known or incarnation in self._membership.missing
+
     def _await_first_generation(self) -> None:
         with gevent.Timeout(FIRST_GENERATION_WAIT_S, False):
             while not self._follower.snapshot.generation:
--- a/hickoryloom/relay/attempts.py
+++ b/hickoryloom/relay/attempts.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import attrs
 import gevent
 import logbook
@@ -52,9 +54,17 @@
         parts: What all requests share.
         request: The request.
         call: The call to pass on.
+        may_send: Asked right before the first byte of each attempt; None for always.
     """
 
-    def __init__(self, parts: RelayParts, request: Request, call: Call) -> None:
+    def __init__(
+        self,
+        parts: RelayParts,
+        request: Request,
+        call: Call,
+        may_send: Callable[[], bool] | None = None,
+    ) -> None:
+        self._may_send = may_send
         self._parts = parts
         self._request = request
         self._call = call
@@ -205,11 +215,20 @@
         attempt.exchange = exchange
         if self._reason is not None:
             exchange.interrupt(FailureCause.CANCELLED)
+        self._check_right_to_send()
         exchange.send(head, body)
         exchange.read_head()
         exchange.check_id()
         self._check_status(attempt)
 
+    def _check_right_to_send(self) -> None:
+        """Give the request up when the right to send it has ended."""
+        if self._may_send is None or self._may_send():
+            return
+        self.cancel(RefusalReason.PLATFORM_UNAVAILABLE)
+        detail = "the right to send has ended"
+        raise AttemptError(AttemptFailed(FailureCause.CANCELLED, Verdict.NOT_RUN, detail))
+
     def _head(self, attempt: Attempt, address: str, length: int) -> bytes:
         headers = call_headers(self._request, self._call, attempt.id, self._parts.credential)
         target = call_target(self._request, self._call)
--- a/hickoryloom/relay/task.py
+++ b/hickoryloom/relay/task.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from result import Err, Result
 
 from hickoryloom.admission import Admitted, RefusalReason, Refused, Request
@@ -51,19 +53,23 @@
         """Connections to backend servers, for counts."""
         return self._connections
 
-    def open(self, admitted: Admitted, call: Call) -> Result[Answer, Refused]:
+    def open(
+        self, admitted: Admitted, call: Call, may_send: Callable[[], bool] | None = None
+    ) -> Result[Answer, Refused]:
         """Pass a call to a backend server and wait for the first bytes of its answer.
 
         Args:
             admitted: Leave to start the request.
             call: The call, without the caller's key.
+            may_send: Asked right before the first byte of each attempt, with no yield between;
+                when it says no, the request is refused as not run. None for always.
 
         Returns:
             The answer, which must be closed in the end, or a refusal with a true verdict.
         """
         self._watchdog.start()
         request = admitted.request
-        attempts = Attempts(self._parts, request, call)
+        attempts = Attempts(self._parts, request, call, may_send)
         begun = attempts.begin(call.body)
         if isinstance(begun, Err):
             attempts.close()
