Make a read that gets no answer once, and share the budget by the processes present

Cause: the HTTP library repeats GET once for each place in the pool when the connection closes without an answer (seen: 10 requests for one call, 17 with the platform client's pool), so that an outage multiplied the calls that the budget had paid for once. A call is now repeated only after a kept connection was found closed. Budgets were shares of 24 processes for ever; a listing of presence now sets the share, falling to half at most each time.

--- a/hickoryloom/http/pool.py
+++ b/hickoryloom/http/pool.py
@@ -1,4 +1,8 @@
-"""A connection pool that asks a guard right before each write, and loses no connection."""
+"""A connection pool that asks a guard right before each write, and loses no connection.
+
+The HTTP library repeats calls of idempotent methods that meet a closed connection, once for each
+place in the pool. Here a call is made again only after a kept connection was found closed.
+"""
 
 from __future__ import annotations
 
@@ -26,14 +30,20 @@
     Attributes:
         guard: Asked once a connection is at hand; None for no question.
         began: Whether a byte may have been written.
+        fresh: Whether the connection used last was opened for it.
         held: The connection in use, None before and after.
     """
 
     guard: Guard | None = None
     began: bool = False
+    fresh: bool = False
     held: Any = None
 
 
+class NotRepeated(ConnectionError):  # noqa: N818
+    """A new connection was closed without an answer; the call is not made again."""
+
+
 class GuardedClient(HTTPClient):
     """The HTTP client, with a pool that knows which call uses which connection.
 
@@ -90,8 +100,10 @@
 
     def get_socket(self) -> Any:
         # The caller writes to the socket without a yield after this returns.
-        found = super().get_socket()
         attempt = self._attempts[getcurrent()]
+        if attempt.fresh:
+            raise NotRepeated("closed without an answer")
+        found = super().get_socket()
         if attempt.guard is not None and not attempt.guard():
             super().return_socket(found)
             raise GuardRefused
@@ -99,6 +111,11 @@
         attempt.held = found
         return found
 
+    def _create_socket(self) -> Any:
+        found = super()._create_socket()
+        self._attempts[getcurrent()].fresh = True
+        return found
+
     def return_socket(self, sock: Any) -> None:
         if self._let_go(sock):
             super().return_socket(sock)
--- a/hickoryloom/http/tests/test_client.py
+++ b/hickoryloom/http/tests/test_client.py
@@ -195,3 +195,37 @@
     with pytest.raises(gevent.Timeout), gevent.Timeout(0.1):
         client.call("POST", "/slow", {}, timeout_s=3)
     server.close()
+
+
+def test_read_that_gets_no_answer_is_made_once():
+    """The HTTP library repeats it for each place in the pool: a call budget would be void."""
+    seen = []
+    listener = socket.socket()
+    listener.bind(("127.0.0.1", 0))
+    listener.listen()
+
+    def accept():
+        while True:
+            connection, _ = listener.accept()
+            seen.append(connection.recv(65536))
+            connection.close()
+
+    task = gevent.spawn(accept)
+    client = JsonClient(f"127.0.0.1:{listener.getsockname()[1]}")
+    assert client.call("GET", "/read").is_err()
+    gevent.sleep(0.1)
+    assert len(seen) == 1
+    task.kill()
+    listener.close()
+
+
+def test_read_on_a_kept_connection_that_was_closed_is_made_again():
+    server, _ = serve_counting()
+    address = server.address
+    client = JsonClient(address)
+    client.call("POST", "/count", {}).unwrap()
+    server.close()
+    again = Server(falcon.App(), address)
+    again.start()
+    assert client.call("GET", "/count").unwrap().status == 404
+    again.close()
--- a/hickoryloom/platform/budget.py
+++ b/hickoryloom/platform/budget.py
@@ -85,6 +85,7 @@
         self._writes_per_s = writes_per_s * FLEET_SHARE
         self._reads_per_s = reads_per_s * FLEET_SHARE
         self._watches = 0
+        self._processes = processes
         self._writes = _Bucket(self._writes_per_s / processes, 0.0, now)
         self._reads = _Bucket(self._reads_per_s / processes, 0.0, now)
         self._writes.level = self._writes.size
@@ -100,9 +101,14 @@
         return self._bucket(kind).rate
 
     def set_processes(self, processes: int, now: float) -> None:
-        """Share the platform's calls among another number of processes."""
-        self._set_rate(self._writes, self._writes_per_s / max(1, processes), now)
-        self._set_rate(self._reads, self._reads_per_s / max(1, processes), now)
+        """Share the platform's calls among another number of processes.
+
+        The number falls to half at most with each call, so that a stale or short count does not
+        at once give every process a large share.
+        """
+        self._processes = max(1, processes, self._processes // 2)
+        self._set_rate(self._writes, self._writes_per_s / self._processes, now)
+        self._set_rate(self._reads, self._reads_per_s / self._processes, now)
 
     def take(self, kind: CallKind, priority: CallPriority, now: float) -> float | None:
         """Take one call from the budget.
--- a/hickoryloom/platform/client.py
+++ b/hickoryloom/platform/client.py
@@ -37,6 +37,7 @@
 CALL_TIMEOUT_S = 2.0
 WATCH_MARGIN_S = 2.0
 CONNECTIONS = 16
+PROCESS_PREFIX = "presence/"
 URGENT_PREFIXES = ("leases/", "intents/")
 BACKGROUND_PREFIXES = ("presence/", "status/")
 
@@ -111,10 +112,16 @@
     def list(
         self, prefix: str, priority: CallPriority | None = None
     ) -> Result[Listing, PlatformError]:
-        """Read all objects whose key begins with `prefix`."""
+        """Read all objects whose key begins with `prefix`.
+
+        A listing of all presence objects, one for each process, also sets the budget's share.
+        """
         path = f"/objects?{urlencode({'prefix': prefix})}"
         call = _Call("GET", path, CallKind.READ, priority or _priority(prefix))
-        return self._call(call).and_then(answers.read_listing)
+        listing = self._call(call).and_then(answers.read_listing)
+        if listing.is_ok() and prefix == PROCESS_PREFIX:
+            self._budget.set_processes(len(listing.unwrap().items), self._clock.monotonic())
+        return listing
 
     def create(
         self, key: str, value: Any, guard: Guard | None = None
--- a/hickoryloom/platform/tests/test_budget.py
+++ b/hickoryloom/platform/tests/test_budget.py
@@ -78,6 +78,15 @@
     assert budget.take(CallKind.WRITE, CallPriority.BACKGROUND, wait_s + 1e-6) == 0.0
 
 
+def test_a_short_count_of_processes_raises_the_share_step_by_step():
+    budget = CallBudget(0.0, processes=1000)
+    before = budget.rate(CallKind.WRITE)
+    budget.set_processes(1, 0.0)
+    assert budget.rate(CallKind.WRITE) <= 2 * before
+    budget.set_processes(2000, 0.0)
+    assert budget.rate(CallKind.WRITE) == before / 2
+
+
 def test_waiting_watches_are_bounded():
     budget = CallBudget(0.0, processes=1)
     taken = [budget.take(CallKind.WATCH, CallPriority.NORMAL, 0.0) for _ in range(MAX_WATCHES)]
--- a/hickoryloom/platform/tests/test_client.py
+++ b/hickoryloom/platform/tests/test_client.py
@@ -10,6 +10,7 @@
 from hickoryloom.http import JsonClient
 from hickoryloom.platform import (
     CallBudget,
+    CallKind,
     ErrorKind,
     PlatformClient,
     ServerOrder,
@@ -154,3 +155,11 @@
     fault(platform, outage="cut")
     failed = settled_update(client, "k", 1, 0, sleep=lambda s: None).unwrap_err()
     assert failed.applied is Applied.UNKNOWN
+
+
+def test_listing_of_presence_sets_the_share_of_the_budget(client):
+    for number in range(4):
+        client.create(f"presence/p{number}", {"n": number}).unwrap()
+    alone = client.budget.rate(CallKind.WRITE)
+    client.list("presence/").unwrap()
+    assert client.budget.rate(CallKind.WRITE) == alone / 4
