--- a/hickoryloom/claims/tests/test_claims.py
+++ b/hickoryloom/claims/tests/test_claims.py
@@ -11,7 +11,7 @@
 from hickoryloom.claims.epochs import EPOCH_KEY
 from hickoryloom.clock import SystemClock
 from hickoryloom.http import Call, JsonClient
-from hickoryloom.platform import CallBudget, PlatformClient
+from hickoryloom.platform import CallBudget, CallPriority, PlatformClient
 from hickoryloom.standins import build_platform
 from hickoryloom.verdict import Verdict
 from tests.harness import wait_until
@@ -225,11 +225,11 @@
     begin(one, key="k2").unwrap()
     first = platform.store.get(EPOCH_KEY)
     platform.store.put(EPOCH_KEY, {"epoch": first.value["epoch"] + 25}, first.version)
-    one._sweeper.ensure_epoch()
+    one._sweeper.read_epoch(CallPriority.NORMAL)
+    assert one._sweeper.view.epoch == first.value["epoch"] + 25
     assert one._sweeper.sweep("") == 0
     second = platform.store.get(EPOCH_KEY)
     platform.store.put(EPOCH_KEY, {"epoch": second.value["epoch"] + 1}, second.version)
-    two = build("e2")
-    two._sweeper.ensure_epoch()
-    assert two._sweeper.sweep("") == 2
+    one._sweeper.read_epoch(CallPriority.NORMAL)
+    assert one._sweeper.sweep("") == 2
     assert state_of(platform) is None
--- a/hickoryloom/commands/standin.py
+++ b/hickoryloom/commands/standin.py
@@ -20,19 +20,26 @@
     register_backend,
 )
 
-EXAMPLE = (
-    "hickoryloom standin engine --model assistant --platform 127.0.0.1:7000 "
-    "--pool assistants --failure-domain huta-a"
-)
+EXAMPLES = {
+    "platform": "hickoryloom standin platform --listen 127.0.0.1:7000",
+    "engine": (
+        "hickoryloom standin engine --platform 127.0.0.1:7000 --pool assistants "
+        "--failure-domain huta-a"
+    ),
+    "service": (
+        "hickoryloom standin service --platform 127.0.0.1:7000 --pool booking "
+        "--failure-domain huta-a"
+    ),
+}
 
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
     """Declare one set of options for each kind."""
     kinds = parser.add_subparsers(dest="kind", required=True, metavar="KIND")
     platform = kinds.add_parser("platform", help="objects, ordering, live list, usage, weights")
-    _add_common(platform)
+    _add_common(platform, "platform")
     engine = kinds.add_parser("engine", help="a model engine")
-    _add_common(engine)
+    _add_common(engine, "engine")
     _add_backend(engine)
     engine.add_argument("--model", default="assistant", help="model that it serves (%(default)s)")
     engine.add_argument("--slots", type=int, default=8, help="batch slots (%(default)s)")
@@ -49,20 +56,33 @@
         "--ignore-fencing", action="store_true", help="take orders with an old fencing number"
     )
     service = kinds.add_parser("service", help="a plain service that counts its runs")
-    _add_common(service)
+    _add_common(service, "service")
     _add_backend(service)
 
 
-def _add_common(parser: argparse.ArgumentParser) -> None:
-    parser.epilog = f"Example: {EXAMPLE}"
+def _add_common(parser: argparse.ArgumentParser, kind: str) -> None:
+    parser.epilog = f"Example: {EXAMPLES[kind]}"
     parser.add_argument(
-        "--listen", default="127.0.0.1:0", metavar="HOST:PORT", help="address (%(default)s)"
+        "--listen",
+        default="127.0.0.1:0",
+        type=_address,
+        metavar="HOST:PORT",
+        help="address (%(default)s)",
     )
     parser.add_argument("--ready-file", default="", help="file to write the address to, as JSON")
 
 
+def _address(text: str) -> str:
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdecimal():
+        raise argparse.ArgumentTypeError(f"{text!r} is not HOST:PORT")
+    return text
+
+
 def _add_backend(parser: argparse.ArgumentParser) -> None:
-    parser.add_argument("--platform", default="", metavar="HOST:PORT", help="platform to join")
+    parser.add_argument(
+        "--platform", default="", type=_address, metavar="HOST:PORT", help="platform to join"
+    )
     parser.add_argument("--id", default="", help="id in the live list (pool and port)")
     parser.add_argument("--pool", default="", help="pool that it belongs to")
     parser.add_argument("--failure-domain", default="local", help="where it runs (%(default)s)")
@@ -71,7 +91,12 @@
     parser.add_argument("--credential", default="", help="token that callers must show")
 
 
-@command("standin", "Run a stand-in of the platform or a backend server.", EXAMPLE, add_arguments)
+@command(
+    "standin",
+    "Run a stand-in of the platform or a backend server.",
+    EXAMPLES["engine"],
+    add_arguments,
+)
 def run(options: argparse.Namespace) -> None:
     """Serve until SIGTERM or SIGINT."""
     standin = BUILDERS[options.kind](options)
--- a/hickoryloom/standins/platform.py
+++ b/hickoryloom/standins/platform.py
@@ -21,6 +21,9 @@
 __all__ = ["PlatformStandIn", "PlatformSwitches", "build_platform"]
 
 HANG_S = 60.0
+REQUEST_LINE_BYTES = 20
+STATUS_LINE_BYTES = 60
+HEADER_EXTRA_BYTES = 4
 
 
 class PlatformStandIn(PlatformState, StandIn):
@@ -52,6 +55,8 @@
         if path.startswith("/standin/"):
             return self._app(environ, start_response)
         self._platform.count_call(_kind(environ))
+        self._platform.count_bytes(_request_bytes(environ))
+        start_response = self._counting(start_response)
         if self._platform.switches.outage:
             return self._fail(environ, start_response)
         if self._platform.switches.slow_s:
@@ -61,6 +66,13 @@
             cut_connection(falcon.Request(environ))
         return answer
 
+    def _counting(self, start_response: Any) -> Any:
+        def start(status: str, headers: list[tuple[str, str]], *rest: Any) -> Any:
+            self._platform.count_bytes(_response_bytes(status, headers))
+            return start_response(status, headers, *rest)
+
+        return start
+
     def _fail(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
         outage = self._platform.switches.outage
         if outage == OUTAGE_ERROR:
@@ -86,3 +98,18 @@
     if environ["REQUEST_METHOD"] == "POST":
         return "create" if "if_version=0" in environ.get("QUERY_STRING", "") else "update"
     return "list" if environ["PATH_INFO"] == "/objects" else "get"
+
+
+def _request_bytes(environ: dict[str, Any]) -> int:
+    """Return the length of a request: line, headers and body."""
+    headers = [item for item in environ.items() if item[0].startswith("HTTP_")]
+    length = len(environ["PATH_INFO"]) + len(environ.get("QUERY_STRING", "")) + REQUEST_LINE_BYTES
+    length += sum(len(name) + len(value) for name, value in headers)
+    return length + int(environ.get("CONTENT_LENGTH") or 0)
+
+
+def _response_bytes(status: str, headers: list[tuple[str, str]]) -> int:
+    """Return the length of a response: line, headers and body."""
+    body = [int(value) for name, value in headers if name.lower() == "content-length"]
+    head = sum(len(name) + len(value) + HEADER_EXTRA_BYTES for name, value in headers)
+    return len(status) + STATUS_LINE_BYTES + head + sum(body)
--- a/hickoryloom/standins/platform_routes.py
+++ b/hickoryloom/standins/platform_routes.py
@@ -246,6 +246,7 @@
         response.media = {
             "entries": self._platform.journal,
             "calls": dict(self._platform.calls),
+            "bytes": self._platform.bytes,
             "calls_by_second": sorted(self._platform.calls_by_second.items()),
         }
 
--- a/hickoryloom/standins/platform_state.py
+++ b/hickoryloom/standins/platform_state.py
@@ -64,6 +64,7 @@
         self.journal: list[dict[str, Any]] = []
         self.calls: Counter[str] = Counter()
         self.calls_by_second: Counter[int] = Counter()
+        self.bytes = 0
         self._changed = Event()
 
     def record(self, kind: str, body: dict[str, Any], result: str) -> None:
@@ -77,6 +78,10 @@
         self.calls_by_second[second] += 1
         self.calls_by_second.pop(second - KEPT_SECONDS, None)
 
+    def count_bytes(self, length: int) -> None:
+        """Count bytes of calls and answers."""
+        self.bytes += length
+
     def signal_change(self) -> None:
         """Wake all waiting watches."""
         changed, self._changed = self._changed, Event()
