Count a probe's timeout from its beginning

Ruled out: a probe that is never ended. Before: the new test and the machine failed; after: both pass. The invariant stays as it was.

--- a/hickoryloom/platform/breaker.py
+++ b/hickoryloom/platform/breaker.py
@@ -62,7 +62,7 @@
         self._backoff = Backoff(random)
         self._failures = 0
         self._retry_at = 0.0
-        self._probe_until = 0.0
+        self._probe_began = 0.0
         self._state = BreakerState.CLOSED
 
     @property
@@ -74,8 +74,9 @@
         """Return 0 if a call may be made now, else the seconds until a probe may be."""
         if self._state is BreakerState.CLOSED:
             return 0.0
-        until = self._retry_at if self._state is BreakerState.OPEN else self._probe_until
-        return max(0.0, until - now)
+        if self._state is BreakerState.OPEN:
+            return max(0.0, self._retry_at - now)
+        return max(0.0, PROBE_TIMEOUT_S - (now - self._probe_began))
 
     def begin(self, now: float) -> bool:
         """Ask leave for one call; when it is a probe, no other passes until it has ended."""
@@ -83,7 +84,7 @@
             return False
         if self._state is not BreakerState.CLOSED:
             self._state = BreakerState.HALF_OPEN
-            self._probe_until = now + PROBE_TIMEOUT_S
+            self._probe_began = now
         return True
 
     def succeeded(self) -> bool:
--- a/hickoryloom/platform/tests/test_breaker.py
+++ b/hickoryloom/platform/tests/test_breaker.py
@@ -99,3 +99,14 @@
     assert breaker.state is BreakerState.CLOSED
     breaker.failed(0.0)
     assert breaker.state is BreakerState.OPEN
+
+
+def test_probe_holds_back_for_its_timeout_at_most_whatever_the_clock_reads():
+    for step in range(200):
+        now = step * 0.1
+        breaker = CircuitBreaker(Random(1))
+        for _ in range(FAILURES_TO_OPEN):
+            breaker.failed(now)
+        later = now + breaker.wait_s(now) + 0.4
+        assert breaker.begin(later)
+        assert breaker.wait_s(later) <= PROBE_TIMEOUT_S
