Prove withdrawal on real processes through watch loss, a slow platform and cut entries

Peers that the platform lists no longer are forgotten while it answers, so that killed and replaced entries do not count in later rounds.

--- a/hickoryloom/configuration/known_peers.py
+++ b/hickoryloom/configuration/known_peers.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 import attrs
 
+from hickoryloom.membership import Heartbeat
+
 __all__ = ["KnownPeers"]
 
 KNOWN_FOR_S = 3600.0
@@ -16,6 +18,7 @@
 
 @attrs.frozen
 class _Known:
+    incarnation: str
     failure_domain: str
     listed: float
 
@@ -24,7 +27,8 @@
     """Remembers peers beyond their last heartbeat.
 
     A peer that fell silent may be cut off together with the platform, so it still counts until it
-    is known to be gone: it stopped as planned, its host refuses connections, or an hour passed.
+    is known to be gone: it stopped as planned, its host refuses connections, the platform lists it
+    no longer, or an hour passed.
 
     Args:
         rng: Chooses among the peers of a large fleet.
@@ -36,19 +40,22 @@
         self._seeds = tuple(seeds)
         self._known: dict[str, _Known] = {}
 
-    def listed(self, address: str, failure_domain: str, stopping: bool, now: float) -> None:
-        """Record a heartbeat.
-
-        Args:
-            address: The peer's address.
-            failure_domain: Where it runs.
-            stopping: Whether it is in a planned stop.
-            now: Monotonic time at which the heartbeat came.
-        """
-        if stopping:
+    def listed(self, heartbeat: Heartbeat, heard: float) -> None:
+        """Record a peer's latest heartbeat, heard at a monotonic time."""
+        address = heartbeat.address
+        if heartbeat.stopping:
             self._known.pop(address, None)
-        else:
-            self._known[address] = _Known(failure_domain, now)
+            return
+        domain = heartbeat.failure_domain
+        self._known[address] = _Known(heartbeat.incarnation, domain, heard)
+
+    def keep(self, incarnations: Collection[str]) -> None:
+        """Forget all peers but these; only for when the platform has just told who is left."""
+        gone = [
+            address for address, peer in self._known.items() if peer.incarnation not in incarnations
+        ]
+        for address in gone:
+            del self._known[address]
 
     def refused(self, address: str) -> None:
         """Record that the peer's host refuses connections, so that no process listens there."""
--- a/hickoryloom/configuration/peers.py
+++ b/hickoryloom/configuration/peers.py
@@ -27,7 +27,8 @@
 
 ROOT_PATH = "/peer/configuration"
 SHARD_PATH = "/peer/configuration/shards"
-ASK_AFTER_S = 2.6
+ASK_AFTER_S = 2.5
+QUICK_ANSWER_S = 0.2
 ASK_SPACING_S = 0.5
 ASK_TIMEOUT_S = 0.8
 SHARD_TIMEOUT_S = 2.0
@@ -76,15 +77,24 @@
         for client in self._clients.values():
             client.close()
 
-    def set_peers(self, peers: Iterable[Peer]) -> None:
-        """Take the live peers' latest heartbeats; returns at once."""
+    def set_peers(self, peers: Iterable[Peer], missing: Iterable[str] = ()) -> None:
+        """Take what membership knows; returns at once.
+
+        Args:
+            peers: Live peers with their latest heartbeats.
+            missing: Incarnations that are silent and not known to have ended.
+        """
         own = self._follower.snapshot.generation
+        live = set()
         for peer in peers:
             beat = peer.heartbeat
-            self._known.listed(beat.address, beat.failure_domain, beat.stopping, peer.heard)
+            live.add(beat.incarnation)
+            self._known.listed(beat, peer.heard)
             self._follower.evidence.heard_of(beat.generation, 0)
             if beat.generation > own:
                 self._ahead.add(beat.address)
+        if self._sees_platform():
+            self._known.keep(live | set(missing))
         if self._ahead:
             self._wake.set()
 
@@ -125,11 +135,20 @@
         now = self._clock.monotonic()
         asked = self._known.choose(now)
         tasks = {address: gevent.spawn(self.ask, address) for address in asked}
-        gevent.joinall(list(tasks.values()), timeout=ASK_TIMEOUT_S)
+        self._await_answers(tasks)
         answered = {address for address, task in tasks.items() if task.value}
         still_known = self._known.choose_among(asked)
         return self._follower.evidence.round_ended(now, still_known, answered)
 
+    def _await_answers(self, tasks: dict[str, gevent.Greenlet]) -> None:
+        quick = gevent.joinall(list(tasks.values()), timeout=QUICK_ANSWER_S)
+        if 2 * (len(quick) + 1) <= len(tasks) + 1:
+            gevent.joinall(list(tasks.values()), timeout=ASK_TIMEOUT_S - QUICK_ANSWER_S)
+
+    def _sees_platform(self) -> bool:
+        age_s = self._follower.freshness.age(self._clock.monotonic())
+        return age_s <= ASK_AFTER_S
+
     def read_shard(self, address: str, name: str) -> Result[Any, str]:
         """Return a shard's content from a peer, or why it can't be had."""
         answer = self._get(address, f"{SHARD_PATH}/{name}", SHARD_TIMEOUT_S)
--- a/hickoryloom/entry/process.py
+++ b/hickoryloom/entry/process.py
@@ -241,7 +241,7 @@
     def _apply_peers(self, peers: tuple[Peer, ...]) -> None:
         self._admission.apply_peers(peers, self._membership.missing)
         self._directory.apply_peers(peers)
-        self._configuration_peers.set_peers(peers)
+        self._configuration_peers.set_peers(peers, self._membership.missing)
 
     def _build_heartbeat(self) -> Heartbeat:
         fresh = self._follower.freshness
--- a/hickoryloom/keys/view_guard.py
+++ b/hickoryloom/keys/view_guard.py
@@ -8,7 +8,7 @@
 
 __all__ = ["FreshnessSource", "ViewGuard"]
 
-READY_BOUND_S = 3.0
+READY_BOUND_S = 3.3
 KEYED_BOUND_S = 4.0
 
 
--- /dev/null
+++ b/tests/test_keys_processes.py
@@ -0,0 +1,176 @@
+"""A withdrawn key stops working within seconds, whatever is broken between entry and platform."""
+
+import time
+
+import gevent
+import pytest
+
+from tests.harness import Link, wait_until
+from tests.site import DOMAINS, Site
+
+pytestmark = pytest.mark.processes
+
+WITHDRAWAL_BOUND_S = 5.0
+MACHINE_SLACK_S = 1.0
+LONG_ANSWER_TOKENS = 6000
+STREAM_START_S = 1.0
+
+
+@pytest.fixture(scope="module")
+def site(tmp_path_factory):
+    """One engine and three entries, one in each failure domain, each on a link of its own."""
+    site = Site(tmp_path_factory.mktemp("keys"))
+    try:
+        site.links = [Link(site.platform_address) for _ in DOMAINS]
+        site.add_engine(DOMAINS[0], "--token-ms", "10", "--slots", "16")
+        site.add_service()
+        site.publish()
+        for domain, link in zip(DOMAINS, site.links, strict=True):
+            site.add_entry(failure_domain=domain, platform=link.address)
+        site.wait_serving("entry-1", "entry-2", "entry-3")
+        for name in ("entry-1", "entry-2", "entry-3"):
+            wait_until(lambda name=name: len(site.status(name)["peers"]) == 2)
+    except BaseException:
+        site.stop()
+        raise
+    yield site
+    site.stop()
+
+
+@pytest.fixture
+def whole(site):
+    """Mend everything after a test, and wait until all entries serve again."""
+    yield site
+    site.set_faults("platform", outage="", slow_s=0.0, stale_reads=0.0)
+    for link in site.links:
+        link.restore()
+    for entry in site.entries:
+        entry.wake()
+    site.wait_serving("entry-1", "entry-2", "entry-3")
+
+
+class Stream:
+    """A long answer, read in the background."""
+
+    def __init__(self, site, entry, key):
+        self._task = gevent.spawn(self._read, site, entry, key)
+        self.ended = None
+        gevent.sleep(STREAM_START_S)
+        assert not self._task.ready(), self._task.value
+
+    def _read(self, site, entry, key):
+        reply = site.ask(entry, key, max_tokens=LONG_ANSWER_TOKENS)
+        self.ended = time.monotonic()
+        return reply
+
+    @property
+    def reply(self):
+        return self._task.get(timeout=30)
+
+
+def issue(site, customer="studio"):
+    key = site.issue_key(customer)
+    for entry in ("entry-1", "entry-2", "entry-3"):
+        wait_until(lambda entry=entry: site.ask(entry, key, max_tokens=1).status == 200)
+    return key
+
+
+def assert_withdrawn_in_time(site, entry, key, stream, withdrawn):
+    """Check that new and connected use of a key ended in time at an entry."""
+    limit = WITHDRAWAL_BOUND_S + MACHINE_SLACK_S
+    refused = wait_until(lambda: site.ask(entry, key, max_tokens=1).status in (401, 503), limit)
+    assert refused and time.monotonic() - withdrawn <= limit
+    reply = stream.reply
+    assert stream.ended - withdrawn <= limit
+    assert not reply.whole
+
+
+def withdraw(site, key):
+    site.withdraw_key(key)
+    return time.monotonic()
+
+
+def test_withdrawal_ends_new_and_connected_use_and_spares_other_keys(whole):
+    key, other = issue(whole), issue(whole)
+    stream, spared = Stream(whole, "entry-1", key), Stream(whole, "entry-1", other)
+    withdrawn = withdraw(whole, key)
+    assert_withdrawn_in_time(whole, "entry-1", key, stream, withdrawn)
+    assert whole.ask("entry-1", key).status == 401
+    assert spared.ended is None
+    withdraw(whole, other)
+
+
+def test_withdrawal_through_a_watch_that_went_silent(whole):
+    key = issue(whole)
+    stream = Stream(whole, "entry-1", key)
+    for link in whole.links:
+        link.mute_open_connections()
+    withdrawn = withdraw(whole, key)
+    assert_withdrawn_in_time(whole, "entry-1", key, stream, withdrawn)
+
+
+def test_withdrawal_through_a_slow_platform(whole):
+    key = issue(whole)
+    stream = Stream(whole, "entry-2", key)
+    whole.set_faults("platform", slow_s=1.5)
+    gevent.sleep(2.0)
+    withdrawn = withdraw(whole, key)
+    assert_withdrawn_in_time(whole, "entry-2", key, stream, withdrawn)
+
+
+def test_withdrawal_reaches_an_entry_that_is_cut_off_from_the_platform_by_its_peers(whole):
+    key, other = issue(whole), issue(whole)
+    stream = Stream(whole, "entry-3", key)
+    whole.links[2].cut()
+    gevent.sleep(3.0)
+    withdrawn = withdraw(whole, key)
+    assert_withdrawn_in_time(whole, "entry-3", key, stream, withdrawn)
+    assert whole.ask("entry-3", key).status == 401
+    assert whole.ask("entry-3", other, max_tokens=1).status == 200
+
+
+def test_an_entry_cut_off_from_platform_and_peers_refuses_and_cuts_keyed_calls(whole):
+    key = issue(whole)
+    stream = Stream(whole, "entry-1", key)
+    whole.links[0].cut()
+    for entry in whole.entries[1:]:
+        entry.freeze()
+    withdrawn = withdraw(whole, key)
+    assert_withdrawn_in_time(whole, "entry-1", key, stream, withdrawn)
+    refused = whole.ask("entry-1", key)
+    assert refused.status == 503
+    assert refused.json["error"]["verdict"] == "not-run"
+    assert refused.headers["retry-after"]
+    assert not whole.status("entry-1")["ready"]
+
+
+def test_a_platform_outage_that_all_peers_confirm_keeps_service(whole):
+    key = issue(whole)
+    whole.set_faults("platform", outage=True)
+    end = time.monotonic() + 2 * WITHDRAWAL_BOUND_S
+    while time.monotonic() < end:
+        for entry in ("entry-1", "entry-2", "entry-3"):
+            assert whole.ask(entry, key, max_tokens=1).status == 200
+            assert whole.status(entry)["ready"], whole.status(entry)["reasons"]
+        gevent.sleep(0.2)
+
+
+def test_an_outage_with_one_entry_dead_keeps_service_and_ends_with_withdrawals_in_time(whole):
+    key = issue(whole)
+    whole.set_faults("platform", outage=True)
+    whole.entries[2].freeze()
+    gevent.sleep(1.0)
+    whole.entries[2].wake()
+    gevent.sleep(WITHDRAWAL_BOUND_S)
+    assert whole.ask("entry-1", key, max_tokens=1).status == 200
+    stream = Stream(whole, "entry-1", key)
+    whole.set_faults("platform", outage=False)
+    withdrawn = withdraw(whole, key)
+    assert_withdrawn_in_time(whole, "entry-1", key, stream, withdrawn)
+
+
+def test_no_log_line_or_metric_holds_a_key(whole):
+    key = issue(whole)
+    whole.ask("entry-1", key, messages=[{"role": "user", "content": f"my key is {key}"}])
+    for process in whole.processes:
+        assert key not in process.log() and "hlk_" not in process.log()
