Hold customers' limits over all entries, joins, cuts and pauses included

Cause: a new entry took its part before the others had made theirs smaller (9 in flight of 8, found by TestSharedLimit), and one that was stopped long enough to be given up on would go on with its old part when it woke. An entry now holds a part only once every entry that it knows of has heard of it since its start or last pause. Seen to fail first: without the wait for peers 9 of 8, with whole limits 9 of 8, without the notice of a pause the test of the entry that stood still.

--- a/hickoryloom/admission/limits.py
+++ b/hickoryloom/admission/limits.py
@@ -55,6 +55,7 @@
     def __init__(self, name: str) -> None:
         self._name = name
         self._entries: tuple[str, ...] = (name,)
+        self._joined = True
         self._customers: Mapping[str, Customer] = {}
         self._parts: dict[str, _Part] = {}
         self._division = 0
@@ -64,11 +65,17 @@
         self._customers = customers
         self._division += 1
 
-    def set_entries(self, entries: Collection[str]) -> None:
-        """Divide the limits between these entries, this one included."""
+    def set_entries(self, entries: Collection[str], joined: bool) -> None:
+        """Divide the limits between entries.
+
+        Args:
+            entries: All entries that may spend, this one included.
+            joined: Whether the live ones know of this entry; until then it holds no part.
+        """
         ordered = tuple(sorted(entries))
-        if ordered != self._entries:
+        if ordered != self._entries or joined != self._joined:
             self._entries = ordered
+            self._joined = joined
             self._division += 1
 
     def may_start(self, customer: str, now: float) -> bool:
@@ -163,6 +170,10 @@
     def _size(self, part: _Part, limits: Customer) -> None:
         entries = len(self._entries)
         part.division = self._division
+        if not self._joined:
+            part.tokens_per_s = part.burst = part.tokens = 0.0
+            part.max_in_flight = 0
+            return
         part.tokens_per_s = limits.tokens_per_minute / MINUTE_S / entries
         part.burst = limits.tokens_per_minute / entries
         part.tokens = min(part.tokens, part.burst)
--- a/hickoryloom/admission/pool.py
+++ b/hickoryloom/admission/pool.py
@@ -117,6 +117,8 @@
         """Take in the pool's slots and the other entries' use of them."""
         self.capacity = capacity
         self.peers = peers
+        for held in list(self._held):
+            self._release(held)
         self._allotment = None
         for found in self._queues:
             self._size_reserve(found, entries)
--- a/hickoryloom/admission/state.py
+++ b/hickoryloom/admission/state.py
@@ -19,6 +19,7 @@
 __all__ = ["AdmissionState"]
 
 DEFAULT_TOKENS_PER_S = 40.0
+PAUSE_S = 10.0
 
 
 class AdmissionState:
@@ -39,6 +40,9 @@
         self._book = PeerBook()
         self._pools: dict[str, PoolState] = {}
         self._capacities: dict[str, int] = {}
+        self._active = float("-inf")
+        self._paused = float("-inf")
+        self._known_to: set[str] = set()
 
     @property
     def pools(self) -> Mapping[str, PoolState]:
@@ -73,11 +77,13 @@
             missing: Silent peers that are not known to have ended; None to let admission hold
                 each silent peer for a while.
         """
+        self._note_pause(now)
         self._book.update(peers, missing, now)
         return self._refresh(now)
 
     def submit(self, request: Request, now: float) -> Waiting:
         """Queue a request; the next `dispatch` of its pool decides on it."""
+        self._note_pause(now)
         customer = self._snapshot.customers.get(request.customer)
         weight = customer.weight if customer is not None else 1.0
         waiting = Waiting(request=request, cost=0.0, since=now, weight=weight)
@@ -90,6 +96,7 @@
 
     def finish(self, admitted: Admitted, outcome: Outcome, now: float) -> list[Decision]:
         """Free the slot of a request that ended and decide who follows."""
+        self._note_pause(now)
         pool = self._pool(admitted.request.pool)
         if not pool.finish(admitted, outcome, now):
             return []
@@ -97,10 +104,12 @@
 
     def dispatch(self, pool: str, now: float) -> list[Decision]:
         """Decide on one pool."""
+        self._note_pause(now)
         return self._pool(pool).dispatch(now)
 
     def dispatch_due(self, now: float) -> list[Decision]:
         """Decide on all pools."""
+        self._note_pause(now)
         if self._book.expire(now):
             return self._refresh(now)
         return [decision for pool in self._pools.values() for decision in pool.dispatch(now)]
@@ -136,8 +145,29 @@
         peers = PoolPeers.build(self._incarnation, pool.name, self._book)
         pool.set_view(self._capacities.get(pool.name, 0), peers, entries)
 
+    def _divide_limits(self) -> None:
+        entries = (self._incarnation, *self._book.live, *self._book.missing)
+        self._limits.set_entries(entries, self._joined())
+
+    def _joined(self) -> bool:
+        """Return whether all entries count this one in when they divide customers' limits."""
+        for name, peer in self._book.live.items():
+            if peer.echoed is not None and peer.echoed > self._paused:
+                self._known_to.add(name)
+        entries = {*self._book.live, *self._book.missing}
+        self._known_to &= entries
+        return entries <= self._known_to
+
+    def _note_pause(self, now: float) -> None:
+        """Notice a start, and that this process stood still and peers may have given up on it."""
+        if now - self._active > PAUSE_S:
+            self._paused = now
+            self._known_to.clear()
+            self._divide_limits()
+        self._active = now
+
     def _refresh(self, now: float) -> list[Decision]:
-        self._limits.set_entries((self._incarnation, *self._book.live, *self._book.missing))
+        self._divide_limits()
         decisions: list[Decision] = []
         for pool in self._pools.values():
             self._view(pool)
--- a/hickoryloom/admission/tests/cluster.py
+++ b/hickoryloom/admission/tests/cluster.py
@@ -25,6 +25,8 @@
     "low": RequestClass("low", 3, 4000, 50, reserve=0.1),
 }
 
+CUSTOMERS = (Customer("c", tuple(CLASSES)),)
+
 
 def snapshot(customers=()):
     return Snapshot(
@@ -49,7 +51,7 @@
 class Cluster:
     """Entries on one clock. Each step moves the clock a little, so that no two coincide."""
 
-    def __init__(self, count, customers=(Customer("c", tuple(CLASSES)),), slots=SLOTS):
+    def __init__(self, count, customers=CUSTOMERS, slots=SLOTS):
         self.clock = ManualClock(now=100.0)
         self.slots = slots
         self.wire = []
@@ -88,6 +90,14 @@
             ),
         )
 
+    def join(self, name, customers=CUSTOMERS):
+        """Start one more entry; it writes its presence and lists that of the others."""
+        node = self._build(name, customers)
+        self.nodes.append(node)
+        node.members.list_presence(self._presence(), self.now)
+        self._refresh(node)
+        return node
+
     def step(self):
         self.clock.advance(TICK_S)
 
--- /dev/null
+++ b/hickoryloom/admission/tests/test_limits.py
@@ -0,0 +1,156 @@
+"""Customers' limits over all entries, under delay, loss, freezes, cuts and joins."""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from hickoryloom.admission import RefusalReason
+from hickoryloom.admission.limits import LimitBook
+from hickoryloom.admission.tests.cluster import CLASSES, Cluster
+from hickoryloom.configuration import Customer
+
+LIMIT = 8
+ENTRIES = 4
+CUSTOMERS = (Customer("c", tuple(CLASSES), max_in_flight=LIMIT),)
+numbers = st.integers(0, 10**6)
+
+
+class SharedLimit(RuleBasedStateMachine):
+    def __init__(self):
+        super().__init__()
+        self.cluster = Cluster(2, CUSTOMERS, slots=100)
+        self.cluster.exchange_all()
+        self.cluster.exchange_all()
+
+    def node(self, index):
+        return self.cluster.nodes[index % len(self.cluster.nodes)]
+
+    @rule(index=numbers, count=st.integers(1, 6))
+    def arrive(self, index, count):
+        for _ in range(count):
+            if not self.node(index).frozen:
+                self.cluster.arrive(self.node(index), "high", 60.0)
+
+    @rule(index=numbers, which=numbers)
+    def finish(self, index, which):
+        node = self.node(index)
+        if node.running and not node.frozen:
+            self.cluster.finish(node, node.running[which % len(node.running)])
+
+    @rule(sender=numbers, receiver=numbers)
+    def send(self, sender, receiver):
+        if self.node(sender) is not self.node(receiver):
+            self.cluster.send(self.node(sender), self.node(receiver))
+
+    @rule(index=numbers, lost=st.booleans())
+    def deliver(self, index, lost):
+        if self.cluster.wire and lost:
+            self.cluster.wire.pop(index % len(self.cluster.wire))
+        elif self.cluster.wire:
+            self.cluster.deliver(index)
+
+    @rule(rounds=st.integers(1, 3))
+    def exchange(self, rounds):
+        for _ in range(rounds):
+            self.cluster.exchange_all()
+
+    @rule(seconds=st.sampled_from((0.3, 1.0, 3.2, 12.0)))
+    def advance(self, seconds):
+        self.cluster.advance(seconds)
+
+    @rule(index=numbers)
+    def freeze(self, index):
+        """An entry that is stopped has no requests that run on."""
+        node = self.node(index)
+        for admitted in list(node.running):
+            self.cluster.finish(node, admitted)
+        if not node.running:
+            node.frozen = True
+
+    @rule(index=numbers)
+    def thaw(self, index):
+        if self.node(index).frozen:
+            self.cluster.thaw(self.node(index))
+
+    @rule(one=numbers, other=numbers)
+    def cut(self, one, other):
+        names = frozenset((self.node(one).name, self.node(other).name))
+        if len(names) == 2:
+            self.cluster.cuts.add(names)
+
+    @rule()
+    def heal(self):
+        self.cluster.cuts.clear()
+
+    @rule()
+    def join(self):
+        if len(self.cluster.nodes) < ENTRIES:
+            self.cluster.join(f"e{len(self.cluster.nodes)}", CUSTOMERS)
+
+    @invariant()
+    def limit_holds_over_all_entries(self):
+        assert self.cluster.in_flight() <= LIMIT
+
+
+TestSharedLimit = SharedLimit.TestCase
+TestSharedLimit.settings = settings(max_examples=150, stateful_step_count=30)
+
+
+def test_tokens_of_all_entries_stay_within_the_limit():
+    entries = ("a", "b", "c")
+    books = [LimitBook(name) for name in entries]
+    for book in books:
+        book.set_customers({"c": Customer("c", (), tokens_per_minute=6000)})
+        book.set_entries(entries, True)
+    spent = 0.0
+    for second in range(600):
+        for book in books:
+            while book.may_start("c", float(second)):
+                book.started("c", 50.0, float(second))
+                book.finished("c", 10.0, float(second))
+                spent += 60.0
+    allowed = 6000 * (600 / 60 + 1) + len(entries) * 60.0
+    assert 0.9 * allowed <= spent <= allowed
+
+
+def test_a_settled_overdraft_is_paid_back_before_the_next_start():
+    book = LimitBook("a")
+    book.set_customers({"c": Customer("c", (), tokens_per_minute=600)})
+    book.started("c", 100.0, 0.0)
+    book.finished("c", 1000.0, 0.0)
+    assert not book.may_start("c", 49.0)
+    assert book.may_start("c", 51.0)
+
+
+def test_a_customer_at_its_limit_is_told_so_at_once():
+    cluster = Cluster(1, (Customer("c", tuple(CLASSES), tokens_per_minute=60),), slots=100)
+    node = cluster.nodes[0]
+    while not cluster.refusals:
+        cluster.arrive(node, "high", 1.0)
+    refused = cluster.refusals[0][2].refused
+    assert refused.reason is RefusalReason.CUSTOMER_LIMIT
+    assert refused.retry_after_s > 1.0
+
+
+def test_an_entry_that_stood_still_spends_nothing_until_its_peers_count_it_in_again():
+    cluster = Cluster(2, CUSTOMERS, slots=100)
+    cluster.exchange_all()
+    cluster.exchange_all()
+    other, stopped = cluster.nodes
+    cluster.arrive(stopped, "high", 60.0)
+    cluster.finish(stopped, stopped.running[0])
+    stopped.frozen = True
+    for _ in range(4):
+        cluster.advance(12.0)
+    for _ in range(LIMIT):
+        cluster.arrive(other, "high", 60.0)
+    assert cluster.in_flight() == LIMIT
+    cluster.step()
+    stopped.frozen = False
+    cluster.arrive(stopped, "high", 60.0)
+    assert cluster.in_flight() == LIMIT
+    while other.running:
+        cluster.finish(other, other.running[0])
+    cluster.exchange_all()
+    cluster.exchange_all()
+    assert len(stopped.running) == 1
