--- a/hickoryloom/admission/task.py
+++ b/hickoryloom/admission/task.py
@@ -155,13 +155,14 @@
 
     def _carry_out(self, decision: Decision) -> None:
         if isinstance(decision, Start):
+            _log_start(decision)
             self._resolve(decision.waiting, Ok(decision.admitted))
         elif isinstance(decision, Refuse):
             _log_refusal(decision)
             self._resolve(decision.waiting, Err(decision.refused))
         elif isinstance(decision, Preempt):
             request = decision.admitted.request
-            log_event(log, "preempt", request=request.id, request_class=request.request_class)
+            log_event(log, "preempt", request_id=request.id, request_class=request.request_class)
             callback = self._preempt_callbacks.pop(request.id, None)
             if callback is not None:
                 callback()
@@ -204,14 +205,29 @@
     return Refused(RefusalReason.CALLER_LEFT, Verdict.NOT_RUN, LEFT_RETRY_S, "the caller left")
 
 
+def _log_start(decision: Start) -> None:
+    request = decision.waiting.request
+    log_event(
+        log,
+        "start",
+        request_id=request.id,
+        request_class=request.request_class,
+        tier=request.tier,
+        pool=request.pool,
+        reserved=decision.admitted.reserved,
+        waited_s=decision.admitted.started - request.arrived,
+    )
+
+
 def _log_refusal(decision: Refuse) -> None:
     request = decision.waiting.request
     log_event(
         log,
         "refuse",
-        request=request.id,
+        request_id=request.id,
         customer=request.customer,
         request_class=request.request_class,
+        tier=request.tier,
         pool=request.pool,
         reason=decision.refused.reason.value,
         verdict=decision.refused.verdict.value,
