--- a/hickoryloom/membership/messages.py
+++ b/hickoryloom/membership/messages.py
@@ -9,12 +9,21 @@
 
 @attrs.frozen
 class Presence:
-    """An entry or control process as it stands in the platform's objects."""
+    """An entry or control process as it stands in the platform's objects.
+
+    Attributes:
+        incarnation: New with each start of a process.
+        address: `host:port` for other processes.
+        failure_domain: Where it runs.
+        role: `entry` or `control`.
+        admin: `host:port` for operators.
+    """
 
     incarnation: str
     address: str
     failure_domain: str
     role: str = "entry"
+    admin: str = ""
 
 
 @attrs.frozen
@@ -28,7 +37,7 @@
         pressure: Highest tier that may be refused soon; 0 for none. No peer that knows of it
             starts a lower tier in the pool.
         epoch: Counts the entry's changes of pressure.
-        demand: Slots that it wants, requests in flight included.
+        demand: Slots that it wants by tier, requests in flight included.
     """
 
     in_flight: int = 0
@@ -36,7 +45,7 @@
     highest_waiting: int = 0
     pressure: int = 0
     epoch: int = 0
-    demand: int = 0
+    demand: dict[int, int] = attrs.field(factory=dict)
 
 
 @attrs.frozen
