--- a/hickoryloom/relay/task.py
+++ b/hickoryloom/relay/task.py
@@ -22,6 +22,7 @@
 __all__ = ["Relay"]
 
 EVENT_STREAM = "text/event-stream"
+SERVICE_TIMEOUT_S = 30.0
 
 
 class Relay:
@@ -31,15 +32,22 @@
         router: Chooses backend servers.
         clock: Source of time.
         credential: The token that entries show to backend servers.
+        service_timeout_s: Seconds without a byte after which a plain service is given up.
     """
 
-    def __init__(self, router: Router, clock: Clock, credential: str = "") -> None:
+    def __init__(
+        self,
+        router: Router,
+        clock: Clock,
+        credential: str = "",
+        service_timeout_s: float = SERVICE_TIMEOUT_S,
+    ) -> None:
         self._router = router
         self._clock = clock
         self._connections = Connections(clock)
         engine = EngineControl(credential)
         self._parts = RelayParts(router, clock, self._connections, engine, credential)
-        self._watchdog = Watchdog(self._parts)
+        self._watchdog = Watchdog(self._parts, service_timeout_s)
 
     @property
     def open_requests(self) -> int:
--- a/hickoryloom/relay/watchdog.py
+++ b/hickoryloom/relay/watchdog.py
@@ -13,7 +13,6 @@
 
 CHECK_INTERVAL_S = 0.25
 MAX_OPEN_PROBES = 64
-SERVICE_TIMEOUT_S = 30.0
 
 
 class Watchdog:
@@ -21,10 +20,12 @@
 
     Args:
         parts: What all requests share.
+        service_timeout_s: Seconds without a byte after which a plain service is given up.
     """
 
-    def __init__(self, parts: RelayParts) -> None:
+    def __init__(self, parts: RelayParts, service_timeout_s: float) -> None:
         self._parts = parts
+        self._service_timeout_s = service_timeout_s
         self._probes = Pool(MAX_OPEN_PROBES)
         self._task: gevent.Greenlet | None = None
 
@@ -55,7 +56,7 @@
         if exchange is None or since is None:
             return
         if not for_engine:
-            if now - since > SERVICE_TIMEOUT_S:
+            if now - since > self._service_timeout_s:
                 exchange.interrupt(FailureCause.SILENT)
             return
         if not self._probes.full() and attempt.silence.wants_probe(since, now):
--- /dev/null
+++ b/tests/test_leaving.py
@@ -0,0 +1,149 @@
+"""A leaving backend server gets no new work after three seconds, whoever says it first."""
+
+import random
+
+import gevent
+import pytest
+
+from hickoryloom.clock import SystemClock
+from hickoryloom.configuration import Pool, PoolKind, Snapshot, StaticBackend
+from hickoryloom.membership import Heartbeat, Peer
+from hickoryloom.platform import PlatformClient
+from hickoryloom.relay import Relay
+from hickoryloom.routing import BackendDirectory, Router
+from tests.backends import POOL, Backends, call_json, journal, relay_stream, set_faults
+from tests.harness import wait_until
+
+pytestmark = pytest.mark.processes
+
+LEAVING_BOUND_S = 3.0
+OBSERVED_S = 2.0
+TOKENS = 3
+
+
+class Site:
+    """A platform, engines in its list, and an entry's directory, router and relay."""
+
+    def __init__(self, backends):
+        self.platform = backends.start("platform")
+        arguments = ["--token-ms", "2", "--pool", POOL, "--platform", self.platform.address]
+        self.engines = backends.start_some(3, "engine", *arguments)
+        self.clock = SystemClock()
+        self.router = Router(self.clock, random.Random(1), "local")
+        self.directory = BackendDirectory(
+            PlatformClient(self.platform.address, self.clock),
+            self.clock,
+            random.Random(1),
+            self.router.report,
+        )
+        self.directory.subscribe(self.router.set_views)
+        self.relay = Relay(self.router, self.clock)
+        self._number = 0
+        self._traffic = None
+
+    def set_static(self, *engines):
+        servers = tuple(StaticBackend(f"s{i}", e.address, "local") for i, e in enumerate(engines))
+        pool = Pool(POOL, PoolKind.ENGINE, "assistant", servers=servers)
+        self.directory.set_snapshot(Snapshot(1, pools={POOL: pool}))
+
+    def start(self):
+        self.directory.start()
+        wait_until(lambda: len(self.directory.views) >= 3, 10.0, "the engines are known")
+        self._traffic = gevent.spawn(self._run)
+
+    def close(self):
+        if self._traffic is not None:
+            self._traffic.kill()
+        self.directory.stop()
+        self.relay.stop()
+
+    def id_of(self, engine):
+        return next(view.id for view in self.directory.views if view.address == engine.address)
+
+    def started(self, engine):
+        return journal(engine.address)["counters"].get("started", 0)
+
+    def _run(self):
+        while True:
+            self._number += 1
+            relay_stream(self.relay, f"r{self._number}", TOKENS)
+
+
+@pytest.fixture
+def site(tmp_path):
+    backends = Backends(tmp_path)
+    site = Site(backends)
+    yield site
+    site.close()
+    backends.close()
+
+
+def check_gets_no_new_work(site, engine):
+    """Wait for the bound, then see that the others get work and the leaving engine none."""
+    gevent.sleep(LEAVING_BOUND_S)
+    others = [one for one in site.engines if one is not engine]
+    before = site.started(engine), sum(site.started(one) for one in others)
+    gevent.sleep(OBSERVED_S)
+    assert site.started(engine) == before[0]
+    assert sum(site.started(one) for one in others) > before[1]
+
+
+def wait_for_work(site, engine):
+    wait_until(lambda: site.started(engine) > 0, 10.0, "the engine gets work before it leaves")
+
+
+def test_its_own_word_counts_while_the_list_lags(site):
+    site.start()
+    wait_for_work(site, site.engines[0])
+    call_json(site.platform.address, "POST", "/standin/faults", {"live_lag_s": 3600.0})
+    set_faults(site.engines[0].address, leaving=True, load_lag_s=0.0)
+    check_gets_no_new_work(site, site.engines[0])
+
+
+def test_its_own_word_counts_while_the_platform_is_down(site):
+    site.start()
+    wait_for_work(site, site.engines[0])
+    site.platform.freeze()
+    set_faults(site.engines[0].address, leaving=True, load_lag_s=0.0)
+    check_gets_no_new_work(site, site.engines[0])
+
+
+def test_the_list_counts_while_the_engine_says_nothing(site):
+    site.start()
+    wait_for_work(site, site.engines[0])
+    row = {
+        "id": site.id_of(site.engines[0]),
+        "address": site.engines[0].address,
+        "failure_domain": "local",
+        "pool": POOL,
+        "cheap": False,
+        "state": "leaving",
+    }
+    call_json(site.platform.address, "POST", "/standin/backends", row)
+    check_gets_no_new_work(site, site.engines[0])
+
+
+def test_a_peer_counts_while_list_and_engine_say_nothing(site):
+    site.start()
+    wait_for_work(site, site.engines[0])
+    told = Heartbeat("i1", "x:1", "local", 1, 1, 0.0, leaving=(site.id_of(site.engines[0]),))
+    site.directory.apply_peers([Peer(told, site.clock.monotonic())])
+    check_gets_no_new_work(site, site.engines[0])
+
+
+def test_a_lagging_list_does_not_bring_it_back(site):
+    site.start()
+    wait_for_work(site, site.engines[0])
+    set_faults(site.engines[0].address, leaving=True, load_lag_s=0.0)
+    wait_until(lambda: site.directory.leaving, LEAVING_BOUND_S, "it is known to be leaving")
+    set_faults(site.engines[0].address, leaving=False, load_lag_s=0.0)
+    check_gets_no_new_work(site, site.engines[0])
+
+
+def test_a_static_server_leaves_by_its_own_word_and_may_come_back(site):
+    site.set_static(*site.engines)
+    site.start()
+    engine = site.engines[0]
+    wait_for_work(site, engine)
+    set_faults(engine.address, leaving=True, load_lag_s=0.0)
+    check_gets_no_new_work(site, engine)
