Keep doubted rows of the live list over more than one reading

Cause: a list that suddenly came back empty was doubted once, and the next reading, empty again, dropped the kept rows, so a running fleet got no work. Before: no backend server after the second empty list; after: rows stay while their servers answer for themselves.

--- a/hickoryloom/routing/directory.py
+++ b/hickoryloom/routing/directory.py
@@ -52,7 +52,8 @@
         rows = {backend.id: backend for backend in backends}
         lost = {id: row for id, row in self._listed.items() if id not in rows}
         suspicious = len(lost) > SUSPICIOUS_LOSS_PART * len(self._listed)
-        self._missing = {**self._missing, **lost} if suspicious else {}
+        if suspicious:
+            self._missing.update(lost)
         self._missing = {id: row for id, row in self._missing.items() if id not in rows}
         self._listed = rows
         for row in rows.values():
--- a/hickoryloom/routing/tests/test_directory.py
+++ b/hickoryloom/routing/tests/test_directory.py
@@ -66,5 +66,6 @@
     state = state_with(row("a"), row("b"))
     state.apply_own_word("a", False, 10.0)
     state.apply_list([])
+    state.apply_list([])
     assert ids(state, 12.0) == {"static", "a"}
     assert ids(state, 16.0) == {"static"}
