--- a/hickoryloom/fleet/sizing.py
+++ b/hickoryloom/fleet/sizing.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 
 from hickoryloom.configuration import Pool
 from hickoryloom.fleet.messages import Need, Site, Targets
@@ -11,18 +11,19 @@
 __all__ = ["choose_targets", "lower_tiers_of", "servers_surviving", "spread"]
 
 
-def lower_tiers_of(classes: Sequence[tuple[int, bool]]) -> frozenset[int]:
-    """Return the tiers whose work may run on reclaimable backend servers.
+def lower_tiers_of(used: Collection[int], not_resumable: Collection[int]) -> frozenset[int]:
+    """Return the tiers of a pool whose work may run on reclaimable backend servers.
 
     Args:
-        classes: Tier and whether its answers may be resumed, for each class.
+        used: Tiers that have used the pool.
+        not_resumable: Tiers with a class whose answers can't be resumed.
 
     Returns:
-        Every tier below the highest whose classes may all be resumed.
+        Every used tier below the highest one whose classes may all be resumed.
     """
-    tiers = {tier for tier, _ in classes}
-    fixed = {tier for tier, resumable in classes if not resumable}
-    return frozenset(tier for tier in tiers if tier != min(tiers) and tier not in fixed)
+    if not used:
+        return frozenset()
+    return frozenset(used) - {min(used)} - frozenset(not_resumable)
 
 
 def servers_surviving(needed: int, failure_domains: int) -> int:
--- a/hickoryloom/fleet/state.py
+++ b/hickoryloom/fleet/state.py
@@ -5,7 +5,7 @@
 import math
 import random
 from collections import Counter, deque
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 
 import attrs
 
@@ -13,7 +13,7 @@
 from hickoryloom.fleet.backoff import SiteBackoff
 from hickoryloom.fleet.forecast import NeedForecast
 from hickoryloom.fleet.messages import FleetPlan, PoolDemand, ServerState, ServerView, Site, Targets
-from hickoryloom.fleet.sizing import choose_targets
+from hickoryloom.fleet.sizing import choose_targets, lower_tiers_of
 
 __all__ = ["PoolPlanner", "plan"]
 
@@ -57,6 +57,7 @@
     _forecast: NeedForecast = attrs.field(factory=NeedForecast)
     _backoff: SiteBackoff = attrs.field(init=False)
     _began: float | None = None
+    _tiers: set[int] = attrs.field(factory=set)
     _recent: deque[tuple[float, Targets]] = attrs.field(factory=deque)
 
     def __attrs_post_init__(self) -> None:
@@ -72,10 +73,20 @@
         now: float,
         pool: Pool,
         demand: PoolDemand,
-        lower_tiers: frozenset[int],
+        not_resumable: Collection[int],
         servers: Sequence[ServerView],
     ) -> FleetPlan:
-        """Return what to do now, from the demand and all servers of the pool."""
+        """Return what to do now.
+
+        Args:
+            now: Monotonic time, in seconds.
+            pool: The pool.
+            demand: Its demand by tier.
+            not_resumable: Tiers with a class whose answers can't be resumed.
+            servers: All its servers.
+        """
+        self._tiers |= set(demand)
+        lower_tiers = lower_tiers_of(self._tiers, not_resumable)
         self._forecast.update(now, demand, lower_tiers)
         need = self._forecast.need(demand, lower_tiers, pool.load_s)
         present = _present(servers)
--- a/hickoryloom/fleet/task.py
+++ b/hickoryloom/fleet/task.py
@@ -19,7 +19,6 @@
 from hickoryloom.fleet.loading import ModelLoading
 from hickoryloom.fleet.messages import FleetPlan, PoolDemand
 from hickoryloom.fleet.records import IntentRecords
-from hickoryloom.fleet.sizing import lower_tiers_of
 from hickoryloom.fleet.state import SCALE_DOWN_DELAY_S, PoolPlanner
 from hickoryloom.fleet.survey import DemandSource
 from hickoryloom.fleet.views import drop_listed, view_servers
@@ -209,10 +208,9 @@
             self._planners[pool.name] = planner
         servers = view_servers(pool, backends, intents)
         now = self._clock.monotonic()
-        lower = lower_tiers_of(
-            [(c.tier, c.resumable) for c in self._follower.snapshot.classes.values()]
-        )
-        found = planner.plan(now, pool, demand or {}, lower, servers)
+        classes = self._follower.snapshot.classes.values()
+        not_resumable = {c.tier for c in classes if not c.resumable}
+        found = planner.plan(now, pool, demand or {}, not_resumable, servers)
         self._plans[pool.name] = found
         releases = found.releases if demand is not None else ()
         if found.orders or releases:
--- a/hickoryloom/fleet/tests/test_plans.py
+++ b/hickoryloom/fleet/tests/test_plans.py
@@ -19,7 +19,7 @@
 from hickoryloom.fleet.backoff import FIRST_BACKOFF_S, LONGEST_BACKOFF_S, SiteBackoff
 
 DOMAINS = ("huta-a", "huta-b", "sklad-c")
-LOWER = frozenset({2, 3})
+NONE: frozenset[int] = frozenset()
 
 
 def make_pool(domains=DOMAINS, cheap=True, most=100, least=0, slots=8):
@@ -83,8 +83,10 @@
 
 
 def test_only_tiers_below_the_highest_whose_classes_resume_may_run_on_cheap_servers():
-    assert lower_tiers_of([(1, True), (2, True), (3, False), (4, True)]) == {2, 4}
-    assert lower_tiers_of([(2, True)]) == frozenset()
+    assert lower_tiers_of({1, 2, 3, 4}, {3}) == {2, 4}
+    assert lower_tiers_of({2, 3}, {1}) == {3}
+    assert lower_tiers_of({2}, ()) == frozenset()
+    assert lower_tiers_of((), {1}) == frozenset()
 
 
 def test_servers_surviving_is_the_fewest():
@@ -115,9 +117,9 @@
     servers = running(Site("huta-a", False), 5) + running(Site("huta-b", False), 5)
     servers += running(Site("sklad-c", False), 4)
     released_at = None
-    planner.plan(0.0, pool, busy, LOWER, servers)
+    planner.plan(0.0, pool, busy, NONE, servers)
     for now in range(2, 900, 2):
-        found = planner.plan(float(now), pool, {}, LOWER, servers)
+        found = planner.plan(float(now), pool, {}, NONE, servers)
         if found.releases and released_at is None:
             released_at = now
     assert released_at is not None and released_at > 300
@@ -127,14 +129,14 @@
     planner, pool = PoolPlanner(random.Random(1)), make_pool()
     servers = running(Site("huta-a", False), 9)
     for now in range(0, 260, 5):
-        assert planner.plan(float(now), pool, {}, LOWER, servers).releases == ()
+        assert planner.plan(float(now), pool, {}, NONE, servers).releases == ()
 
 
 def test_rising_demand_is_met_ahead_by_the_time_a_server_needs_to_start():
     planner, pool = PoolPlanner(random.Random(1)), make_pool()
     for now in range(0, 120, 2):
         demand = {1: TierDemand(arrivals_per_s=0.05 * now, busy_s=10.0)}
-        found = planner.plan(float(now), pool, demand, LOWER, [])
+        found = planner.plan(float(now), pool, demand, NONE, [])
     expected_at_start = 0.05 * (118 + pool.load_s) * 10.0
     assert found.need.upper >= expected_at_start
 
@@ -145,7 +147,7 @@
     def need_after(missed, start):
         for now in range(start, start + 40, 2):
             demand = {1: TierDemand(arrivals_per_s=4.0, busy_s=10.0, missed_part=missed)}
-            found = planner.plan(float(now), pool, demand, LOWER, [])
+            found = planner.plan(float(now), pool, demand, NONE, [])
         return found.need.upper
 
     calm = need_after(0.0, 0)
