--- a/hickoryloom/bench/configuration.py
+++ b/hickoryloom/bench/configuration.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import argparse
+import functools
 import json
 import time
 import tracemalloc
@@ -138,7 +139,7 @@
         record = KeyRecord(hash_key(f"new {number}"), "customer-1", f"new-{number}", issued=True)
         issue_key(client, record).unwrap()
         changed = client.get("config/root").unwrap().value
-        change_s += _processor_s(lambda changed=changed: follower.offer_root(changed, source))
+        change_s += _processor_s(functools.partial(follower.offer_root, changed, source))
     publisher_calls = (client.calls - calls) / CHANGES - 1
     publisher_bytes = (client.bytes_read - read) / CHANGES - len(json.dumps(changed))
     assert follower.snapshot.generation == changed["generation"]
@@ -258,7 +259,10 @@
         """Return a shard's content."""
         self.reads += 1
         found = self._client.get(f"config/shards/{name}-{reference}")
-        return found.map(lambda item: item.value).map_err(lambda error: error.detail)
+        # A copy, as a follower that parses its own answer has it.
+        return found.map(lambda item: json.loads(json.dumps(item.value))).map_err(
+            lambda error: error.detail
+        )
 
 
 def _platform_client(address: str) -> PlatformClient:
--- a/hickoryloom/configuration/stored.py
+++ b/hickoryloom/configuration/stored.py
@@ -26,7 +26,7 @@
 
 PARALLEL_READS = 8
 MAX_SHARD_BYTES = 512 * 1024
-RESPLIT_ABOVE_BYTES = 128 * 1024
+RESPLIT_ABOVE_BYTES = 256 * 1024
 
 
 class UnreadableError(Exception):
