Keep followers right when the platform comes back with an older store

Keys in headers, query and body are now looked for in what engine and service stand-ins were sent, in logs and in metrics of real processes.

--- a/hickoryloom/commands/publish.py
+++ b/hickoryloom/commands/publish.py
@@ -15,6 +15,13 @@
 
 def _add_arguments(parser: argparse.ArgumentParser) -> None:
     parser.add_argument("directory", help="where services' folders with documents lie")
+    parser.add_argument(
+        "--after-generation",
+        type=int,
+        default=0,
+        metavar="N",
+        help="make a generation above N, after the platform was restored from a backup",
+    )
     add_platform_option(parser)
 
 
@@ -27,5 +34,7 @@
 def run(options: argparse.Namespace) -> None:
     """Check the documents below a directory and publish them."""
     documents = load_documents(options.directory)
-    generation = unwrap_change(publish(connect_platform(options), documents))
+    generation = unwrap_change(
+        publish(connect_platform(options), documents, after=options.after_generation)
+    )
     print(f"generation {generation} is in force: {summarize(documents)}")
--- a/hickoryloom/configuration/changes.py
+++ b/hickoryloom/configuration/changes.py
@@ -33,18 +33,22 @@
 MIN_HASH_CHARS = 8
 
 
-def publish(client: Any, documents: Documents, publish_id: str = "") -> Result[int, ChangeError]:
+def publish(
+    client: Any, documents: Documents, publish_id: str = "", after: int = 0
+) -> Result[int, ChangeError]:
     """Put documents in force, keeping keys that were issued and leaving out withdrawn ones.
 
     Args:
         client: The platform's client.
         documents: Checked documents.
         publish_id: Unique to this publication; empty for a new one.
+        after: The new generation is above this one too, for a platform restored from a backup.
 
     Returns:
         The generation in which they are in force.
     """
-    return Publisher(client).apply(publish_change(documents), publish_id or new_publish_id())
+    publisher = Publisher(client, after=after)
+    return publisher.apply(publish_change(documents), publish_id or new_publish_id())
 
 
 def publish_change(documents: Documents) -> Change:
--- a/hickoryloom/configuration/follower.py
+++ b/hickoryloom/configuration/follower.py
@@ -203,12 +203,19 @@
     def _take(self, values: list[Any], revision: int) -> bool:
         if values:
             self.offer_root(values[-1], PlatformShards(self._client))
+            self._warn_if_older(values[-1])
             if self._is_behind(values[-1]):
                 self._since = None
                 return False
         self._since = revision
         return True
 
+    def _warn_if_older(self, value: Any) -> None:
+        generation = value.get("generation", 0) if isinstance(value, dict) else 0
+        if generation < self.snapshot.generation:
+            held = self.snapshot.generation
+            log_event(log, "older-generation-dropped", generation=generation, in_force=held)
+
     def _is_behind(self, value: Any) -> bool:
         generation = value.get("generation", 0) if isinstance(value, dict) else 0
         return generation > self.snapshot.generation
--- a/hickoryloom/configuration/follower_state.py
+++ b/hickoryloom/configuration/follower_state.py
@@ -64,7 +64,7 @@
         """
         if not self.is_newer(root) or self._root is None:
             return False
-        changes = covering_changes(root, self._snapshot.generation)
+        changes = covering_changes(root, self._root)
         if changes is None:
             return False
         touched = _touched_keys(changes)
--- a/hickoryloom/configuration/publishing.py
+++ b/hickoryloom/configuration/publishing.py
@@ -78,6 +78,8 @@
         client: The platform's client.
         rng: Spreads the pauses between attempts.
         sleep: Pauses for some seconds.
+        after: Each new generation is above this one too, for when the platform was restored from a
+            backup and entries hold a later generation than it does.
     """
 
     def __init__(
@@ -85,8 +87,10 @@
         client: Any,
         rng: random.Random | None = None,
         sleep: Callable[[float], Any] = gevent.sleep,
+        after: int = 0,
     ) -> None:
         self._client = client
+        self._after = after
         self._rng = rng or random.Random()
         self._sleep = sleep
 
@@ -142,9 +146,10 @@
             outcome = change(stored, root)
             if isinstance(outcome, ChangeError):
                 return self._told(outcome, sent)
-            if not stored.changed and outcome == root.documents:
+            is_same = not stored.changed and outcome == root.documents
+            if is_same and root.generation > self._after:
                 return root.generation
-            plan = stored.plan(publish_id, outcome)
+            plan = stored.plan(publish_id, outcome, self._after)
         except UnreadableError as error:
             return _TryAgain(error.error.detail)
         except ShardTooLargeError as error:
--- a/hickoryloom/configuration/root.py
+++ b/hickoryloom/configuration/root.py
@@ -26,6 +26,8 @@
     Attributes:
         generation: The generation.
         publish_id: Tells who made it, so that a lost answer can be settled.
+        follows: Id of the change that it was made upon; a platform restored from a backup may have
+            other generations of the same numbers.
         put: New and changed records by section and key; None when they are too large to be told
             here, so that followers fetch shards.
         removed: Keys of removed records by section.
@@ -33,6 +35,7 @@
 
     generation: int
     publish_id: str
+    follows: str
     put: dict[str, dict[str, StoredRecord]] | None = None
     removed: dict[str, list[str]] = attrs.field(factory=dict)
 
@@ -92,11 +95,13 @@
         return 0
 
 
-def covering_changes(root: Root, since: int) -> tuple[RootChange, ...] | None:
-    """Return the changes that lead from generation `since` to the root's, None if some lack."""
-    changes = tuple(change for change in root.changes if change.generation > since)
-    wanted = list(range(since + 1, root.generation + 1))
-    if [change.generation for change in changes] != wanted:
+def covering_changes(root: Root, since: Root) -> tuple[RootChange, ...] | None:
+    """Return the changes that lead from the root `since` to `root`, None if some lack."""
+    changes = tuple(change for change in root.changes if change.generation > since.generation)
+    wanted = list(range(since.generation + 1, root.generation + 1))
+    if not changes or [change.generation for change in changes] != wanted:
+        return None
+    if changes[0].follows != since.publish_id:
         return None
     return None if any(change.put is None for change in changes) else changes
 
@@ -108,7 +113,7 @@
     for change in reversed(tuple(changes)[-MAX_CHANGES:]):
         size = len(json.dumps(attrs.asdict(change)))
         if change.put is not None and (size > MAX_CHANGE_BYTES or size > budget):
-            change = RootChange(change.generation, change.publish_id)
+            change = RootChange(change.generation, change.publish_id, change.follows)
             budget = 0
         budget -= size if change.put is not None else 0
         kept.append(change)
--- a/hickoryloom/configuration/stored.py
+++ b/hickoryloom/configuration/stored.py
@@ -133,18 +133,19 @@
         for key, record in records.items():
             self.put(section, key, record)
 
-    def plan(self, publish_id: str, documents: str) -> Plan:
+    def plan(self, publish_id: str, documents: str, after: int = 0) -> Plan:
         """Return what puts the changes in force as the next generation.
 
         Args:
             publish_id: Unique to this change.
             documents: Digest of the documents, for the root.
+            after: The new generation is above this one too.
 
         Raises:
             ShardTooLargeError: A record doesn't fit into a shard.
             UnreadableError: A shard could not be read.
         """
-        generation = self._root.generation + 1
+        generation = max(self._root.generation, after) + 1
         contents = self._new_contents()
         references = dict(self._root.shards)
         writes: dict[str, dict[str, StoredRecord]] = {}
@@ -158,7 +159,13 @@
             references[name] = f"{generation}-{digest}"
             writes[object_key(name, references[name])] = content
         root = Root(generation, publish_id, documents, references)
-        change = RootChange(generation, publish_id, self._changed_records(), self._removed_keys())
+        change = RootChange(
+            generation,
+            publish_id,
+            self._root.publish_id,
+            self._changed_records(),
+            self._removed_keys(),
+        )
         root = attrs.evolve(root, changes=trim_changes((*self._root.changes, change)))
         return Plan(root, writes, self._retired(references))
 
--- a/hickoryloom/configuration/tests/test_publish_follow.py
+++ b/hickoryloom/configuration/tests/test_publish_follow.py
@@ -208,3 +208,21 @@
     assert not new.offer(old.export())
     old.stop()
     new.stop()
+
+
+def test_a_platform_restored_from_a_backup_never_reverts_a_follower():
+    platform = FakePlatform()
+    publish(platform, studio()).unwrap()
+    backup = dict(platform.objects)
+    for number in range(3):
+        issue_key(platform, key_record(number)).unwrap()
+    follower = follow(platform)
+    wait_for(follower, 4)
+    platform.objects = backup
+    assert issue_key(platform, key_record(9)).unwrap() == 2
+    gevent.sleep(0.3)
+    assert follower.snapshot.generation == 4
+    assert publish(platform, studio(), after=4).unwrap() == 5
+    wait_for(follower, 5)
+    assert [key.label for key in follower.snapshot.keys.values()] == ["key-9"]
+    follower.stop()
--- a/tests/test_configuration_processes.py
+++ b/tests/test_configuration_processes.py
@@ -190,3 +190,25 @@
         assert whole.client.get(f"config/shards/{name}-{reference}").is_ok()
     later = publish_weight(whole, 50)
     in_force_after(whole, ENTRIES, later, 10.0)
+
+
+def test_a_platform_that_comes_back_empty_reverts_no_entry(whole):
+    before = generation_of(whole)
+    in_force_after(whole, ENTRIES, before, 10.0)
+    whole.platform.kill()
+    whole.run("platform-2", "standin", "platform", "--listen", whole.platform_address)
+    assert publish_weight(whole, 60) == 1
+    end = time.monotonic() + BY_PEERS_BOUND_S
+    while time.monotonic() < end:
+        assert all(whole.status(name)["generation"] >= before for name in ENTRIES)
+        gevent.sleep(0.1)
+    folder = write_documents(whole, "restored", 61)
+    run = Process(
+        whole.directory,
+        "restored",
+        ["publish", str(folder), "--after-generation", str(before)]
+        + ["--platform", whole.platform_address],
+    )
+    wait_until(lambda: run.exit_code is not None, 30.0, run.name)
+    assert f"generation {before + 1} is in force" in run.log()
+    in_force_after(whole, ENTRIES, before + 1, 10.0)
--- a/tests/test_keys_processes.py
+++ b/tests/test_keys_processes.py
@@ -6,7 +6,7 @@
 import pytest
 
 from tests.harness import Link, wait_until
-from tests.site import DOMAINS, Site
+from tests.site import DOMAINS, Site, call
 
 pytestmark = pytest.mark.processes
 
@@ -159,8 +159,34 @@
     assert_withdrawn_in_time(whole, "entry-1", key, stream, withdrawn)
 
 
-def test_no_log_line_or_metric_holds_a_key(whole):
+def test_no_backend_server_log_line_or_metric_holds_a_key(whole):
     key = issue(whole)
-    whole.ask("entry-1", key, messages=[{"role": "user", "content": f"my key is {key}"}])
+    encoded = "".join(f"%{ord(letter):02x}" for letter in key)
+    escaped = "".join(f"\\u{ord(letter):04x}" for letter in key)
+    headers = {"X_Note": key, "Cookie": f"k={encoded}", "X_Api_Key": key}
+    for shown in (key, encoded, escaped):
+        content = f'{{"role": "user", "content": "my key is {shown}"}}'
+        body = f'{{"model": "assistant", "max_tokens": 1, "messages": [{content}]}}'
+        reply = call(
+            whole.listen("entry-1"),
+            "POST",
+            f"/v1/chat/completions?key={shown}".replace("\\", "%5c"),
+            body.encode(),
+            Authorization=f"Bearer {key}",
+            **headers,
+        )
+        assert reply.status == 200, reply.body
+        target = f"/services/booking/schedule?key={shown}&q=1".replace("\\", "%5c")
+        reply = call(whole.listen("entry-2"), "GET", target, Authorization=key, **headers)
+        assert reply.status == 200, reply.body
+    secret = key.removeprefix("hlk_")
+    for name, path in (("engine-1", "/standin/journal"), ("booking-1", "/standin/runs")):
+        seen = call(whole.addresses[name]["address"], "GET", path).body.decode()
+        assert "schedule" in seen or "my key is" in seen
+        assert secret not in seen and encoded[12:] not in seen and escaped[24:] not in seen
+    for name in ("entry-1", "entry-2"):
+        for path in ("/metrics", "/status"):
+            assert secret not in call(whole.addresses[name]["admin"], "GET", path).body.decode()
     for process in whole.processes:
-        assert key not in process.log() and "hlk_" not in process.log()
+        log = process.log()
+        assert secret not in log and encoded[12:] not in log and "hlk_" not in log
