--- a/hickoryloom/entry/process.py
+++ b/hickoryloom/entry/process.py
@@ -83,7 +83,9 @@
         )
         self._admission = Admission(self._incarnation, clock, rng)
         self._router = Router(clock, rng, settings.failure_domain)
-        self._directory = BackendDirectory(self._client, clock, rng, self._router.report)
+        self._directory = BackendDirectory(
+            self._client, clock, rng, self._router.report, self._router.cache_event
+        )
         self._relay = Relay(self._router, clock, settings.backend_credential)
         self._claims = Claims(self._client, clock, self._incarnation)
         self._usage = UsageCounter(
--- a/hickoryloom/relay/answer.py
+++ b/hickoryloom/relay/answer.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Generator
 
-from hickoryloom.admission import RefusalReason, Refused
+from hickoryloom.admission.messages import RefusalReason, Refused
 from hickoryloom.relay.attempts import Attempts
 from hickoryloom.relay.messages import Outcome
 
--- a/hickoryloom/relay/attempt.py
+++ b/hickoryloom/relay/attempt.py
@@ -6,7 +6,7 @@
 
 from hickoryloom.relay.exchange import Exchange
 from hickoryloom.relay.silence import SilenceJudge
-from hickoryloom.routing import Choice
+from hickoryloom.routing.messages import Choice
 
 __all__ = ["Attempt", "attempt_id"]
 
--- a/hickoryloom/relay/attempts.py
+++ b/hickoryloom/relay/attempts.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import attrs
 import gevent
 import logbook
 from result import Err, Ok, Result
 
-from hickoryloom.admission import RefusalReason, Refused, Request
+from hickoryloom.admission.messages import RefusalReason, Refused, Request
 from hickoryloom.clock import Clock
 from hickoryloom.http import Call
 from hickoryloom.logs import log_event
@@ -17,9 +19,12 @@
 from hickoryloom.relay.exchange import AttemptError
 from hickoryloom.relay.headers import call_headers, call_target, is_engine_call, request_head
 from hickoryloom.relay.messages import AttemptFailed, FailureCause, Outcome
-from hickoryloom.routing import AttemptEnd, AttemptOutcome, Router
+from hickoryloom.routing.messages import AttemptEnd, AttemptOutcome
 from hickoryloom.verdict import Verdict
 
+if TYPE_CHECKING:
+    from hickoryloom.routing import Router
+
 __all__ = ["Attempts", "RelayParts"]
 
 log = logbook.Logger("hickoryloom.relay")
--- a/hickoryloom/relay/headers.py
+++ b/hickoryloom/relay/headers.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable
 from urllib.parse import quote
 
-from hickoryloom.admission import Request
+from hickoryloom.admission.messages import Request
 from hickoryloom.http import Call
 
 __all__ = ["answer_headers", "call_headers", "call_target", "is_engine_call", "request_head"]
--- a/hickoryloom/relay/stream.py
+++ b/hickoryloom/relay/stream.py
@@ -4,11 +4,11 @@
 
 import json
 from collections.abc import Generator
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from result import Err, Ok, Result
 
-from hickoryloom.admission import RefusalReason, Refused
+from hickoryloom.admission.messages import RefusalReason, Refused
 from hickoryloom.clock import Clock
 from hickoryloom.http import Call
 from hickoryloom.relay.answer import Answer
@@ -17,9 +17,11 @@
 from hickoryloom.relay.attempts import Attempts
 from hickoryloom.relay.exchange import AttemptError, Exchange
 from hickoryloom.relay.messages import AttemptFailed, FailureCause
-from hickoryloom.routing import Router
 from hickoryloom.verdict import Verdict
 
+if TYPE_CHECKING:
+    from hickoryloom.routing import Router
+
 __all__ = ["StreamAnswer"]
 
 FAULT_CAUSES = {
--- a/hickoryloom/relay/task.py
+++ b/hickoryloom/relay/task.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from result import Err, Result
 
-from hickoryloom.admission import Admitted, RefusalReason, Refused, Request
+from hickoryloom.admission.messages import Admitted, RefusalReason, Refused, Request
 from hickoryloom.clock import Clock
 from hickoryloom.http import Call
 from hickoryloom.relay.answer import Answer
@@ -17,7 +19,9 @@
 from hickoryloom.relay.stream import StreamAnswer
 from hickoryloom.relay.watchdog import Watchdog
 from hickoryloom.relay.whole import WholeAnswer
-from hickoryloom.routing import Router
+
+if TYPE_CHECKING:
+    from hickoryloom.routing import Router
 
 __all__ = ["Relay"]
 
--- a/hickoryloom/relay/whole.py
+++ b/hickoryloom/relay/whole.py
@@ -8,7 +8,7 @@
 
 from result import Err, Ok, Result
 
-from hickoryloom.admission import RefusalReason, Refused, Request
+from hickoryloom.admission.messages import RefusalReason, Refused, Request
 from hickoryloom.clock import Clock
 from hickoryloom.http import Call
 from hickoryloom.relay.answer import Answer
--- a/hickoryloom/routing/messages.py
+++ b/hickoryloom/routing/messages.py
@@ -6,7 +6,15 @@
 
 import attrs
 
-__all__ = ["AttemptEnd", "AttemptOutcome", "BackendView", "CacheEvent", "Choice", "LoadReport"]
+__all__ = [
+    "AttemptEnd",
+    "AttemptOutcome",
+    "BackendView",
+    "CacheEvent",
+    "Choice",
+    "LoadReport",
+    "RoutingParts",
+]
 
 
 @attrs.frozen
@@ -94,3 +102,26 @@
     finished: float
     first_token_at: float | None = None
     tokens: int = 0
+
+
+@attrs.frozen
+class RoutingParts:
+    """Which parts of the routing policy are in use; experiments leave some out.
+
+    Attributes:
+        reports: Load reports, aged, beside own requests in flight.
+        response_times: Own measurements of first tokens and whole attempts.
+        affinity: Prefix affinity by hashing.
+        cache_events: Engines' word on their caches.
+        failure_domain: Preference for the entry's own failure domain.
+        ejection: Ejection after failures, with probes.
+        slow_start: Less work for backend servers that are new or came back.
+    """
+
+    reports: bool = True
+    response_times: bool = True
+    affinity: bool = True
+    cache_events: bool = True
+    failure_domain: bool = True
+    ejection: bool = True
+    slow_start: bool = True
--- a/hickoryloom/routing/task.py
+++ b/hickoryloom/routing/task.py
@@ -18,7 +18,7 @@
 from hickoryloom.membership import Peer
 from hickoryloom.platform import LiveBackend, PlatformError
 from hickoryloom.routing.directory import DirectoryState
-from hickoryloom.routing.messages import BackendView, LoadReport
+from hickoryloom.routing.messages import BackendView, CacheEvent, LoadReport
 
 __all__ = ["BackendDirectory"]
 
@@ -26,11 +26,14 @@
 
 LIST_INTERVAL_S = 1.5
 LOAD_CALLS_PER_S = 10.0
+CACHE_CALLS_PER_S = 2.0
+MAX_CACHE_EVENTS = 500
 LOAD_TIMEOUT_S = 1.0
 MAX_OPEN_LOAD_CALLS = 16
 
 ViewsCallback = Callable[[tuple[BackendView, ...]], None]
 ReportCallback = Callable[[str, LoadReport], None]
+CacheEventCallback = Callable[[str, CacheEvent], None]
 
 
 class LiveSource(Protocol):
@@ -48,6 +51,7 @@
         clock: Source of time.
         random: Source of random numbers.
         on_report: Called with each load report.
+        on_cache_event: Called with each cache event.
     """
 
     def __init__(
@@ -56,11 +60,14 @@
         clock: Clock,
         random: random_module.Random | None = None,
         on_report: ReportCallback | None = None,
+        on_cache_event: CacheEventCallback | None = None,
     ) -> None:
         self._client = client
         self._clock = clock
         self._random = random or random_module.Random()
         self._on_report = on_report
+        self._on_cache_event = on_cache_event
+        self._next_events: dict[str, int] = {}
         self._state = DirectoryState()
         self._views: tuple[BackendView, ...] = ()
         self._subscribers: list[ViewsCallback] = []
@@ -99,6 +106,8 @@
     def start(self) -> None:
         """Begin to read the platform's list and load reports."""
         self._tasks = [gevent.spawn(self._poll_loads)]
+        if self._on_cache_event is not None:
+            self._tasks.append(gevent.spawn(self._poll_cache_events))
         if self._client is not None:
             self._tasks.append(gevent.spawn(self._poll_list))
 
@@ -132,15 +141,35 @@
             self._random.shuffle(self._order)
         return self._order.pop() if self._order else None
 
+    def _poll_cache_events(self) -> None:
+        while True:
+            gevent.sleep(1.0 / CACHE_CALLS_PER_S)
+            engines = [view for view in self._views if not view.leaving]
+            if engines and not self._calls.full():
+                self._calls.spawn(self._read_cache_events, self._random.choice(engines))
+
     def _read_load(self, view: BackendView) -> None:
-        client = JsonClient(view.address, LOAD_TIMEOUT_S, connections=1)
+        body = _get(view.address, "/load")
+        if body is not None:
+            self._apply_load(view, body)
+
+    def _read_cache_events(self, view: BackendView) -> None:
+        since = self._next_events.get(view.id, 0)
+        body = _get(view.address, f"/cache-events?since={since}")
+        if body is None:
+            return
         try:
-            answer = client.call("GET", "/load", timeout_s=LOAD_TIMEOUT_S)
-        finally:
-            client.close()
-        if isinstance(answer, Err) or answer.ok_value.status != 200:
+            events = [
+                CacheEvent(str(event["prefix_hash"]), bool(event["cached"]))
+                for event in body["events"][-MAX_CACHE_EVENTS:]
+            ]
+            self._next_events[view.id] = int(body["next"])
+        except (KeyError, TypeError, ValueError):
+            log_event(log, "bad-cache-events", backend=view.id)
             return
-        self._apply_load(view, answer.ok_value.body)
+        assert self._on_cache_event is not None
+        for event in events:
+            self._on_cache_event(view.id, event)
 
     def _apply_load(self, view: BackendView, body: Any) -> None:
         now = self._clock.monotonic()
@@ -182,3 +211,14 @@
                     address=view.address,
                     leaving=view.leaving,
                 )
+
+
+def _get(address: str, path: str) -> Any:
+    client = JsonClient(address, LOAD_TIMEOUT_S, connections=1)
+    try:
+        answer = client.call("GET", path, timeout_s=LOAD_TIMEOUT_S)
+    finally:
+        client.close()
+    if isinstance(answer, Err) or answer.ok_value.status != 200:
+        return None
+    return answer.ok_value.body
--- a/hickoryloom/routing/tracked.py
+++ b/hickoryloom/routing/tracked.py
@@ -9,6 +9,7 @@
     AttemptOutcome,
     BackendView,
     LoadReport,
+    RoutingParts,
 )
 
 __all__ = ["TrackedBackend"]
@@ -37,6 +38,7 @@
         ejected_until: Monotonic time until which it gets no work after failures.
         ejected: Whether it is ejected; past `ejected_until` it gets one probe at a time.
         probing: Whether a probe is under way.
+        parts: Which parts of the policy are in use.
     """
 
     view: BackendView
@@ -47,6 +49,7 @@
     ejected_until: float = 0.0
     ejected: bool = False
     probing: bool = False
+    parts: RoutingParts = RoutingParts()
     _failures: int = 0
     _ejections: int = 0
     _others: float = 0.0
@@ -62,7 +65,7 @@
 
     def load(self, now: float) -> float:
         """Return the requests it probably has: own ones, and others' by an aging report."""
-        if self._report_at is None:
+        if self._report_at is None or not self.parts.reports:
             return float(self.in_flight)
         age_s = max(0.0, now - self._report_at)
         return self.in_flight + self._others * 0.5 ** (age_s / REPORT_HALF_LIFE_S)
@@ -80,16 +83,19 @@
             return True
         return now >= self.ejected_until and not self.probing
 
-    def start(self, now: float) -> None:
-        """Count an attempt."""
+    def start(self, now: float, stream: bool) -> None:
+        """Count an attempt; a streamed one is expected to show its first token soon."""
         self.in_flight += 1
-        self._waiting_first[now] = self._waiting_first.get(now, 0) + 1
+        if stream:
+            self._waiting_first[now] = self._waiting_first.get(now, 0) + 1
         if self.ejected:
             self.probing = True
 
     def first_token(self, started: float, now: float) -> None:
         """Learn from the first token of an attempt that began at `started`."""
         self._forget_waiting(started)
+        if not self.parts.response_times:
+            return
         self.first_token_s += AVERAGE_WEIGHT * (now - started - self.first_token_s)
 
     def finish(self, outcome: AttemptOutcome, now: float) -> None:
@@ -104,8 +110,12 @@
         elif self.ejected:
             self.probing = False
 
+    def _learn_service(self, seconds: float) -> None:
+        if self.parts.response_times:
+            self.service_s += AVERAGE_WEIGHT * (seconds - self.service_s)
+
     def _first_token_s(self, now: float) -> float:
-        if not self._waiting_first:
+        if not self._waiting_first or not self.parts.response_times:
             return self.first_token_s
         oldest_s = now - next(iter(self._waiting_first))
         return max(self.first_token_s, oldest_s)
@@ -117,7 +127,7 @@
 
     def _ramp(self, now: float) -> float:
         age_s = now - self.since
-        if age_s >= SLOW_START_S:
+        if age_s >= SLOW_START_S or not self.parts.slow_start:
             return 1.0
         return max(SLOW_START_PART, age_s / SLOW_START_S)
 
@@ -131,6 +141,8 @@
 
     def _fail(self, now: float) -> None:
         self._failures += 1
+        if not self.parts.ejection:
+            return
         if not self.ejected and self._failures < FAILURES_TO_EJECT:
             return
         if self.ejected and not self.probing:
