--- a/hickoryloom/usage/reporter.py
+++ b/hickoryloom/usage/reporter.py
@@ -142,9 +142,9 @@
         return found
 
     def _seal(self, guard: Guard, objects: list[Stored]) -> bool:
-        if not self._look_up(objects):
-            return False
         now, wall = self._clock.monotonic(), self._clock.wall()
+        if not self._look_up(self._book.windows_of(now, wall, objects)):
+            return False
         closings = self._book.closings(now, wall, objects)
         for closing in closings:
             self._close(guard, closing)
@@ -154,9 +154,9 @@
                 self._freeze(guard, window, items)
         return bool(closings)
 
-    def _look_up(self, objects: list[Stored]) -> bool:
-        """Read the sealed records that decide about `objects`; return whether all answered."""
-        for window in sorted(self._book.windows_of(objects)):
+    def _look_up(self, windows: set[int]) -> bool:
+        """Read the sealed records of windows; return whether the platform answered."""
+        for window in sorted(windows):
             answer = self._client.get(f"{SEALED_PREFIX}{window}")
             if isinstance(answer, Ok):
                 self._note_sealed(answer.ok_value)
--- a/hickoryloom/usage/sealing.py
+++ b/hickoryloom/usage/sealing.py
@@ -84,9 +84,13 @@
         """Note for how long each object has been there."""
         self._seen = {item.key: self._seen.get(item.key, now) for item in objects}
 
-    def windows_of(self, objects: Sequence[Stored]) -> set[int]:
-        """Return the windows whose sealed records decide about `objects`."""
-        named = {item.value.closed_into or item.value.window for item in objects}
+    def windows_of(self, now: float, wall: float, objects: Sequence[Stored]) -> set[int]:
+        """Return the windows whose sealed records decide about `objects` now."""
+        named = {
+            item.value.closed_into or item.value.window
+            for item in objects
+            if item.value.closed_into or self._is_due(now, wall, item)
+        }
         return {window for window in named if not self.is_sealed(window)}
 
     def closings(self, now: float, wall: float, objects: Sequence[Stored]) -> list[Closing]:
@@ -137,6 +141,9 @@
             return self._late_window(wall)
         return 0
 
+    def _is_due(self, now: float, wall: float, item: Stored) -> bool:
+        return self._has_ended(wall, item.value.window) or self._is_long_seen(now, item)
+
     def _late_window(self, wall: float) -> int:
         """Return the next window that is not sealed, from the one that ended last."""
         window = self.times.window_at(wall - self.times.window_s)
--- /dev/null
+++ b/tests/test_usage_processes.py
@@ -0,0 +1,124 @@
+"""Usage through real processes: entries that vanish, reporters that die, platforms that fail."""
+
+import gevent
+import pytest
+
+from tests.harness import wait_until
+from tests.site import Site
+
+pytestmark = pytest.mark.processes
+
+LEASE_S = 2.0
+WINDOW_S = 2.0
+FINAL_WAIT_S = 40.0
+
+
+class Accounts:
+    """A site whose reports are compared with what its callers received."""
+
+    def __init__(self, directory):
+        self.site = Site(directory)
+        self.site.add_engine("huta-a", "--token-ms", "1")
+        self.site.add_service()
+        self.site.publish()
+        self.entries = [self.site.add_entry(window_s=WINDOW_S) for _ in range(2)]
+        self.controls = [
+            self.site.add_control(window_s=WINDOW_S, lease_s=LEASE_S) for _ in range(2)
+        ]
+        self.site.wait_serving(*self.entries)
+        self.key = self.site.issue_key("studio")
+        self.served = 0
+        wait_until(lambda: self._knows_key(self.entries[0]), 10.0, "key in force")
+        wait_until(lambda: self._knows_key(self.entries[1]), 10.0, "key in force")
+
+    def _knows_key(self, entry):
+        whole = self.site.ask(entry, self.key, max_tokens=2).whole
+        self.served += whole
+        return whole
+
+    def serve(self, entry, count):
+        for _ in range(count):
+            assert self.site.ask(entry, self.key, max_tokens=2).whole
+            self.served += 1
+
+    def reports(self):
+        answer = self.site.client._http.call("GET", "/standin/journal").unwrap().body
+        return [e for e in answer["entries"] if e["kind"] == "usage"]
+
+    def figures(self):
+        """Return the rows of each window; a window with two digests fails the test."""
+        digests, rows = {}, {}
+        for report in self.reports():
+            assert report["result"] in ("taken", "fenced"), report
+            if report["result"] == "taken":
+                digest = digests.setdefault(report["window"], report["digest"])
+                assert digest == report["digest"]
+                rows[report["window"]] = report["figures"]["rows"]
+        return rows
+
+    def requests(self):
+        return sum(row[3] for rows in self.figures().values() for row in rows)
+
+    def wait_reported(self, least):
+        wait_until(lambda: self.requests() >= least, FINAL_WAIT_S, f"{least} requests reported")
+        gevent.sleep(2 * WINDOW_S)
+        return self.requests()
+
+    def holder(self):
+        holder = self.site.client.get("leases/usage").unwrap().value["holder"]
+        return next(
+            process
+            for name, process in zip(self.controls, self.site.controls, strict=True)
+            if holder.startswith(f"{name}-")
+        )
+
+
+@pytest.fixture
+def accounts(tmp_path):
+    accounts = None
+    try:
+        accounts = Accounts(tmp_path)
+        yield accounts
+    finally:
+        if accounts is not None:
+            accounts.site.stop()
+
+
+def test_what_an_entry_served_is_reported_though_it_is_killed(accounts):
+    """The entry dies between its writes: its peer holds the copy."""
+    accounts.serve(accounts.entries[0], 5)
+    gevent.sleep(0.6)
+    accounts.site.entries[0].kill()
+    accounts.serve(accounts.entries[1], 3)
+    assert accounts.wait_reported(accounts.served) == accounts.served
+
+
+def test_the_reporter_is_killed_and_answers_are_lost_and_nothing_counts_twice(accounts):
+    accounts.serve(accounts.entries[0], 3)
+    accounts.site.set_faults("platform", lose_answers=3, lose_prefix="/objects/sealed")
+    gevent.sleep(WINDOW_S)
+    accounts.site.set_faults("platform", lose_answers=2, lose_prefix="/usage")
+    accounts.serve(accounts.entries[1], 3)
+    gevent.sleep(WINDOW_S)
+    accounts.holder().kill()
+    accounts.site.set_faults("platform", lose_answers=4, lose_prefix="/objects/usage")
+    accounts.serve(accounts.entries[0], 3)
+    assert accounts.wait_reported(accounts.served) == accounts.served
+
+
+def test_an_outage_of_the_platform_loses_nothing(accounts):
+    accounts.serve(accounts.entries[0], 3)
+    accounts.site.set_faults("platform", outage="cut")
+    for entry in accounts.entries * 2:
+        accounts.serve(entry, 2)
+        gevent.sleep(WINDOW_S)
+    accounts.site.set_faults("platform", outage="")
+    assert accounts.wait_reported(accounts.served) == accounts.served
+
+
+def test_a_planned_stop_of_all_entries_flushes_everything(accounts):
+    for entry in accounts.entries:
+        accounts.serve(entry, 4)
+    for process in accounts.site.entries:
+        assert process.terminate() == 0
+    assert accounts.wait_reported(accounts.served) == accounts.served
