--- a/hickoryloom/relay/task.py
+++ b/hickoryloom/relay/task.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from result import Err, Result
 
 from hickoryloom.admission import Admitted, RefusalReason, Refused, Request
@@ -22,6 +24,7 @@
 __all__ = ["Relay"]
 
 EVENT_STREAM = "text/event-stream"
+SERVICE_TIMEOUT_S = 30.0
 
 
 class Relay:
@@ -31,15 +34,22 @@
         router: Chooses backend servers.
         clock: Source of time.
         credential: The token that entries show to backend servers.
+        service_timeout_s: Seconds without a byte after which a plain service is given up.
     """
 
-    def __init__(self, router: Router, clock: Clock, credential: str = "") -> None:
+    def __init__(
+        self,
+        router: Router,
+        clock: Clock,
+        credential: str = "",
+        service_timeout_s: float = SERVICE_TIMEOUT_S,
+    ) -> None:
         self._router = router
         self._clock = clock
         self._connections = Connections(clock)
         engine = EngineControl(credential)
         self._parts = RelayParts(router, clock, self._connections, engine, credential)
-        self._watchdog = Watchdog(self._parts)
+        self._watchdog = Watchdog(self._parts, service_timeout_s)
 
     @property
     def open_requests(self) -> int:
@@ -51,19 +61,23 @@
         """Connections to backend servers, for counts."""
         return self._connections
 
-    def open(self, admitted: Admitted, call: Call) -> Result[Answer, Refused]:
+    def open(
+        self, admitted: Admitted, call: Call, may_send: Callable[[], bool] | None = None
+    ) -> Result[Answer, Refused]:
         """Pass a call to a backend server and wait for the first bytes of its answer.
 
         Args:
             admitted: Leave to start the request.
             call: The call, without the caller's key.
+            may_send: Asked right before the first byte of each attempt, with no yield between;
+                when it says no, the request is refused as not run. None for always.
 
         Returns:
             The answer, which must be closed in the end, or a refusal with a true verdict.
         """
         self._watchdog.start()
         request = admitted.request
-        attempts = Attempts(self._parts, request, call)
+        attempts = Attempts(self._parts, request, call, may_send)
         begun = attempts.begin(call.body)
         if isinstance(begun, Err):
             attempts.close()
