Let claims that are held go before new ones

Cause: with more bookings than the call budget bears, all steps had one priority; claims were begun, their marks refused, and the deletions of those claims used up the rest. Ruled out: the budget's rate (writes ran at it).

--- a/hickoryloom/claims/state.py
+++ b/hickoryloom/claims/state.py
@@ -23,9 +23,10 @@
     Steps,
     settle_steps,
 )
-from hickoryloom.verdict import Verdict
+from hickoryloom.verdict import Applied, Verdict
 
 __all__ = [
+    "NotClaimed",
     "begin_steps",
     "discard_steps",
     "finish_steps",
@@ -40,9 +41,25 @@
 IN_PROGRESS_RETRY_S = 1.0
 SENT_RETRY_S = 2.0
 PLATFORM_RETRY_S = 2.0
+OUTCOME_DETAIL = "The call was sent and its outcome is not known."
 
 IsGone = Callable[[ClaimRecord], bool]
-Begun = Result[Claim | StoredAnswer, Refused]
+
+
+@attrs.frozen
+class NotClaimed:
+    """Why a call was not claimed.
+
+    Attributes:
+        refused: The answer for the caller.
+        may_hold: Whether a claim of this attempt may be in force, or come in force late.
+    """
+
+    refused: Refused
+    may_hold: bool = False
+
+
+Begun = Result[Claim | StoredAnswer, NotClaimed]
 
 
 def begin_steps(key: str, record: ClaimRecord, is_gone: IsGone, now: float) -> Steps[Begun]:
@@ -64,17 +81,18 @@
         return Ok(Claim(key, written.unwrap().version, record, send_until))
     error = written.unwrap_err()
     if error.kind is not ErrorKind.CONFLICT:
-        return Err(_refuse_without_platform(error))
+        return Err(_not_claimed(error))
     found = yield ReadStep(key)
     if found.is_err():
-        return Err(_refuse_unread(found.unwrap_err()))
+        return Err(_not_read(found.unwrap_err(), error))
     version = found.unwrap().version
     if version < error.version:
-        return Err(_refuse_in_progress(IN_PROGRESS_RETRY_S))
+        may_hold = error.applied is Applied.UNKNOWN
+        return Err(NotClaimed(_refuse_in_progress(IN_PROGRESS_RETRY_S), may_hold))
     try:
         existing = record_from_json(found.unwrap().value)
     except (AttributeError, KeyError, TypeError, ValueError):
-        return Err(_refuse_unknown("The claim of this key can't be read."))
+        return Err(NotClaimed(_refuse_unknown("The claim of this key can't be read.")))
     if existing == record:
         return Ok(Claim(key, version, record, send_until))
     refused_or_stored = _judge(existing, record, is_gone)
@@ -130,36 +148,37 @@
     if written.is_ok():
         return Ok(attrs.evolve(claim, version=written.unwrap().version))
     error = written.unwrap_err()
+    may_hold = error.applied is Applied.UNKNOWN
     if error.kind is ErrorKind.CONFLICT:
-        return Err(_refuse_in_progress(IN_PROGRESS_RETRY_S))
-    return Err(_refuse_without_platform(error, known_claim=True))
+        return Err(NotClaimed(_refuse_in_progress(IN_PROGRESS_RETRY_S), may_hold))
+    return Err(NotClaimed(_refuse_without_platform(error, known_claim=True), may_hold))
 
 
 def _judge(existing: ClaimRecord, own: ClaimRecord, is_gone: IsGone) -> Begun | None:
     """Say what a claim means for a repeat of its call; None when it may be taken over."""
     if existing.call_digest != own.call_digest:
         detail = "The Idempotency-Key was used for another call."
-        return Err(Refused(RefusalReason.KEY_REUSED, Verdict.NOT_RUN, 0.0, detail))
+        return Err(NotClaimed(Refused(RefusalReason.KEY_REUSED, Verdict.NOT_RUN, 0.0, detail)))
     if existing.state is ClaimState.DONE:
         return _replay(existing)
     if existing.state is ClaimState.LOST:
-        return Err(_refuse_unknown("The call was sent and its outcome is not known."))
+        return Err(NotClaimed(_refuse_unknown(OUTCOME_DETAIL)))
     age_s = abs(own.changed - existing.changed)
     gone = is_gone(existing)
     if existing.state is ClaimState.SENT:
         if gone or age_s > SENT_PATIENCE_S:
-            return Err(_refuse_unknown("The call was sent and its outcome is not known."))
-        return Err(_refuse_in_progress(SENT_RETRY_S))
+            return Err(NotClaimed(_refuse_unknown(OUTCOME_DETAIL)))
+        return Err(NotClaimed(_refuse_in_progress(SENT_RETRY_S)))
     if gone or age_s > STALE_CLAIM_S:
         return None
-    return Err(_refuse_in_progress(IN_PROGRESS_RETRY_S))
+    return Err(NotClaimed(_refuse_in_progress(IN_PROGRESS_RETRY_S)))
 
 
 def _replay(existing: ClaimRecord) -> Begun:
     if existing.answer is not None and existing.answer.kept:
         return Ok(existing.answer)
     detail = "The call ran; its answer was too large to be kept."
-    return Err(Refused(RefusalReason.ALREADY_RUN, Verdict.RAN, 0.0, detail))
+    return Err(NotClaimed(Refused(RefusalReason.ALREADY_RUN, Verdict.RAN, 0.0, detail)))
 
 
 def _is_open_claim_of(value: Any, attempt: str) -> bool:
@@ -193,8 +212,13 @@
     )
 
 
-def _refuse_unread(error: PlatformError) -> Refused:
+def _not_claimed(error: PlatformError) -> NotClaimed:
+    return NotClaimed(_refuse_without_platform(error), error.applied is Applied.UNKNOWN)
+
+
+def _not_read(error: PlatformError, conflict: PlatformError) -> NotClaimed:
     """Refuse when another claim exists and can't be read."""
+    may_hold = conflict.applied is Applied.UNKNOWN
     if error.kind is ErrorKind.ABSENT:
-        return _refuse_in_progress(IN_PROGRESS_RETRY_S)
-    return _refuse_without_platform(error, known_claim=True)
+        return NotClaimed(_refuse_in_progress(IN_PROGRESS_RETRY_S), may_hold)
+    return NotClaimed(_refuse_without_platform(error, known_claim=True), may_hold)
--- a/hickoryloom/claims/task.py
+++ b/hickoryloom/claims/task.py
@@ -20,7 +20,7 @@
 from hickoryloom.clock import Clock
 from hickoryloom.http import Call
 from hickoryloom.logs import log_event
-from hickoryloom.platform import PlatformClient, run_steps
+from hickoryloom.platform import CallPriority, PlatformClient, run_steps
 from hickoryloom.verdict import Verdict
 
 __all__ = ["Claims"]
@@ -152,12 +152,14 @@
             changed=self._clock.wall(),
             epoch=self._sweeper.view.epoch,
         )
-        begun = run_steps(begin_steps(key, record, self._is_gone, stamped), self._client)
-        if begun.is_err() and begun.unwrap_err().reason is RefusalReason.PLATFORM_UNAVAILABLE:
+        steps = begin_steps(key, record, self._is_gone, stamped)
+        # What is begun must be ended: new claims yield to the later steps of those that are held.
+        begun = run_steps(steps, self._client, CallPriority.BACKGROUND)
+        if begun.is_err() and begun.unwrap_err().may_hold:
             self._discard_later(key, attempt)
         elif begun.is_err() or isinstance(begun.unwrap(), StoredAnswer):
             self._active.pop(key, None)
-        return begun
+        return begun.map_err(lambda not_claimed: not_claimed.refused)
 
     def _finish(self, claim: Claim, state: ClaimState, answer: StoredAnswer | None) -> None:
         record = attrs.evolve(
--- a/hickoryloom/claims/tests/model.py
+++ b/hickoryloom/claims/tests/model.py
@@ -5,7 +5,6 @@
 import attrs
 from result import Err, Ok
 
-from hickoryloom.admission import RefusalReason
 from hickoryloom.claims.messages import ClaimRecord, ClaimState, StoredAnswer
 from hickoryloom.claims.state import (
     begin_steps,
@@ -128,14 +127,15 @@
         )
         begun = yield from begin_steps(self.key, record, self._is_gone, world.now)
         if begun.is_err():
-            yield from self._refuse(begun.unwrap_err())
+            refusal = begun.unwrap_err()
+            yield from self._refuse(refusal.refused, refusal.may_hold)
             return
         if isinstance(begun.unwrap(), StoredAnswer):
             self.replayed = begun.unwrap()
             return
         marked = yield from mark_sent_steps(begun.unwrap(), world.now)
         if marked.is_err():
-            yield from self._refuse(marked.unwrap_err())
+            yield from self._refuse(marked.unwrap_err(), True)
             return
         yield from self._send(marked.unwrap())
 
@@ -157,9 +157,9 @@
         )
         yield from self._until_done(lambda: finish_steps(claim, record))
 
-    def _refuse(self, refused):
+    def _refuse(self, refused, may_hold):
         self.verdict = refused.verdict
-        if refused.reason is RefusalReason.PLATFORM_UNAVAILABLE:
+        if may_hold:
             yield from self._until_done(lambda: discard_steps(self.key, self.name))
 
     def _until_done(self, begin):
--- a/hickoryloom/claims/tests/test_claims.py
+++ b/hickoryloom/claims/tests/test_claims.py
@@ -205,6 +205,38 @@
     assert begin(two).unwrap() == STORED
 
 
+def test_more_bookings_than_the_budget_bears_do_not_starve_each_other(platform):
+    """What is begun is ended: a share of the budget for new claims alone would end none."""
+    clock = SystemClock()
+    budget = CallBudget(clock.monotonic(), processes=24)
+    client = PlatformClient(platform.address, clock, budget, Random(1))
+    claims = Claims(client, clock, "e1", random=Random(1))
+    claims.start()
+    done, refused = [], []
+
+    def book_on(caller):
+        for number in range(1000):
+            claim = begin(claims, key=f"{caller}-{number}")
+            marked = claim.and_then(claims.mark_sent)
+            if marked.is_ok():
+                claims.complete(marked.unwrap(), STORED)
+                done.append(number)
+            else:
+                refused.append(marked.unwrap_err())
+            gevent.sleep(0.05)
+
+    tasks = [gevent.spawn(book_on, caller) for caller in range(20)]
+    gevent.sleep(4)
+    gevent.killall(tasks)
+    writes = platform.calls["create"] + platform.calls["update"] + platform.calls["delete"]
+    assert len(refused) > len(done) > 0, "the budget was not used up"
+    assert writes <= 4.5 * len(done)
+    assert {one.verdict for one in refused} == {Verdict.NOT_RUN}
+    assert all(one.retry_after_s > 0 for one in refused)
+    claims.stop()
+    client.close()
+
+
 def test_answer_too_large_to_keep_is_told_as_run(platform, build):
     one, two = build("e1"), build("e2")
     claim = one.mark_sent(begin(one).unwrap()).unwrap()
--- a/hickoryloom/platform/client.py
+++ b/hickoryloom/platform/client.py
@@ -130,11 +130,17 @@
         return self.update(key, value, 0, guard)
 
     def update(
-        self, key: str, value: Any, if_version: int, guard: Guard | None = None
+        self,
+        key: str,
+        value: Any,
+        if_version: int,
+        guard: Guard | None = None,
+        priority: CallPriority | None = None,
     ) -> Result[Versioned[Any], PlatformError]:
         """Replace an object's value; `CONFLICT` when its version is not `if_version`."""
         path = f"/objects/{quote(key)}?if_version={if_version}"
-        call = _Call("POST", path, CallKind.WRITE, _priority(key), {"value": value}, guard)
+        chosen = priority or _priority(key)
+        call = _Call("POST", path, CallKind.WRITE, chosen, {"value": value}, guard)
         stored = self._call(call).and_then(answers.read_version)
         return stored.map(lambda version: Versioned(key, version, value))
 
--- a/hickoryloom/platform/settle.py
+++ b/hickoryloom/platform/settle.py
@@ -11,6 +11,7 @@
 from result import Err, Ok, Result
 
 from hickoryloom.platform.breaker import Backoff
+from hickoryloom.platform.budget import CallPriority
 from hickoryloom.platform.messages import ErrorKind, PlatformError, Versioned
 from hickoryloom.verdict import Applied
 
@@ -69,17 +70,34 @@
 
 
 class _Objects(Protocol):
+    def get(
+        self, key: str, priority: CallPriority | None = None
+    ) -> Result[Versioned[Any], PlatformError]: ...
+
+    def update(
+        self,
+        key: str,
+        value: Any,
+        if_version: int,
+        guard: Guard | None = None,
+        priority: CallPriority | None = None,
+    ) -> Result[Versioned[Any], PlatformError]: ...
+
+    def delete(
+        self, key: str, if_version: int, priority: CallPriority | None = None
+    ) -> Result[None, PlatformError]: ...
+
+
+class _Writer(Protocol):
     def get(self, key: str) -> Result[Versioned[Any], PlatformError]: ...
 
     def update(
         self, key: str, value: Any, if_version: int, guard: Guard | None = None
     ) -> Result[Versioned[Any], PlatformError]: ...
 
-    def delete(self, key: str, if_version: int) -> Result[None, PlatformError]: ...
-
 
 def settled_update(
-    client: _Objects,
+    client: _Writer,
     key: str,
     value: Any,
     if_version: int,
@@ -106,23 +124,47 @@
         The object as written; `CONFLICT` when another writer won; `UNKNOWN` in the error when
         the write may yet be in force.
     """
-    return run_steps(settle_steps(key, value, if_version, tries), client, guard, sleep)
 
+    def take(step: Step) -> Any:
+        if isinstance(step, UpdateStep):
+            return client.update(step.key, step.value, step.if_version, guard)
+        if isinstance(step, ReadStep):
+            return client.get(step.key)
+        assert isinstance(step, PauseStep)
+        return sleep(step.seconds)
 
-def run_steps(
-    steps: Steps[T],
-    client: _Objects,
-    guard: Guard | None = None,
-    sleep: Callable[[float], object] = gevent.sleep,
-) -> T:
-    """Take each step against the platform and return what the generator returns."""
+    return _drive(settle_steps(key, value, if_version, tries), take)
+
+
+def run_steps(steps: Steps[T], client: _Objects, priority: CallPriority | None = None) -> T:
+    """Take each step against the platform and return what the generator returns.
+
+    Args:
+        steps: The steps.
+        client: Client of the platform.
+        priority: Priority of all calls; None for the keys' own.
+    """
+
+    def take(step: Step) -> Any:
+        if isinstance(step, UpdateStep):
+            return client.update(step.key, step.value, step.if_version, priority=priority)
+        if isinstance(step, DeleteStep):
+            return client.delete(step.key, step.if_version, priority)
+        if isinstance(step, ReadStep):
+            return client.get(step.key, priority)
+        return gevent.sleep(step.seconds)
+
+    return _drive(steps, take)
+
+
+def _drive(steps: Steps[T], take: Callable[[Step], Any]) -> T:
     answer: Any = None
     while True:
         try:
             step = steps.send(answer)
         except StopIteration as stop:
             return stop.value
-        answer = _take_step(step, client, guard, sleep)
+        answer = take(step)
 
 
 def settle_steps(
@@ -172,18 +214,6 @@
     return Err(_with_doubt(conflict, True))
 
 
-def _take_step(
-    step: Step, client: _Objects, guard: Guard | None, sleep: Callable[[float], object]
-) -> Any:
-    if isinstance(step, UpdateStep):
-        return client.update(step.key, step.value, step.if_version, guard)
-    if isinstance(step, DeleteStep):
-        return client.delete(step.key, step.if_version)
-    if isinstance(step, ReadStep):
-        return client.get(step.key)
-    return sleep(step.seconds)
-
-
 def _with_doubt(error: PlatformError, may_be_applied: bool) -> PlatformError:
     applied = Applied.UNKNOWN if may_be_applied else error.applied
     return attrs.evolve(error, applied=applied)
--- a/hickoryloom/platform/tests/test_budget.py
+++ b/hickoryloom/platform/tests/test_budget.py
@@ -41,6 +41,20 @@
                 assert last - first + 1 <= size + budget.rate(kind) * span + 1.001
 
 
+@given(st.sampled_from([7, 24, 200]), KINDS, st.integers(1, 200))
+def test_calls_without_end_pass_at_the_rate_and_no_faster(processes, kind, step_ms):
+    budget = CallBudget(0.0, processes=processes)
+    span_s, made = 60.0, 0
+    for step in range(int(span_s * 1000 / step_ms)):
+        wait_s = budget.take(kind, CallPriority.URGENT, step * step_ms / 1000)
+        made += wait_s is not None
+    size = max(MIN_BURST_CALLS, budget.rate(kind) * BURST_S)
+    longest_wait_s = MAX_WAIT_S[CallPriority.URGENT]
+    assert made <= size + budget.rate(kind) * (span_s + longest_wait_s) + 1
+    wanted = span_s * 1000 / step_ms
+    assert made >= min(wanted * 0.95, budget.rate(kind) * span_s * 0.95)
+
+
 @given(st.integers(1, 2000))
 def test_all_processes_together_stay_below_the_platform(processes):
     budget = CallBudget(0.0)
