--- a/hickoryloom/claims/tests/test_claims.py
+++ b/hickoryloom/claims/tests/test_claims.py
@@ -208,7 +208,7 @@
 def test_more_bookings_than_the_budget_bears_do_not_starve_each_other(platform):
     """What is begun is ended: a share of the budget for new claims alone would end none."""
     clock = SystemClock()
-    budget = CallBudget(clock.monotonic(), processes=24)
+    budget = CallBudget(clock.monotonic(), processes=14)
     client = PlatformClient(platform.address, clock, budget, Random(1))
     claims = Claims(client, clock, "e1", random=Random(1))
     claims.start()
@@ -223,10 +223,10 @@
                 done.append(number)
             else:
                 refused.append(marked.unwrap_err())
-            gevent.sleep(0.05)
+            gevent.sleep(0.1)
 
-    tasks = [gevent.spawn(book_on, caller) for caller in range(20)]
-    gevent.sleep(4)
+    tasks = [gevent.spawn(book_on, caller) for caller in range(40)]
+    gevent.sleep(5)
     gevent.killall(tasks)
     writes = platform.calls["create"] + platform.calls["update"] + platform.calls["delete"]
     assert len(refused) > len(done) > 0, "the budget was not used up"
