Resume preempted answers, and preempt before a hopeful estimate makes a higher tier late

Cause: a preempted answer ended with an error though its class may be resumed, so its tokens were wasted; and a request became 'expected late' only at its deadline when the learned estimate was too short, when nothing could be preempted any more: two guests were refused beside running drafts. Ruled out: reserved shares (the drafts were not in theirs); late decisions of peers (one entry). Now a request that still waits 0.25 s before its deadline takes the cheapest lower slot, and the victim is readmitted and goes on from its position.

--- a/hickoryloom/admission/pool.py
+++ b/hickoryloom/admission/pool.py
@@ -343,19 +343,25 @@
         return bounded * (1.0 + RETRY_JITTER * self._rng.random())
 
     def _preempt(self, decisions: list[Decision], now: float) -> None:
+        for waiting in self._urgency.take_last_calls():
+            if waiting.late is None:
+                self._preempt_for(waiting, decisions)
         for waiting in self._late:
             if waiting.ended or waiting.late is not RefusalReason.EXPECTED_LATE:
                 continue
-            if waiting.request.deadline <= now:
-                continue
-            victim = choose_victim(self._running.values(), waiting.request.tier)
-            if victim is None:
-                continue
-            victim.preempted = True
-            waiting.late = None
-            decisions.append(Preempt(victim.admitted))
+            if waiting.request.deadline > now and self._preempt_for(waiting, decisions):
+                waiting.late = None
         self._late = [waiting for waiting in self._late if waiting.late is not None]
 
+    def _preempt_for(self, waiting: Waiting, decisions: list[Decision]) -> bool:
+        """Take a slot from a lower tier for a request; return whether there is one to take."""
+        victim = choose_victim(self._running.values(), waiting.request.tier)
+        if victim is None:
+            return False
+        victim.preempted = True
+        decisions.append(Preempt(victim.admitted))
+        return True
+
     def _announce(self, now: float) -> None:
         self._pressure.announce(self._urgency.tier(now), now)
 
--- /dev/null
+++ b/hickoryloom/admission/tests/test_last_call.py
@@ -0,0 +1,48 @@
+"""A request that waits in vain takes a lower tier's slot before its deadline."""
+
+from hickoryloom.admission.tests.cluster import Cluster
+
+SLACK_S = 1.0
+
+
+def fill_with_low(cluster, node):
+    while len(node.running) < cluster.slots:
+        before = len(node.running)
+        cluster.arrive(node, "low", 4.0)
+        if len(node.running) == before:
+            break
+
+
+def learn_short_answers(cluster, node):
+    for _ in range(30):
+        cluster.arrive(node, "high", SLACK_S)
+        cluster.finish(node, node.running[-1], tokens=1)
+
+
+def test_a_slot_is_taken_when_the_estimate_was_too_hopeful():
+    cluster = Cluster(1)
+    node = cluster.nodes[0]
+    learn_short_answers(cluster, node)
+    fill_with_low(cluster, node)
+    room = cluster.slots - len(node.running)
+    asked = [cluster.arrive(node, "high", SLACK_S) for _ in range(room + 3)]
+    cluster.clock.advance(0.9 * SLACK_S)
+    cluster.apply(node, node.admission.dispatch_due(cluster.now))
+    started = {admitted.request.id for _, _, admitted in cluster.starts}
+    assert {request.id for request in asked} <= started
+    assert not cluster.refusals
+
+
+def test_no_slot_is_taken_from_the_same_or_a_higher_tier():
+    cluster = Cluster(1)
+    node = cluster.nodes[0]
+    while len(node.running) < cluster.slots:
+        before = len(node.running)
+        cluster.arrive(node, "high", 60.0)
+        if len(node.running) == before:
+            break
+    held = list(node.running)
+    cluster.arrive(node, "high", SLACK_S)
+    cluster.clock.advance(0.9 * SLACK_S)
+    cluster.apply(node, node.admission.dispatch_due(cluster.now))
+    assert node.running == held
--- a/hickoryloom/admission/urgency.py
+++ b/hickoryloom/admission/urgency.py
@@ -10,6 +10,7 @@
 
 ALARM_PART = 0.5
 HOLD_S = 1.0
+LAST_CALL_S = 0.25
 
 
 class Urgency:
@@ -20,6 +21,7 @@
         self._sequence = 0
         self._urgent: dict[int, int] = {}
         self._held: dict[int, float] = {}
+        self._last_calls: list[Waiting] = []
 
     def watch(self, waiting: Waiting, now: float) -> None:
         """Watch a new request; it becomes urgent when half of its time is used up."""
@@ -51,12 +53,21 @@
             if waiting.ended:
                 continue
             self.mark(waiting)
-            if waiting.request.deadline <= now:
+            deadline = waiting.request.deadline
+            if deadline <= now:
                 expired.append(waiting)
+            elif now < deadline - LAST_CALL_S:
+                self._push(deadline - LAST_CALL_S, waiting)
             else:
-                self._push(waiting.request.deadline, waiting)
+                self._last_calls.append(waiting)
+                self._push(deadline, waiting)
         return expired
 
+    def take_last_calls(self) -> list[Waiting]:
+        """Return, once each, the requests that only a preempted slot can still serve in time."""
+        calls, self._last_calls = self._last_calls, []
+        return [waiting for waiting in calls if not waiting.ended]
+
     def tier(self, now: float) -> int:
         """Return the highest tier with an urgent request, now or just before; 0 for none."""
         tiers = [tier for tier, count in self._urgent.items() if count]
--- a/hickoryloom/entry/exchange.py
+++ b/hickoryloom/entry/exchange.py
@@ -31,6 +31,7 @@
 log = logbook.Logger("hickoryloom.entry")
 
 FAULT_RETRY_S = 1.0
+PREEMPTED_RETRY_S = 1.0
 
 
 @attrs.frozen
@@ -65,6 +66,8 @@
         self._cancelled = Event()
         self._cancel_reason: RefusalReason | None = None
         self._admitted: Admitted | None = None
+        self._first_admitted: Admitted | None = None
+        self._settled_tokens = 0
         self._claim: Claim | None = None
         self._ended = False
         self._on_end: Callable[[], None] | None = None
@@ -89,7 +92,7 @@
             raise
 
     def _fault(self) -> Refused:
-        verdict = Verdict.NOT_RUN if self._admitted is None else Verdict.MAY_HAVE_RUN
+        verdict = Verdict.NOT_RUN if self._first_admitted is None else Verdict.MAY_HAVE_RUN
         if self._claim is not None:
             self._slices.claims.lose(self._claim)
         return Refused(RefusalReason.INTERNAL, verdict, FAULT_RETRY_S)
@@ -99,13 +102,17 @@
         admitted = self._slices.admission.admit(self._request, self._cancelled)
         if isinstance(admitted, Err):
             return self._refuse(self._with_cancel_reason(admitted.err_value))
-        self._admitted = admitted.ok_value
-        self._slices.accounting.started(self._admitted)
-        self._slices.admission.on_preempt(self._admitted, self.preempt)
+        self._first_admitted = admitted.ok_value
+        self._slices.accounting.started(admitted.ok_value)
+        self._hold(admitted.ok_value)
         if self._request.idempotent:
             return self._relay()
         return self._run_at_most_once()
 
+    def _hold(self, admitted: Admitted) -> None:
+        self._admitted = admitted
+        self._slices.admission.on_preempt(admitted, self.preempt)
+
     def withdraw(self) -> None:
         """End the request because its key has been withdrawn."""
         self._cancel(RefusalReason.KEY_WITHDRAWN)
@@ -115,8 +122,34 @@
         self._cancel(RefusalReason.CALLER_LEFT)
 
     def preempt(self) -> None:
-        """End the request in favour of one of a higher tier."""
-        self._cancel(RefusalReason.PREEMPTED)
+        """Give the slot to a request of a higher tier; go on later where the class allows it."""
+        found = self._slices.follower.snapshot.classes.get(self._request.request_class)
+        if found is not None and found.resumable and self._request.idempotent:
+            self._slices.relay.preempt(self._request.id, self._readmit)
+        else:
+            self._cancel(RefusalReason.PREEMPTED)
+
+    def _readmit(self, delivered: int) -> Refused | None:
+        """Give the slot back and wait for another; return the refusal if there is none."""
+        self._give_back(delivered)
+        wait_s = self._request.deadline - self._request.arrived
+        deadline = self._slices.clock.monotonic() + wait_s
+        request = attrs.evolve(self._request, deadline=deadline)
+        again = self._slices.admission.admit(request, self._cancelled)
+        if isinstance(again, Err):
+            return attrs.evolve(again.err_value, reason=RefusalReason.PREEMPTED, detail="")
+        self._hold(again.ok_value)
+        return None
+
+    def _give_back(self, delivered: int) -> None:
+        admitted, self._admitted = self._admitted, None
+        if admitted is None:
+            return
+        now = self._slices.clock.monotonic()
+        tokens = delivered - self._settled_tokens
+        self._settled_tokens = delivered
+        outcome = Outcome(Verdict.MAY_HAVE_RUN, whole=False, output_tokens=tokens, finished_at=now)
+        self._slices.admission.finish(admitted, outcome)
 
     def _cancel(self, reason: RefusalReason) -> None:
         if self._ended or self._cancel_reason is not None:
@@ -143,9 +176,12 @@
     def _open(self, may_send: Callable[[], bool] | None = None) -> Result[Answer, Refused]:
         assert self._admitted is not None
         if self._cancel_reason is not None:
-            return Err(Refused(self._cancel_reason, Verdict.NOT_RUN, 0.0))
+            return Err(Refused(self._cancel_reason, Verdict.NOT_RUN, self._retry_after_s()))
         return self._slices.relay.open(self._admitted, self._call, may_send)
 
+    def _retry_after_s(self) -> float:
+        return PREEMPTED_RETRY_S if self._cancel_reason is RefusalReason.PREEMPTED else 0.0
+
     def _headers(self, answer: Answer) -> list[tuple[str, str]]:
         own = [("X-Request-Id", self._request.id)]
         return [*answer.headers, *own]
@@ -193,7 +229,7 @@
 
     def _failure(self, answer: Answer, outcome: Outcome) -> Refused:
         if self._cancel_reason is not None:
-            return Refused(self._cancel_reason, outcome.verdict, 0.0)
+            return Refused(self._cancel_reason, outcome.verdict, self._retry_after_s())
         if answer.failure is not None:
             return answer.failure
         return Refused(RefusalReason.BACKEND_FAILED, outcome.verdict, 1.0)
@@ -215,8 +251,10 @@
             self._on_end()
         self._slices.open_calls.release(self._handle)
         if self._admitted is not None:
-            self._slices.admission.finish(self._admitted, outcome)
-        self._slices.accounting.ended(self._request, self._admitted, outcome)
+            tokens = max(0, outcome.output_tokens - self._settled_tokens)
+            unsettled = attrs.evolve(outcome, output_tokens=tokens)
+            self._slices.admission.finish(self._admitted, unsettled)
+        self._slices.accounting.ended(self._request, self._first_admitted, outcome)
 
     def finish_stream(self, answer: Answer) -> bytes:
         """Account for an answer that has been relayed; return what is still to be sent."""
--- a/hickoryloom/relay/attempts.py
+++ b/hickoryloom/relay/attempts.py
@@ -26,7 +26,7 @@
 if TYPE_CHECKING:
     from hickoryloom.routing import Router
 
-__all__ = ["Attempts", "RelayParts"]
+__all__ = ["Attempts", "Readmit", "RelayParts"]
 
 log = logbook.Logger("hickoryloom.relay")
 
@@ -36,6 +36,9 @@
 UNAUTHORIZED = 401
 SERVER_ERROR = 500
 UNAVAILABLE = 503
+Readmit = Callable[[int], Refused | None]
+"""Waits for leave to go on, given the tokens delivered so far; None is leave."""
+
 FREE_RETRIES = frozenset((FailureCause.CONNECT, FailureCause.CUT))
 
 
@@ -78,6 +81,8 @@
         self._resumed = 0
         self._verdict = Verdict.NOT_RUN
         self._reason: RefusalReason | None = None
+        self._readmit: Readmit | None = None
+        self._preemptions = 0
         self._cancels: list[gevent.Greenlet] = []
         self._wasted = 0
         self._last_backend = ""
@@ -107,6 +112,17 @@
         if self.current is not None and self.current.exchange is not None:
             self.current.exchange.interrupt(FailureCause.CANCELLED)
 
+    def preempt(self, readmit: Readmit) -> None:
+        """Give the backend server up at once; go on when `readmit` gives leave.
+
+        Safe from any greenlet; `readmit` is called in the request's own.
+        """
+        if self._reason is not None or self._readmit is not None:
+            return
+        self._readmit = readmit
+        if self.current is not None and self.current.exchange is not None:
+            self.current.exchange.interrupt(FailureCause.PREEMPTED)
+
     def begin(self, body: bytes, first_position: int = 0) -> Result[Attempt, Refused]:
         """Make attempts until one has the head of a response worth reading.
 
@@ -145,7 +161,10 @@
             self._verdict = Verdict.MAY_HAVE_RUN
         self._log_failure(attempt, failed)
         self._finish(attempt, _end_of(failed))
-        self._tried.add(attempt.choice.backend.id)
+        if failed.cause is not FailureCause.PREEMPTED:
+            self._tried.add(attempt.choice.backend.id)
+        if self._reason is None and self._readmit is not None:
+            return self._await_readmission(attempt.next_position)
         return self._judge(failed, resumable)
 
     def succeed(self) -> None:
@@ -219,6 +238,8 @@
         attempt.exchange = exchange
         if self._reason is not None:
             exchange.interrupt(FailureCause.CANCELLED)
+        elif self._readmit is not None:
+            exchange.interrupt(FailureCause.PREEMPTED)
         self._check_right_to_send()
         exchange.send(head, body)
         exchange.read_head()
@@ -251,11 +272,20 @@
         if unauthorized or exchange.status >= SERVER_ERROR and self._request.idempotent:
             raise exchange.error(FailureCause.STATUS, f"status {exchange.status}")
 
+    def _await_readmission(self, delivered: int) -> Refused | None:
+        readmit, self._readmit = self._readmit, None
+        assert readmit is not None
+        self._preemptions += 1
+        refused = readmit(delivered)
+        if self._reason is not None:
+            return self.refusal(self._reason, "")
+        return refused and attrs.evolve(refused, verdict=self._verdict)
+
     def _judge(self, failed: AttemptFailed, resumable: bool) -> Refused | None:
         if self._reason is not None:
             return self.refusal(self._reason, "")
         repeatable = failed.verdict is Verdict.NOT_RUN or self._request.idempotent
-        if not repeatable or self._number >= MAX_ATTEMPTS:
+        if not repeatable or self._number - self._preemptions >= MAX_ATTEMPTS:
             return self.refusal(RefusalReason.BACKEND_FAILED, failed.detail)
         free = resumable or failed.cause in FREE_RETRIES
         if not free and not self._parts.router.may_retry(self._request):
@@ -294,7 +324,7 @@
 
 
 def _end_of(failed: AttemptFailed) -> AttemptEnd:
-    if failed.cause is FailureCause.CANCELLED:
+    if failed.cause in (FailureCause.CANCELLED, FailureCause.PREEMPTED):
         return AttemptEnd.ABANDONED
     if failed.cause is FailureCause.NOT_RUN:
         return AttemptEnd.REFUSED
--- a/hickoryloom/relay/messages.py
+++ b/hickoryloom/relay/messages.py
@@ -23,6 +23,7 @@
     MALFORMED = "malformed"
     TOO_LARGE = "too-large"
     CANCELLED = "cancelled"
+    PREEMPTED = "preempted"
 
 
 @attrs.frozen
--- a/hickoryloom/relay/task.py
+++ b/hickoryloom/relay/task.py
@@ -13,7 +13,7 @@
 from hickoryloom.relay.answer import Answer
 from hickoryloom.relay.assembly import AnswerAssembly
 from hickoryloom.relay.attempt import Attempt
-from hickoryloom.relay.attempts import Attempts, RelayParts
+from hickoryloom.relay.attempts import Attempts, Readmit, RelayParts
 from hickoryloom.relay.connections import Connections
 from hickoryloom.relay.engine import EngineControl
 from hickoryloom.relay.headers import answer_headers
@@ -94,6 +94,18 @@
         if attempts is not None:
             attempts.cancel(reason)
 
+    def preempt(self, request_id: str, readmit: Readmit) -> None:
+        """Take a request off its backend server at once; it goes on when it is readmitted.
+
+        Args:
+            request_id: The request; one that has ended is left alone.
+            readmit: Called in the request's own greenlet with the tokens delivered so far; waits
+                for leave to go on, and returns None or a refusal.
+        """
+        attempts = self._parts.open.get(request_id)
+        if attempts is not None:
+            attempts.preempt(readmit)
+
     def stop(self) -> None:
         """Close idle connections and stop looking after requests."""
         self._watchdog.stop()
