--- /dev/null
+++ b/hickoryloom/relay/tests/test_bad_streams.py
@@ -0,0 +1,136 @@
+"""Bad responses of engines and slow callers: a clear end, bounded memory, nothing held."""
+
+import json
+
+import gevent
+import pytest
+from gevent.server import StreamServer
+
+from hickoryloom.admission import RefusalReason
+from hickoryloom.relay.tests.support import admitted, build_relay, chat_body, chat_call, view
+from hickoryloom.standins import build_engine
+from hickoryloom.standins.text import answer_tokens
+from hickoryloom.verdict import Verdict
+
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+FIRST_TOKEN = answer_tokens(chat_body())[0]
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+
+
+def chunk(data):
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def event(position, **more):
+    choice = {"delta": {"content": FIRST_TOKEN}}
+    fields = {"id": "req-1", "position": position, "choices": [choice], **more}
+    return b"data: " + json.dumps(fields).encode() + b"\n\n"
+
+
+BAD = {
+    "no-length": HEAD + b"\r\n" + event(0),
+    "short-length": HEAD + b"Content-Length: 9999\r\n\r\n" + event(0),
+    "bad-chunk": CHUNKED + b"zz\r\n" + event(0),
+    "not-json": CHUNKED + chunk(b"data: {nope\n\n"),
+    "no-position": CHUNKED + chunk(b'data: {"id": "req-1"}\n\n'),
+    "negative-position": CHUNKED + chunk(event(-1)),
+    "huge-position": CHUNKED + chunk(event(10**30)),
+    "position-is-text": CHUNKED + chunk(event("0")),
+    "endless-event": CHUNKED + chunk(b"data: " + b"x" * 3_000_000),
+    "huge-headers": HEAD + b"X-Fill: " + b"y" * 200_000,
+    "deep-json": CHUNKED + chunk(b'data: {"id":' + b"[" * 100_000 + b"\n\n"),
+    "done-at-once": CHUNKED + chunk(b"data: [DONE]\n\n"),
+    "empty": CHUNKED + b"0\r\n\r\n",
+    "not-http": b"\x00\xff\x17 what",
+    "error-event": CHUNKED + chunk(b'data: {"error": {"message": "x"}}\n\n'),
+    "invalid-utf8": CHUNKED + chunk(b'data: {"id": "req-1", "position": 0, "x": "\xff"}\n\n'),
+}
+
+
+@pytest.fixture
+def serve():
+    servers = []
+
+    def start(response):
+        def handle(sock, _address):
+            sock.recv(65536)
+            try:
+                sock.sendall(response)
+            except OSError:
+                pass
+            sock.close()
+
+        server = StreamServer(("127.0.0.1", 0), handle)
+        server.start()
+        servers.append(server)
+        return f"127.0.0.1:{server.server_port}"
+
+    yield start
+    for server in servers:
+        server.stop(timeout=0)
+
+
+def assert_nothing_held(relay):
+    assert relay.open_requests == 0
+    assert relay.connections.in_use == 0
+    assert relay._router.in_flight() == 0
+
+
+@pytest.mark.parametrize("name", BAD)
+def test_a_bad_response_ends_clearly(serve, name):
+    relay = build_relay(view("e1", serve(BAD[name])))
+    with gevent.Timeout(10.0):
+        opened = relay.open(admitted(), chat_call())
+        if opened.is_ok():
+            list(opened.unwrap())
+    failure = opened.unwrap_err() if opened.is_err() else opened.unwrap().failure
+    assert failure is not None
+    assert failure.reason in (RefusalReason.BACKEND_FAILED, RefusalReason.RETRY_BUDGET)
+    assert failure.verdict is Verdict.MAY_HAVE_RUN
+    assert failure.retry_after_s > 0
+    assert_nothing_held(relay)
+
+
+@pytest.mark.parametrize("name", BAD)
+def test_a_sound_engine_makes_up_for_a_bad_one(serve, name):
+    engine = build_engine(token_ms=1.0)
+    engine.start()
+    relay = build_relay(view("bad", serve(BAD[name])))
+    relay._router.set_views([view("bad", serve(BAD[name])), view("good", engine.address)])
+    for number in range(6):
+        answer = relay.open(admitted(f"req-{number}"), chat_call()).unwrap()
+        raw = b"".join(answer)
+        assert answer.failure is None
+        assert raw.endswith(b"data: [DONE]\n\n")
+    assert_nothing_held(relay)
+    engine.stop()
+
+
+def test_a_caller_that_does_not_read_stops_the_engine_by_back_pressure():
+    engine = build_engine(token_ms=0.0)
+    engine.start()
+    relay = build_relay(view("e1", engine.address))
+    count = 200_000
+    answer = relay.open(admitted(), chat_call(answer_tokens=count, max_tokens=count)).unwrap()
+    next(iter(answer))
+    produced = -1
+    while produced != engine.counters["tokens"]:
+        produced = engine.counters["tokens"]
+        gevent.sleep(0.5)
+    assert produced < count
+    answer.close()
+    gevent.sleep(0.5)
+    assert engine.batch.running == 0
+    assert_nothing_held(relay)
+    engine.stop()
+
+
+def test_a_client_error_of_an_engine_is_passed_on(serve):
+    body = b'{"error": {"message": "bad"}}'
+    head = (
+        b"HTTP/1.1 400 Bad Request\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n"
+    )
+    relay = build_relay(view("e1", serve(head % len(body) + body)))
+    answer = relay.open(admitted(), chat_call()).unwrap()
+    assert (answer.status, b"".join(answer)) == (400, body)
+    assert_nothing_held(relay)
