Let a preempted answer wait for its class's target; let a stand-in start without a platform

Cause of the second: argparse checks a default that is text by the option's type, so an empty default was refused.

--- a/hickoryloom/commands/standin.py
+++ b/hickoryloom/commands/standin.py
@@ -81,7 +81,7 @@
 
 def _add_backend(parser: argparse.ArgumentParser) -> None:
     parser.add_argument(
-        "--platform", default="", type=_address, metavar="HOST:PORT", help="platform to join"
+        "--platform", default=None, type=_address, metavar="HOST:PORT", help="platform to join"
     )
     parser.add_argument("--id", default="", help="id in the live list (pool and port)")
     parser.add_argument("--pool", default="", help="pool that it belongs to")
@@ -104,7 +104,7 @@
     signal_handler(signal.SIGTERM, stopped.set)
     signal_handler(signal.SIGINT, stopped.set)
     standin.start()
-    if getattr(options, "platform", ""):
+    if getattr(options, "platform", None):
         register_backend(options.platform, _row(options, standin.address), options.spare)
     _announce(options.ready_file, standin.address)
     stopped.wait()
--- a/hickoryloom/entry/exchange.py
+++ b/hickoryloom/entry/exchange.py
@@ -32,6 +32,8 @@
 
 FAULT_RETRY_S = 1.0
 PREEMPTED_RETRY_S = 1.0
+READMISSION_WAIT_S = 15.0
+MS_PER_S = 1000.0
 
 
 @attrs.frozen
@@ -132,15 +134,20 @@
     def _readmit(self, delivered: int) -> Refused | None:
         """Give the slot back and wait for another; return the refusal if there is none."""
         self._give_back(delivered)
-        wait_s = self._request.deadline - self._request.arrived
-        deadline = self._slices.clock.monotonic() + wait_s
-        request = attrs.evolve(self._request, deadline=deadline)
+        request = attrs.evolve(self._request, deadline=self._readmission_deadline())
         again = self._slices.admission.admit(request, self._cancelled)
         if isinstance(again, Err):
             return attrs.evolve(again.err_value, reason=RefusalReason.PREEMPTED, detail="")
         self._hold(again.ok_value)
         return None
 
+    def _readmission_deadline(self) -> float:
+        """Return how long an answer already begun may wait: to its class's target for the whole."""
+        found = self._slices.follower.snapshot.classes.get(self._request.request_class)
+        answer_s = found.answer_ms / MS_PER_S if found is not None else 0.0
+        latest = self._request.arrived + answer_s
+        return max(latest, self._slices.clock.monotonic() + READMISSION_WAIT_S)
+
     def _give_back(self, delivered: int) -> None:
         admitted, self._admitted = self._admitted, None
         if admitted is None:
