--- a/hickoryloom/claims/task.py
+++ b/hickoryloom/claims/task.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import uuid
+from collections import OrderedDict
 from collections.abc import Callable
 from random import Random
 
@@ -26,6 +27,7 @@
 __all__ = ["Claims"]
 
 MAX_STORED_BYTES = 16 * 1024
+MAX_SENT_KEYS = 10_000
 FLUSH_TIMEOUT_S = 10.0
 IN_PROGRESS_RETRY_S = 1.0
 PLATFORM_RETRY_S = 2.0
@@ -61,6 +63,7 @@
         self._incarnation = incarnation
         self._is_live = is_live
         self._active: dict[str, str] = {}
+        self._sent: OrderedDict[str, None] = OrderedDict()
         random = random or Random()
         self._finisher = Finisher(client, random, self._end)
         self._sweeper = Sweeper(client, clock, random)
@@ -117,6 +120,8 @@
             raise
         if marked.is_err():
             self._discard_later(claim.key, claim.record.attempt)
+        else:
+            self._note_sent(claim.key)
         return marked
 
     def complete(self, claim: Claim, stored: StoredAnswer) -> None:
@@ -135,6 +140,7 @@
 
     def abandon(self, claim: Claim) -> None:
         """Give up a claim whose call was certainly not run, so that a repeat may run it."""
+        self._sent.pop(claim.key, None)
         self._finisher.finish(self._discard(claim.key, claim.record.attempt))
 
     def _begin(
@@ -143,7 +149,7 @@
         stamped = self._clock.monotonic()
         if not self._sweeper.ensure_epoch():
             self._active.pop(key, None)
-            return Err(_without_platform())
+            return Err(self._tell(key, _without_platform()))
         record = ClaimRecord(
             state=ClaimState.CLAIMED,
             attempt=attempt,
@@ -159,7 +165,18 @@
             self._discard_later(key, attempt)
         elif begun.is_err() or isinstance(begun.unwrap(), StoredAnswer):
             self._active.pop(key, None)
-        return begun.map_err(lambda not_claimed: not_claimed.refused)
+        return begun.map_err(lambda not_claimed: self._tell(key, not_claimed.refused))
+
+    def _note_sent(self, key: str) -> None:
+        self._sent[key] = None
+        if len(self._sent) > MAX_SENT_KEYS:
+            self._sent.popitem(last=False)
+
+    def _tell(self, key: str, refused: Refused) -> Refused:
+        """Return a refusal with what this entry remembers of earlier requests with the key."""
+        if refused.reason is RefusalReason.PLATFORM_UNAVAILABLE and key in self._sent:
+            return attrs.evolve(refused, verdict=Verdict.MAY_HAVE_RUN)
+        return refused
 
     def _finish(self, claim: Claim, state: ClaimState, answer: StoredAnswer | None) -> None:
         record = attrs.evolve(
--- a/hickoryloom/claims/tests/test_claims.py
+++ b/hickoryloom/claims/tests/test_claims.py
@@ -184,6 +184,15 @@
     assert refused.retry_after_s > 0
 
 
+def test_without_the_platform_an_entry_remembers_what_it_sent(platform, build):
+    one = build("e1")
+    one.complete(one.mark_sent(begin(one).unwrap()).unwrap(), STORED)
+    one.abandon(one.mark_sent(begin(one, key="k2").unwrap()).unwrap())
+    fault(platform, outage="error")
+    assert begin(one).unwrap_err().verdict is Verdict.MAY_HAVE_RUN
+    assert begin(one, key="k2").unwrap_err().verdict is Verdict.NOT_RUN
+
+
 def test_outage_between_claim_and_send_leaves_no_claim_behind(platform, build):
     one = build("e1")
     claim = begin(one).unwrap()
