--- a/hickoryloom/membership/codec.py
+++ b/hickoryloom/membership/codec.py
@@ -1,4 +1,4 @@
-"""Heartbeats as JSON, with fields at their defaults left out."""
+"""Heartbeats as JSON, with fields at their defaults left out and pools as short arrays."""
 
 from __future__ import annotations
 
@@ -28,7 +28,32 @@
 
 
 _converter = make_converter(omit_if_default=True)
-for _kind in (PoolSummary, Heartbeat, Word):
+
+
+def _pack_summary(summary: PoolSummary) -> list[Any]:
+    tiers = sorted(summary.backlog.keys() | summary.demand.keys())
+    rows = [[tier, summary.backlog.get(tier, 0), summary.demand.get(tier, 0)] for tier in tiers]
+    head = [summary.in_flight, summary.highest_waiting, summary.pressure, summary.epoch]
+    return [*head, rows]
+
+
+def _unpack_summary(packed: Any, _kind: Any) -> PoolSummary:
+    in_flight, highest, pressure, epoch, rows = packed
+    return PoolSummary(
+        in_flight=int(in_flight),
+        backlog={int(tier): int(backlog) for tier, backlog, _ in rows if backlog},
+        highest_waiting=int(highest),
+        pressure=int(pressure),
+        epoch=int(epoch),
+        demand={int(tier): int(demand) for tier, _, demand in rows if demand},
+    )
+
+
+_converter.register_unstructure_hook(PoolSummary, _pack_summary)
+_converter.register_structure_hook(PoolSummary, _unpack_summary)
+
+
+for _kind in (Heartbeat, Word):
     _converter.register_unstructure_hook(
         _kind, make_dict_unstructure_fn(_kind, _converter, _cattrs_omit_if_default=True)
     )
