--- a/hickoryloom/claims/tests/test_claims.py
+++ b/hickoryloom/claims/tests/test_claims.py
@@ -184,6 +184,15 @@
     assert refused.retry_after_s > 0
 
 
+def test_without_the_platform_an_entry_remembers_what_it_sent(platform, build):
+    one = build("e1")
+    one.complete(one.mark_sent(begin(one).unwrap()).unwrap(), STORED)
+    one.abandon(one.mark_sent(begin(one, key="k2").unwrap()).unwrap())
+    fault(platform, outage="error")
+    assert begin(one).unwrap_err().verdict is Verdict.MAY_HAVE_RUN
+    assert begin(one, key="k2").unwrap_err().verdict is Verdict.NOT_RUN
+
+
 def test_outage_between_claim_and_send_leaves_no_claim_behind(platform, build):
     one = build("e1")
     claim = begin(one).unwrap()
@@ -208,7 +217,7 @@
 def test_more_bookings_than_the_budget_bears_do_not_starve_each_other(platform):
     """What is begun is ended: a share of the budget for new claims alone would end none."""
     clock = SystemClock()
-    budget = CallBudget(clock.monotonic(), processes=24)
+    budget = CallBudget(clock.monotonic(), processes=14)
     client = PlatformClient(platform.address, clock, budget, Random(1))
     claims = Claims(client, clock, "e1", random=Random(1))
     claims.start()
@@ -223,10 +232,10 @@
                 done.append(number)
             else:
                 refused.append(marked.unwrap_err())
-            gevent.sleep(0.05)
+            gevent.sleep(0.1)
 
-    tasks = [gevent.spawn(book_on, caller) for caller in range(20)]
-    gevent.sleep(4)
+    tasks = [gevent.spawn(book_on, caller) for caller in range(40)]
+    gevent.sleep(5)
     gevent.killall(tasks)
     writes = platform.calls["create"] + platform.calls["update"] + platform.calls["delete"]
     assert len(refused) > len(done) > 0, "the budget was not used up"
