--- a/hickoryloom/bench/configuration.py
+++ b/hickoryloom/bench/configuration.py
@@ -248,6 +248,19 @@
     return {"peer_question_ms_both_sides": 1000 * spent_s}
 
 
+def measure_watch() -> dict[str, Any]:
+    """Measure one watch that ends without a change, client and platform stand-in together."""
+    platform = build_platform()
+    platform.start()
+    client = _platform_client(platform.address)
+    created = client.create("config/root", {"generation": 1})
+    assert created.is_ok()
+    client.watch("config/root", 1, 0.0)
+    spent_s = _processor_s(lambda: client.watch("config/root", 1, 0.0), REPEATS)
+    platform.stop()
+    return {"watch_ms_both_sides": 1000 * spent_s}
+
+
 class _Shards:
     """Reads shards from the store in memory."""
 
@@ -288,6 +301,7 @@
     for count in options.followers:
         _print(measure_followers(count))
     _print(measure_peer_question())
+    _print(measure_watch())
 
 
 def _print(row: dict[str, Any]) -> None:
--- a/hickoryloom/config/options.py
+++ b/hickoryloom/config/options.py
@@ -129,7 +129,7 @@
     @property
     def allowed(self) -> str:
         """What may stand there, in words."""
-        form = "1 to 63 of a-z, 0-9, '.', '_' and '-', beginning with a letter or digit"
+        form = "a name (1 to 63 of a-z, 0-9, '.', '_' and '-'; first a letter or digit)"
         return f"{form}, or an empty string" if self.optional else form
 
     def read(self, value: Any) -> str:
--- a/hickoryloom/configuration/documents.py
+++ b/hickoryloom/configuration/documents.py
@@ -45,6 +45,8 @@
 MAX_IN_FLIGHT = 1_000_000
 MODEL_NAME = r"([A-Za-z0-9][A-Za-z0-9._:/-]{0,126})?"
 MODEL_NAME_WORDS = "up to 127 letters, digits, '.', '_', ':', '/' and '-', or an empty string"
+CALLED_NAME = r"[A-Za-z0-9][A-Za-z0-9._:/-]{0,126}"
+CALLED_NAME_WORDS = "names of services or models"
 METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE")
 
 
@@ -177,7 +179,9 @@
         default=0, metadata=declare(Integer(0, MAX_TOKENS_PER_MINUTE))
     )
     max_in_flight: int = attrs.field(default=0, metadata=declare(Integer(0, MAX_IN_FLIGHT)))
-    services: tuple[str, ...] = attrs.field(default=(), metadata=declare(ListOf(Name())))
+    services: tuple[str, ...] = attrs.field(
+        default=(), metadata=declare(ListOf(Pattern(CALLED_NAME, CALLED_NAME_WORDS)))
+    )
 
 
 @attrs.frozen
--- a/tests/test_configuration_processes.py
+++ b/tests/test_configuration_processes.py
@@ -137,10 +137,13 @@
 
 def test_of_two_racing_operators_one_wins_a_generation_and_none_is_lost(whole):
     before = generation_of(whole)
+    # A slow platform, so that all have read the same generation before one writes.
+    whole.set_faults("platform", slow_s=0.2)
     folders = [write_documents(whole, f"race-{number}", 10 + number) for number in range(4)]
     runs = [run_publish(whole, f"race-{number}", folder) for number, folder in enumerate(folders)]
     for run in runs:
         wait_until(lambda run=run: run.exit_code is not None, 30.0, run.name)
+    whole.set_faults("platform", slow_s=0.0)
     logs = [run.log() for run in runs]
     won = [log for run, log in zip(runs, logs, strict=True) if run.exit_code == 0]
     told = [log for run, log in zip(runs, logs, strict=True) if run.exit_code == 1]
@@ -193,7 +196,8 @@
 
 
 def test_a_platform_that_comes_back_empty_reverts_no_entry(whole):
-    before = generation_of(whole)
+    publish_weight(whole, 58)
+    before = publish_weight(whole, 59)
     in_force_after(whole, ENTRIES, before, 10.0)
     whole.platform.kill()
     whole.run("platform-2", "standin", "platform", "--listen", whole.platform_address)
