--- a/hickoryloom/entry/process.py
+++ b/hickoryloom/entry/process.py
@@ -83,7 +83,9 @@
         )
         self._admission = Admission(self._incarnation, clock, rng)
         self._router = Router(clock, rng, settings.failure_domain)
-        self._directory = BackendDirectory(self._client, clock, rng, self._router.report)
+        self._directory = BackendDirectory(
+            self._client, clock, rng, self._router.report, self._router.cache_event
+        )
         self._relay = Relay(self._router, clock, settings.backend_credential)
         self._claims = Claims(self._client, clock, self._incarnation, self._is_live)
         self._usage = UsageCounter(
@@ -154,6 +156,7 @@
             "open_requests": self.open_requests,
             "open_attempts": self._relay.open_requests,
             "open_calls": len(self._open_calls),
+            "open_claims": self._claims.active,
         }
 
     def summarize_class(self, name: str) -> ClassSummary:
