--- a/hickoryloom/configuration/peers.py
+++ b/hickoryloom/configuration/peers.py
@@ -4,7 +4,7 @@
 
 import hmac
 import random
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import Any
 
 import attrs
@@ -20,7 +20,7 @@
 from hickoryloom.configuration.known_peers import KnownPeers
 from hickoryloom.http import CallFailed, JsonAnswer, JsonClient
 from hickoryloom.logs import log_event
-from hickoryloom.membership import Peer
+from hickoryloom.membership import Heartbeat, Peer
 from hickoryloom.verdict import Applied
 
 __all__ = ["ConfigurationPeers"]
@@ -33,6 +33,7 @@
 ASK_TIMEOUT_S = 0.8
 SHARD_TIMEOUT_S = 2.0
 TICK_S = 0.25
+FORGET_INTERVAL_S = 1.0
 
 log = logbook.Logger("hickoryloom.configuration")
 
@@ -45,7 +46,7 @@
         clock: Source of time.
         seeds: Addresses to ask before any peer is known.
         secret: The token that entries show to each other; empty for none.
-        rng: Chooses which peers to ask in a large fleet.
+        rng: Chooses which peers to ask.
     """
 
     def __init__(
@@ -59,10 +60,13 @@
         self._follower = follower
         self._clock = clock
         self._secret = secret
-        self._known = KnownPeers(rng or random.Random(), seeds)
+        self._rng = rng or random.Random()
+        self._known = KnownPeers(self._rng, seeds)
         self._clients: dict[str, JsonClient] = {}
         self._wake = Event()
         self._ahead: set[str] = set()
+        self._heard: dict[str, Heartbeat] = {}
+        self._forgot = 0.0
         self._task: gevent.Greenlet | None = None
 
     def start(self) -> None:
@@ -77,24 +81,18 @@
         for client in self._clients.values():
             client.close()
 
-    def set_peers(self, peers: Iterable[Peer], missing: Iterable[str] = ()) -> None:
+    def set_peers(self, peers: Collection[Peer], missing: Iterable[str] = ()) -> None:
         """Take what membership knows; returns at once.
 
         Args:
             peers: Live peers with their latest heartbeats.
             missing: Incarnations that are silent and not known to have ended.
         """
-        own = self._follower.snapshot.generation
-        live = set()
         for peer in peers:
             beat = peer.heartbeat
-            live.add(beat.incarnation)
-            self._known.listed(beat, peer.heard)
-            self._follower.evidence.heard_of(beat.generation, 0)
-            if beat.generation > own:
-                self._ahead.add(beat.address)
-        if self._sees_platform():
-            self._known.keep(live | set(missing))
+            if self._heard.get(beat.incarnation) is not beat:
+                self._hear(beat, peer.heard)
+        self._forget_ended(peers, missing)
         if self._ahead:
             self._wake.set()
 
@@ -140,6 +138,22 @@
         still_known = self._known.choose_among(asked)
         return self._follower.evidence.round_ended(now, still_known, answered)
 
+    def _hear(self, beat: Heartbeat, heard: float) -> None:
+        self._heard[beat.incarnation] = beat
+        self._known.listed(beat, heard)
+        self._follower.evidence.heard_of(beat.generation, 0)
+        if beat.generation > self._follower.snapshot.generation:
+            self._ahead.add(beat.address)
+
+    def _forget_ended(self, peers: Collection[Peer], missing: Iterable[str]) -> None:
+        now = self._clock.monotonic()
+        if now - self._forgot < FORGET_INTERVAL_S or not self._sees_platform():
+            return
+        self._forgot = now
+        left = {peer.heartbeat.incarnation for peer in peers}.union(missing)
+        self._known.keep(left)
+        self._heard = {name: beat for name, beat in self._heard.items() if name in left}
+
     def _await_answers(self, tasks: dict[str, gevent.Greenlet]) -> None:
         quick = gevent.joinall(list(tasks.values()), timeout=QUICK_ANSWER_S)
         if 2 * (len(quick) + 1) <= len(tasks) + 1:
@@ -164,7 +178,7 @@
             self._wake.clear()
             ahead, self._ahead = self._ahead, set()
             if ahead:
-                self.ask(min(ahead))
+                self.ask(self._rng.choice(sorted(ahead)))
             now = self._clock.monotonic()
             if self._follower.freshness.vouched_age(now) > ASK_AFTER_S:
                 self.ask_round()
--- a/tests/test_configuration_processes.py
+++ b/tests/test_configuration_processes.py
@@ -88,7 +88,7 @@
         assert in_force_after(whole, ENTRIES, generation, IN_FORCE_BOUND_S) <= IN_FORCE_BOUND_S
 
 
-def test_a_watch_that_went_silent_is_made_up_for_by_peers(whole):
+def test_a_watch_that_went_silent_is_made_up_for(whole):
     for link in whole.links[:1]:
         link.mute_open_connections()
     generation = publish_weight(whole, 6)
