--- a/hickoryloom/relay/tests/test_assembly.py
+++ b/hickoryloom/relay/tests/test_assembly.py
@@ -203,6 +203,16 @@
         assert parsed["position"] == position
 
 
+@pytest.mark.parametrize(
+    "text", [b'","position":99,"x":"', b'"}}],"id":"req-2","x":[{"y":{"z":"', b"\\", b'"']
+)
+def test_a_text_that_ends_its_string_early_matches_no_template(text):
+    learned = event(OWN, 0, "first", order=["id", "position", "object", "choices"]).rstrip()
+    template = learn_template(learned, OWN)
+    assert template is not None
+    assert template.match(learned.replace(b"first", text), 0) is None
+
+
 def test_most_events_are_not_parsed():
     assembly = AnswerAssembly(OWN)
     assembly.begin_attempt(OWN)
