--- a/hickoryloom/bench/__init__.py
+++ b/hickoryloom/bench/__init__.py
@@ -1,6 +1,23 @@
 """Experiments on the real decision logic: arrivals, answers, reports and words on a clock."""
 
 from hickoryloom.bench.experiment import Experiment, read_experiment
+from hickoryloom.bench.ordering import (
+    OrderingExperiment,
+    format_ordering,
+    is_ordering,
+    read_ordering,
+    run_ordering,
+)
 from hickoryloom.bench.report import format_table, run_experiment
 
-__all__ = ["Experiment", "format_table", "read_experiment", "run_experiment"]
+__all__ = [
+    "Experiment",
+    "OrderingExperiment",
+    "format_ordering",
+    "format_table",
+    "is_ordering",
+    "read_experiment",
+    "read_ordering",
+    "run_experiment",
+    "run_ordering",
+]
--- a/hickoryloom/commands/bench.py
+++ b/hickoryloom/commands/bench.py
@@ -8,7 +8,15 @@
 
 import attrs
 
-from hickoryloom.bench import format_table, read_experiment, run_experiment
+from hickoryloom.bench import (
+    format_ordering,
+    format_table,
+    is_ordering,
+    read_experiment,
+    read_ordering,
+    run_experiment,
+    run_ordering,
+)
 from hickoryloom.commands.registry import command
 
 
@@ -30,6 +38,10 @@
     """Run experiments, print a table for each and write the report."""
     reports = []
     for path in options.experiments:
+        if is_ordering(Path(path)):
+            reports.append(run_ordering(read_ordering(Path(path))))
+            print(format_ordering(reports[-1]), end="\n\n", flush=True)
+            continue
         experiment = read_experiment(Path(path))
         if options.policy:
             experiment = attrs.evolve(experiment, policies=tuple(options.policy))
--- a/tests/test_usage_processes.py
+++ b/tests/test_usage_processes.py
@@ -10,20 +10,21 @@
 
 LEASE_S = 2.0
 WINDOW_S = 2.0
+LONG_WINDOW_S = 6.0
 FINAL_WAIT_S = 40.0
 
 
 class Accounts:
     """A site whose reports are compared with what its callers received."""
 
-    def __init__(self, directory):
+    def __init__(self, directory, window_s):
         self.site = Site(directory)
         self.site.add_engine("huta-a", "--token-ms", "1")
         self.site.add_service()
         self.site.publish()
-        self.entries = [self.site.add_entry(window_s=WINDOW_S) for _ in range(2)]
+        self.entries = [self.site.add_entry(window_s=window_s) for _ in range(2)]
         self.controls = [
-            self.site.add_control(window_s=WINDOW_S, lease_s=LEASE_S) for _ in range(2)
+            self.site.add_control(window_s=window_s, lease_s=LEASE_S) for _ in range(2)
         ]
         self.site.wait_serving(*self.entries)
         self.key = self.site.issue_key("studio")
@@ -74,10 +75,10 @@
 
 
 @pytest.fixture
-def accounts(tmp_path):
+def accounts(tmp_path, request):
     accounts = None
     try:
-        accounts = Accounts(tmp_path)
+        accounts = Accounts(tmp_path, getattr(request, "param", WINDOW_S))
         yield accounts
     finally:
         if accounts is not None:
@@ -85,10 +86,12 @@
 
 
 def test_what_an_entry_served_is_reported_though_it_is_killed(accounts):
-    """The entry dies between its writes: its peer holds the copy."""
+    """The entry dies before it can write: its peer holds the copy."""
+    accounts.site.set_faults("platform", outage="cut")
     accounts.serve(accounts.entries[0], 5)
-    gevent.sleep(0.6)
+    gevent.sleep(1.0)
     accounts.site.entries[0].kill()
+    accounts.site.set_faults("platform", outage="")
     accounts.serve(accounts.entries[1], 3)
     assert accounts.wait_reported(accounts.served) == accounts.served
 
@@ -116,9 +119,11 @@
     assert accounts.wait_reported(accounts.served) == accounts.served
 
 
+@pytest.mark.parametrize("accounts", [LONG_WINDOW_S], indirect=True)
 def test_a_planned_stop_of_all_entries_flushes_everything(accounts):
     for entry in accounts.entries:
         accounts.serve(entry, 4)
-    for process in accounts.site.entries:
-        assert process.terminate() == 0
+    stops = [gevent.spawn(process.terminate) for process in accounts.site.entries]
+    gevent.joinall(stops)
+    assert [stop.value for stop in stops] == [0, 0]
     assert accounts.wait_reported(accounts.served) == accounts.served
