Keep ordered servers on record until the list has missed them for a while

A state machine with a lagging list found that a list that steps back made the plan order servers anew: eight in place of at most six.

--- a/hickoryloom/fleet/intents.py
+++ b/hickoryloom/fleet/intents.py
@@ -13,12 +13,21 @@
 
 @attrs.frozen
 class OrderIntent:
-    """An order for one backend server; `backend_id` is empty until the platform took it."""
+    """An order for one backend server, and the server for as long as it is there.
+
+    Attributes:
+        order_id: Makes the order idempotent.
+        failure_domain: Where it is ordered.
+        cheap: Whether the platform may reclaim it.
+        backend_id: Id of the server; empty until the platform took the order.
+        listed: Whether the platform's list has shown the server.
+    """
 
     order_id: str
     failure_domain: str
     cheap: bool
     backend_id: str = ""
+    listed: bool = False
 
     @property
     def site(self) -> Site:
@@ -41,7 +50,7 @@
     Attributes:
         pool: Name of the pool.
         term: Term of the holder that wrote it last.
-        orders: Orders whose backend server is not in the live list yet.
+        orders: Orders whose backend server is not gone.
         releases: Backend servers that are leaving.
         numbers: Counts all intents, so that ids are unique.
     """
--- a/hickoryloom/fleet/task.py
+++ b/hickoryloom/fleet/task.py
@@ -21,7 +21,8 @@
 from hickoryloom.fleet.records import IntentRecords
 from hickoryloom.fleet.state import SCALE_DOWN_DELAY_S, PoolPlanner
 from hickoryloom.fleet.survey import DemandSource
-from hickoryloom.fleet.views import drop_listed, view_servers
+from hickoryloom.fleet.tracking import ServerTracking
+from hickoryloom.fleet.views import view_servers
 from hickoryloom.leases import Guard, LeaseKeeper, ObjectStore, Right
 from hickoryloom.logs import log_event
 from hickoryloom.platform import (
@@ -108,6 +109,7 @@
         self._random = source or random.Random()
         calls = BackendCalls(clock, incarnation, credential)
         self._draining = Draining(clock, calls)
+        self._tracking = ServerTracking(clock)
         self._loading = ModelLoading(client, clock, calls)
         self._records = IntentRecords(client)
         self._planners: dict[str, PoolPlanner] = {}
@@ -166,6 +168,7 @@
         self._records.forget()
         self._planners.clear()
         self._draining.forget()
+        self._tracking.forget()
         self._ordered_at.clear()
         self._released.clear()
         self._term = right.term
@@ -182,15 +185,15 @@
         intents = self._records.take_over(pool.name, right.term, guard)
         if intents is None:
             return None
-        settled = drop_listed(intents, backends)
+        settled = self._tracking.settle(intents, backends)
         planned = self._plan(right, pool, demand, settled, backends)
         recorded = self._records.record(planned, guard)
         if recorded is None:
             return None
         ordered = self._give_orders(right, guard, pool, recorded)
         ordered = self._give_up_late(right, guard, pool, ordered)
-        released = self._give_releases(right, guard, ordered, backends)
-        return self._records.record(released, guard) or recorded
+        self._give_releases(right, guard, ordered, backends)
+        return self._records.record(ordered, guard) or recorded
 
     def _plan(
         self,
@@ -274,17 +277,13 @@
         guard: Guard,
         intents: PoolIntents,
         backends: list[LiveBackend],
-    ) -> PoolIntents:
+    ) -> None:
         """Give back the leaving servers that are idle."""
         addresses = {backend.id: backend.address for backend in backends}
-        kept = []
         for intent in intents.releases:
-            if intent.backend_id not in addresses:
-                continue
-            kept.append(intent)
-            if self._draining.is_done(intent.backend_id, addresses[intent.backend_id]):
+            address = addresses.get(intent.backend_id)
+            if address and self._draining.is_done(intent.backend_id, address):
                 self._release(right, guard, intent)
-        return attrs.evolve(intents, releases=tuple(kept))
 
     def _give_up_late(
         self, right: Right, guard: Guard, pool: Pool, intents: PoolIntents
@@ -295,7 +294,7 @@
         kept = []
         for order in intents.orders:
             since = self._ordered_at.setdefault(order.order_id, now)
-            late = bool(order.backend_id) and now - since > limit_s
+            late = bool(order.backend_id) and not order.listed and now - since > limit_s
             release = ReleaseIntent(f"{order.order_id}-late", order.backend_id)
             if not late or not self._release(right, guard, release):
                 kept.append(order)
--- /dev/null
+++ b/hickoryloom/fleet/tests/fakes.py
@@ -0,0 +1,179 @@
+"""A platform that takes orders, backend servers that answer, and a lease that a test hands out."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import attrs
+from result import Err, Ok
+
+from hickoryloom.configuration import Pool, PoolKind, RequestClass, Snapshot
+from hickoryloom.fleet.engines import ServerLoad
+from hickoryloom.leases import Right
+from hickoryloom.leases.tests.fakes import DOWN, LOST, REJECTED, MemoryStore
+from hickoryloom.platform import BackendState, ErrorKind, LiveBackend, PlatformError, WeightGrant
+from hickoryloom.verdict import Applied
+
+FENCED = PlatformError(ErrorKind.FENCED, Applied.NOT_APPLIED)
+NO_CAPACITY = PlatformError(ErrorKind.NO_CAPACITY, Applied.NOT_APPLIED)
+
+
+@attrs.define
+class FleetPlatform(MemoryStore):
+    """Also orders and releases, idempotent by order id, with or without fencing.
+
+    Attributes:
+        servers: Rows of the live list by id.
+        orders: Backend server of each order id.
+        journal: Kind, order id, fencing number and sender of each order and release taken.
+        interrupts: Called one before each of the next calls that change something.
+        list_lag_s: Age of what the live list shows.
+        now: Time, for the lag of the list.
+        no_cheap: Whether no reclaimable capacity can be had.
+        grants: Loads that the weight store still grants.
+    """
+
+    servers: dict = attrs.field(factory=dict)
+    orders: dict = attrs.field(factory=dict)
+    journal: list = attrs.field(factory=list)
+    interrupts: list = attrs.field(factory=list)
+    lose_orders: int = 0
+    no_cheap: bool = False
+    fencing: bool = False
+    highest: int = 0
+    list_lag_s: float = 0.0
+    now: Callable[[], float] = lambda: 0.0
+    history: list = attrs.field(factory=list)
+    grants: int = 1000
+
+    def live(self):
+        if self.down:
+            return Err(DOWN)
+        self.history.append((self.now(), tuple(self.servers.values())))
+        seen = [rows for at, rows in self.history if at <= self.now() - self.list_lag_s]
+        return Ok(seen[-1] if seen else ())
+
+    def order(self, order, guard=None):
+        refused = self._refuse(order, guard)
+        if refused is not None:
+            return Err(refused)
+        if order.cheap and self.no_cheap:
+            return Err(NO_CAPACITY)
+        self.journal.append(("order", order.order_id, order.fencing, order.sender))
+        if order.order_id not in self.orders:
+            name = f"b{len(self.orders)}"
+            self.orders[order.order_id] = name
+            self.servers[name] = LiveBackend(
+                name,
+                "127.0.0.1:9",
+                order.failure_domain,
+                order.pool,
+                order.cheap,
+                BackendState.LIVE,
+            )
+        return self._answer(self.orders[order.order_id])
+
+    def release(self, release, guard=None):
+        refused = self._refuse(release, guard)
+        if refused is not None:
+            return Err(refused)
+        self.journal.append(("release", release.order_id, release.fencing, release.sender))
+        self.servers.pop(release.backend_id, None)
+        return self._answer(None)
+
+    def weights(self, model):
+        if not self.grants:
+            return Err(PlatformError(ErrorKind.REJECTED, Applied.NOT_APPLIED, "", 30.0))
+        self.grants -= 1
+        return Ok(WeightGrant(model, 1))
+
+    def _answer(self, value):
+        if self.lose_orders:
+            self.lose_orders -= 1
+            return Err(LOST)
+        return Ok(value)
+
+    def _refuse(self, order, guard):
+        if self.interrupts:
+            self.interrupts.pop()()
+        if self.down:
+            return DOWN
+        if guard is not None and not guard():
+            return REJECTED
+        if self.fencing and order.fencing < self.highest:
+            return FENCED
+        self.highest = max(self.highest, order.fencing)
+        return None
+
+    def _write(self, key, value, if_version, guard):
+        if self.interrupts:
+            self.interrupts.pop()()
+        return MemoryStore._write(self, key, value, if_version, guard)
+
+
+@attrs.define
+class HandedLease:
+    """A lease whose right a test gives and takes."""
+
+    held: Right | None = None
+
+    def right(self):
+        return self.held
+
+    def guard(self, right):
+        return lambda: self.held == right
+
+
+@attrs.define
+class FixedDemand:
+    """Demand that a test sets, and what entries were told."""
+
+    pools: dict | None = attrs.field(factory=dict)
+    told: list = attrs.field(factory=list)
+
+    def collect(self, leaving):
+        self.told.append(tuple(leaving))
+        return self.pools
+
+
+@attrs.define
+class FakeCalls:
+    """Backend servers: how busy each one is, and which have their model."""
+
+    busy: dict = attrs.field(factory=dict)
+    models: dict = attrs.field(factory=dict)
+    loads: list = attrs.field(factory=list)
+
+    def load(self, address):
+        return ServerLoad(self.busy.get(address, 0), frozenset(self.models.get(address, {"m"})))
+
+    def order_load(self, address, model, order_id, right, guard):
+        if not guard():
+            return False
+        self.loads.append((order_id, right.term))
+        return True
+
+
+@attrs.define
+class FixedSnapshot:
+    """The configuration in force."""
+
+    snapshot: Snapshot
+
+
+def make_snapshot(least=0, most=40, cheap=True, domains=("a", "b", "c")):
+    pool = Pool(
+        "p",
+        PoolKind.ENGINE,
+        model="m",
+        slots=4,
+        failure_domains=domains,
+        min_servers=least,
+        max_servers=most,
+        cheap=cheap,
+    )
+    classes = {
+        "top": RequestClass("top", 1, 500, 50),
+        "low": RequestClass("low", 2, 5000, 50),
+    }
+    return FixedSnapshot(Snapshot(1, pools={"p": pool}, classes=classes))
