--- a/hickoryloom/fleet/tests/fakes.py
+++ b/hickoryloom/fleet/tests/fakes.py
@@ -30,6 +30,7 @@
         list_lag_s: Age of what the live list shows.
         now: Time, for the lag of the list.
         no_cheap: Whether no reclaimable capacity can be had.
+        asked: Orders and releases that reached it, refused ones included.
         grants: Loads that the weight store still grants.
     """
 
@@ -41,6 +42,7 @@
     no_cheap: bool = False
     fencing: bool = False
     highest: int = 0
+    asked: int = 0
     list_lag_s: float = 0.0
     now: Callable[[], float] = lambda: 0.0
     history: list = attrs.field(factory=list)
@@ -100,6 +102,7 @@
             return DOWN
         if guard is not None and not guard():
             return REJECTED
+        self.asked += 1
         if self.fencing and order.fencing < self.highest:
             return FENCED
         self.highest = max(self.highest, order.fencing)
--- a/hickoryloom/fleet/tests/test_task.py
+++ b/hickoryloom/fleet/tests/test_task.py
@@ -84,7 +84,11 @@
 def test_a_fenced_holder_orders_nothing_more_in_its_term():
     platform = FleetPlatform(fencing=True, highest=5)
     task, lease, clock, _ = make_task(platform, make_snapshot(least=2))
+    task.run_step()
+    asked = platform.asked
     run(task, clock, 3)
+    assert asked > 0
+    assert platform.asked == asked
     assert not platform.journal
     lease.held = Right(6, FOREVER)
     run(task, clock, 3)
