--- a/hickoryloom/platform/client.py
+++ b/hickoryloom/platform/client.py
@@ -37,6 +37,7 @@
 CALL_TIMEOUT_S = 2.0
 WATCH_MARGIN_S = 2.0
 CONNECTIONS = 16
+PROCESS_PREFIX = "presence/"
 URGENT_PREFIXES = ("leases/", "intents/")
 BACKGROUND_PREFIXES = ("presence/", "status/")
 
@@ -111,10 +112,16 @@
     def list(
         self, prefix: str, priority: CallPriority | None = None
     ) -> Result[Listing, PlatformError]:
-        """Read all objects whose key begins with `prefix`."""
+        """Read all objects whose key begins with `prefix`.
+
+        A listing of all presence objects, one for each process, also sets the budget's share.
+        """
         path = f"/objects?{urlencode({'prefix': prefix})}"
         call = _Call("GET", path, CallKind.READ, priority or _priority(prefix))
-        return self._call(call).and_then(answers.read_listing)
+        listing = self._call(call).and_then(answers.read_listing)
+        if listing.is_ok() and prefix == PROCESS_PREFIX:
+            self._budget.set_processes(len(listing.unwrap().items), self._clock.monotonic())
+        return listing
 
     def create(
         self, key: str, value: Any, guard: Guard | None = None
@@ -123,11 +130,17 @@
         return self.update(key, value, 0, guard)
 
     def update(
-        self, key: str, value: Any, if_version: int, guard: Guard | None = None
+        self,
+        key: str,
+        value: Any,
+        if_version: int,
+        guard: Guard | None = None,
+        priority: CallPriority | None = None,
     ) -> Result[Versioned[Any], PlatformError]:
         """Replace an object's value; `CONFLICT` when its version is not `if_version`."""
         path = f"/objects/{quote(key)}?if_version={if_version}"
-        call = _Call("POST", path, CallKind.WRITE, _priority(key), {"value": value}, guard)
+        chosen = priority or _priority(key)
+        call = _Call("POST", path, CallKind.WRITE, chosen, {"value": value}, guard)
         stored = self._call(call).and_then(answers.read_version)
         return stored.map(lambda version: Versioned(key, version, value))
 
