--- a/hickoryloom/claims/epochs.py
+++ b/hickoryloom/claims/epochs.py
@@ -39,15 +39,18 @@
     def observe(self, epoch: int, version: int, asked: float, answered: float) -> None:
         """Note the object as read.
 
+        An older version is a stale read, unless no other was read for `MAX_VIEW_AGE_S`: then the
+        platform has lost its store, and the count begins anew.
+
         Args:
             epoch: Its number.
             version: Its version.
             asked: Monotonic time before the read, in seconds.
             answered: Monotonic time after the read, in seconds.
         """
-        if version < self.version:
+        if version < self.version and self.is_fresh(answered):
             return
-        if version > self.version or self._since is None:
+        if version != self.version or self._since is None:
             self._since = answered
         self.epoch, self.version = epoch, version
         self._read = asked
--- a/hickoryloom/claims/sweeper.py
+++ b/hickoryloom/claims/sweeper.py
@@ -102,8 +102,12 @@
         return f"{self._random.randrange(16**SHARD_DIGITS):0{SHARD_DIGITS}x}"
 
     def _observe(self, found: Versioned[Any], asked: float) -> None:
-        answered = self._clock.monotonic()
-        self._view.observe(int(found.value["epoch"]), found.version, asked, answered)
+        try:
+            epoch = int(found.value["epoch"])
+        except (KeyError, TypeError, ValueError):
+            log_event(log, "claims-epoch-unread", version=found.version)
+            return
+        self._view.observe(epoch, found.version, asked, self._clock.monotonic())
 
     def _is_expired(self, item: Versioned[Any]) -> bool:
         try:
--- a/hickoryloom/claims/tests/test_claims.py
+++ b/hickoryloom/claims/tests/test_claims.py
@@ -260,6 +260,18 @@
     assert begin(one).unwrap_err().verdict is Verdict.MAY_HAVE_RUN
 
 
+def test_an_epoch_that_cannot_be_read_refuses_and_breaks_nothing(platform, build):
+    platform.store.put(EPOCH_KEY, {"odd": 1}, 0)
+    one = build("e1")
+    refused = begin(one).unwrap_err()
+    assert (refused.reason, refused.verdict) == (
+        RefusalReason.PLATFORM_UNAVAILABLE,
+        Verdict.NOT_RUN,
+    )
+    platform.store.put(EPOCH_KEY, {"epoch": 3}, 1)
+    assert begin(one).is_ok()
+
+
 def test_only_expired_claims_are_swept(platform, build):
     one = build("e1")
     one.complete(one.mark_sent(begin(one).unwrap()).unwrap(), STORED)
--- a/hickoryloom/claims/tests/test_epochs.py
+++ b/hickoryloom/claims/tests/test_epochs.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from hickoryloom.claims.epochs import EPOCH_S, EpochView
+from hickoryloom.claims.epochs import EPOCH_S, MAX_VIEW_AGE_S, EpochView
 
 STEPS = st.lists(
     st.tuples(
@@ -41,3 +41,14 @@
     assert not view.is_due(EPOCH_S - 1)
     assert view.is_due(EPOCH_S)
     assert not view.is_fresh(EPOCH_S * 2)
+
+
+def test_a_platform_that_lost_its_store_does_not_stop_claims_for_good():
+    view = EpochView()
+    view.observe(9, 9, 0.0, 0.0)
+    view.observe(1, 1, 10.0, 10.0)
+    assert view.epoch == 9
+    later = MAX_VIEW_AGE_S + 11.0
+    view.observe(1, 1, later, later)
+    assert (view.epoch, view.is_fresh(later)) == (1, True)
+    assert not view.is_due(later + EPOCH_S - 1)
--- a/scripts/measure_platform_calls.py
+++ b/scripts/measure_platform_calls.py
@@ -26,7 +26,7 @@
 SETTLE_S = 15.0
 MEASURE_S = 30.0
 COST_CALLS = 1500
-SIZES = ((0, 0), (2, 0), (4, 0), (4, 2))
+SIZES = ((0, 0), (2, 0), (4, 0), (4, 2), (4, 4))
 
 
 def main() -> None:
