--- a/hickoryloom/claims/state.py
+++ b/hickoryloom/claims/state.py
@@ -12,9 +12,16 @@
 import attrs
 from result import Err, Ok, Result
 
-from hickoryloom.admission import RefusalReason, Refused
+from hickoryloom.admission import Refused
 from hickoryloom.claims.codec import record_from_json, record_to_json
 from hickoryloom.claims.messages import Claim, ClaimRecord, ClaimState, StoredAnswer
+from hickoryloom.claims.refusals import (
+    refuse_already_run,
+    refuse_in_progress,
+    refuse_reused_key,
+    refuse_unknown,
+    refuse_without_platform,
+)
 from hickoryloom.platform import (
     DeleteStep,
     ErrorKind,
@@ -35,13 +42,11 @@
 
 CLAIM_TRIES = 2
 FINISH_TRIES = 4
+DISCARD_TRIES = 3
 SEND_RIGHT_S = 600.0
 STALE_CLAIM_S = 10.0
 SENT_PATIENCE_S = 120.0
-IN_PROGRESS_RETRY_S = 1.0
 SENT_RETRY_S = 2.0
-PLATFORM_RETRY_S = 2.0
-OUTCOME_DETAIL = "The call was sent and its outcome is not known."
 
 IsGone = Callable[[ClaimRecord], bool]
 
@@ -88,11 +93,11 @@
     version = found.unwrap().version
     if version < error.version:
         may_hold = error.applied is Applied.UNKNOWN
-        return Err(NotClaimed(_refuse_in_progress(IN_PROGRESS_RETRY_S), may_hold))
+        return Err(NotClaimed(refuse_in_progress(), may_hold))
     try:
         existing = record_from_json(found.unwrap().value)
     except (AttributeError, KeyError, TypeError, ValueError):
-        return Err(NotClaimed(_refuse_unknown("The claim of this key can't be read.")))
+        return Err(NotClaimed(refuse_unknown("The claim of this key can't be read.")))
     if existing == record:
         return Ok(Claim(key, version, record, send_until))
     refused_or_stored = _judge(existing, record, is_gone)
@@ -115,8 +120,8 @@
         return Ok(attrs.evolve(claim, version=written.unwrap().version, record=record))
     error = written.unwrap_err()
     if error.kind is ErrorKind.CONFLICT:
-        return Err(_refuse_in_progress(IN_PROGRESS_RETRY_S))
-    return Err(_refuse_without_platform(error))
+        return Err(refuse_in_progress())
+    return Err(refuse_without_platform(error.retry_after_s))
 
 
 def finish_steps(
@@ -130,15 +135,19 @@
 
 def discard_steps(key: str, attempt: str) -> Steps[Result[None, PlatformError]]:
     """Delete the claim of an attempt of which no byte was run, if it still holds it."""
-    found = yield ReadStep(key)
-    if found.is_err():
-        error = found.unwrap_err()
-        return Ok(None) if error.kind is ErrorKind.ABSENT else Err(error)
-    if not _is_open_claim_of(found.unwrap().value, attempt):
-        return Ok(None)
-    deleted = yield DeleteStep(key, found.unwrap().version)
-    if deleted.is_ok() or deleted.unwrap_err().kind is ErrorKind.ABSENT:
-        return Ok(None)
+    deleted: Result[None, PlatformError] = Ok(None)
+    for _ in range(DISCARD_TRIES):
+        found = yield ReadStep(key)
+        if found.is_err():
+            error = found.unwrap_err()
+            return Ok(None) if error.kind is ErrorKind.ABSENT else Err(error)
+        if not _is_open_claim_of(found.unwrap().value, attempt):
+            return Ok(None)
+        deleted = yield DeleteStep(key, found.unwrap().version)
+        if deleted.is_ok() or deleted.unwrap_err().kind is ErrorKind.ABSENT:
+            return Ok(None)
+        if deleted.unwrap_err().kind is not ErrorKind.CONFLICT:
+            break
     return deleted
 
 
@@ -150,35 +159,35 @@
     error = written.unwrap_err()
     may_hold = error.applied is Applied.UNKNOWN
     if error.kind is ErrorKind.CONFLICT:
-        return Err(NotClaimed(_refuse_in_progress(IN_PROGRESS_RETRY_S), may_hold))
-    return Err(NotClaimed(_refuse_without_platform(error, known_claim=True), may_hold))
+        return Err(NotClaimed(refuse_in_progress(), may_hold))
+    return Err(
+        NotClaimed(refuse_without_platform(error.retry_after_s, Verdict.MAY_HAVE_RUN), may_hold)
+    )
 
 
 def _judge(existing: ClaimRecord, own: ClaimRecord, is_gone: IsGone) -> Begun | None:
     """Say what a claim means for a repeat of its call; None when it may be taken over."""
     if existing.call_digest != own.call_digest:
-        detail = "The Idempotency-Key was used for another call."
-        return Err(NotClaimed(Refused(RefusalReason.KEY_REUSED, Verdict.NOT_RUN, 0.0, detail)))
+        return Err(NotClaimed(refuse_reused_key()))
     if existing.state is ClaimState.DONE:
         return _replay(existing)
     if existing.state is ClaimState.LOST:
-        return Err(NotClaimed(_refuse_unknown(OUTCOME_DETAIL)))
+        return Err(NotClaimed(refuse_unknown()))
     age_s = abs(own.changed - existing.changed)
     gone = is_gone(existing)
     if existing.state is ClaimState.SENT:
         if gone or age_s > SENT_PATIENCE_S:
-            return Err(NotClaimed(_refuse_unknown(OUTCOME_DETAIL)))
-        return Err(NotClaimed(_refuse_in_progress(SENT_RETRY_S)))
+            return Err(NotClaimed(refuse_unknown()))
+        return Err(NotClaimed(refuse_in_progress(SENT_RETRY_S)))
     if gone or age_s > STALE_CLAIM_S:
         return None
-    return Err(NotClaimed(_refuse_in_progress(IN_PROGRESS_RETRY_S)))
+    return Err(NotClaimed(refuse_in_progress()))
 
 
 def _replay(existing: ClaimRecord) -> Begun:
     if existing.answer is not None and existing.answer.kept:
         return Ok(existing.answer)
-    detail = "The call ran; its answer was too large to be kept."
-    return Err(NotClaimed(Refused(RefusalReason.ALREADY_RUN, Verdict.RAN, 0.0, detail)))
+    return Err(NotClaimed(refuse_already_run()))
 
 
 def _is_open_claim_of(value: Any, attempt: str) -> bool:
@@ -189,36 +198,15 @@
     return record.attempt == attempt and record.state in (ClaimState.CLAIMED, ClaimState.SENT)
 
 
-def _refuse_in_progress(retry_after_s: float) -> Refused:
-    return Refused(
-        RefusalReason.IN_PROGRESS,
-        Verdict.MAY_HAVE_RUN,
-        retry_after_s,
-        "The same call is in progress; repeat it with the same Idempotency-Key.",
-    )
-
-
-def _refuse_unknown(detail: str) -> Refused:
-    return Refused(RefusalReason.OUTCOME_UNKNOWN, Verdict.MAY_HAVE_RUN, 0.0, detail)
-
-
-def _refuse_without_platform(error: PlatformError, known_claim: bool = False) -> Refused:
-    verdict = Verdict.MAY_HAVE_RUN if known_claim else Verdict.NOT_RUN
-    return Refused(
-        RefusalReason.PLATFORM_UNAVAILABLE,
-        verdict,
-        max(PLATFORM_RETRY_S, error.retry_after_s),
-        "This request was not sent; repeat it with the same Idempotency-Key.",
-    )
-
-
 def _not_claimed(error: PlatformError) -> NotClaimed:
-    return NotClaimed(_refuse_without_platform(error), error.applied is Applied.UNKNOWN)
+    return NotClaimed(
+        refuse_without_platform(error.retry_after_s), error.applied is Applied.UNKNOWN
+    )
 
 
 def _not_read(error: PlatformError, conflict: PlatformError) -> NotClaimed:
     """Refuse when another claim exists and can't be read."""
     may_hold = conflict.applied is Applied.UNKNOWN
     if error.kind is ErrorKind.ABSENT:
-        return NotClaimed(_refuse_in_progress(IN_PROGRESS_RETRY_S), may_hold)
-    return NotClaimed(_refuse_without_platform(error, known_claim=True), may_hold)
+        return NotClaimed(refuse_in_progress(), may_hold)
+    return NotClaimed(refuse_without_platform(error.retry_after_s, Verdict.MAY_HAVE_RUN), may_hold)
--- a/hickoryloom/claims/task.py
+++ b/hickoryloom/claims/task.py
@@ -16,6 +16,7 @@
 from hickoryloom.claims.codec import claim_key, digest_call
 from hickoryloom.claims.finisher import Finisher, Pending
 from hickoryloom.claims.messages import Claim, ClaimRecord, ClaimState, StoredAnswer
+from hickoryloom.claims.refusals import refuse_in_progress, refuse_without_platform
 from hickoryloom.claims.state import begin_steps, discard_steps, finish_steps, mark_sent_steps
 from hickoryloom.claims.sweeper import Sweeper
 from hickoryloom.clock import Clock
@@ -29,8 +30,6 @@
 MAX_STORED_BYTES = 16 * 1024
 MAX_SENT_KEYS = 10_000
 FLUSH_TIMEOUT_S = 10.0
-IN_PROGRESS_RETRY_S = 1.0
-PLATFORM_RETRY_S = 2.0
 
 log = logbook.Logger("hickoryloom.claims")
 
@@ -97,7 +96,7 @@
         """
         key = claim_key(request.customer, request.service, request.idempotency_key)
         if key in self._active:
-            return Err(_in_progress())
+            return Err(refuse_in_progress())
         attempt = f"{self._incarnation}/{uuid.uuid4().hex}"
         self._active[key] = attempt
         try:
@@ -149,7 +148,7 @@
         stamped = self._clock.monotonic()
         if not self._sweeper.ensure_epoch():
             self._active.pop(key, None)
-            return Err(self._tell(key, _without_platform()))
+            return Err(self._tell(key, refuse_without_platform()))
         record = ClaimRecord(
             state=ClaimState.CLAIMED,
             attempt=attempt,
@@ -207,21 +206,3 @@
         if record.owner == self._incarnation:
             return record.attempt not in self._active.values()
         return self._is_live is not None and not self._is_live(record.owner)
-
-
-def _in_progress() -> Refused:
-    return Refused(
-        RefusalReason.IN_PROGRESS,
-        Verdict.MAY_HAVE_RUN,
-        IN_PROGRESS_RETRY_S,
-        "The same call is in progress; repeat it with the same Idempotency-Key.",
-    )
-
-
-def _without_platform() -> Refused:
-    return Refused(
-        RefusalReason.PLATFORM_UNAVAILABLE,
-        Verdict.NOT_RUN,
-        PLATFORM_RETRY_S,
-        "This request was not sent; repeat it with the same Idempotency-Key.",
-    )
