Wake admission for what came due since its last decision

Cause: next_wake left out times at or before the moment of asking, so an alarm that came due between a dispatch and the question after it was forgotten until the next event. Two requests a millisecond apart were enough: the second one's alarm was lost, both waited past their deadline (1.66 s of 1.5 s), one was refused late and nothing was preempted. Ruled out: the lead of the last call, the load of the machine. Now what counts is the time of the last dispatch.

--- a/hickoryloom/admission/pool.py
+++ b/hickoryloom/admission/pool.py
@@ -81,6 +81,7 @@
         self._reserved = 0
         self._own_demand: dict[int, int] = {}
         self._allotment: Allotment | None = None
+        self._dispatched_at = float("-inf")
 
     @property
     def in_flight(self) -> int:
@@ -170,6 +171,7 @@
     def dispatch(self, now: float) -> list[Decision]:
         """Start, refuse and preempt whatever is due at `now`."""
         decisions: list[Decision] = []
+        self._dispatched_at = now
         self._own_demand = self._demand(now)
         self._release_due(now)
         self._start_all(decisions, now)
@@ -196,13 +198,17 @@
             demand=demand,
         )
 
-    def next_wake(self, now: float) -> float:
-        """Return when `dispatch` is due next without an event, in seconds."""
-        times = [self._urgency.next_due(now), *self._held.values()]
+    def next_wake(self) -> float:
+        """Return when `dispatch` is due next without an event, in seconds.
+
+        What came due since the last dispatch counts too, however late this is asked.
+        """
+        last = self._dispatched_at
+        times = [self._urgency.next_due(last), *self._held.values()]
         times += [self._pressure.in_force_at(waiting.request.tier) for waiting in self._late]
         if len(self._running) < self.allotment.free:
             times += self._reserve_times()
-        return min((at for at in times if at > now), default=float("inf"))
+        return min((at for at in times if at > last), default=float("inf"))
 
     def may_start(self, tier: int, now: float) -> bool:
         """Return whether a tier may start outside of its reserve, by the order of tiers."""
--- a/hickoryloom/admission/state.py
+++ b/hickoryloom/admission/state.py
@@ -114,9 +114,9 @@
             return self._refresh(now)
         return [decision for pool in self._pools.values() for decision in pool.dispatch(now)]
 
-    def next_wake(self, now: float) -> float:
+    def next_wake(self) -> float:
         """Return when `dispatch_due` is due next without an event, in seconds."""
-        return min((pool.next_wake(now) for pool in self._pools.values()), default=float("inf"))
+        return min((pool.next_wake() for pool in self._pools.values()), default=float("inf"))
 
     def summaries(self, now: float) -> dict[str, PoolSummary]:
         """Return this entry's demand by pool, to be told to its peers."""
--- a/hickoryloom/admission/task.py
+++ b/hickoryloom/admission/task.py
@@ -182,7 +182,7 @@
                 callback()
 
     def _set_timer(self) -> None:
-        at = self._state.next_wake(self._clock.monotonic())
+        at = self._state.next_wake()
         if at == float("inf") and self._timer is None:
             return
         if self._timer is None:
@@ -194,7 +194,7 @@
         while True:
             self._wake.clear()
             now = self._clock.monotonic()
-            self._timer_at = self._state.next_wake(now)
+            self._timer_at = self._state.next_wake()
             self._wake.wait(min(max(0.0, self._timer_at - now), LONGEST_SLEEP_S))
             now = self._clock.monotonic()
             if now >= self._timer_at:
--- a/hickoryloom/admission/tests/test_last_call.py
+++ b/hickoryloom/admission/tests/test_last_call.py
@@ -46,3 +46,21 @@
     cluster.clock.advance(0.9 * SLACK_S)
     cluster.apply(node, node.admission.dispatch_due(cluster.now))
     assert node.running == held
+
+
+def test_an_alarm_that_came_due_after_the_last_dispatch_is_not_forgotten():
+    cluster = Cluster(1)
+    node = cluster.nodes[0]
+    fill_with_low(cluster, node)
+    room = cluster.slots - len(node.running)
+    for _ in range(room):
+        cluster.arrive(node, "high", 60.0)
+    for _ in range(2):
+        cluster.clock.advance(0.002)
+        cluster.arrive(node, "high", SLACK_S)
+    first = node.admission.next_wake()
+    assert cluster.now < first <= cluster.now + SLACK_S
+    cluster.clock.now = first
+    cluster.apply(node, node.admission.dispatch_due(cluster.now))
+    cluster.clock.advance(0.1)
+    assert node.admission.next_wake() <= cluster.now
--- a/hickoryloom/bench/baselines.py
+++ b/hickoryloom/bench/baselines.py
@@ -71,7 +71,7 @@
             started.append(Start(waiting, Admitted(waiting.request, now, 0)))
         return started
 
-    def next_wake(self, now: float) -> float:
+    def next_wake(self) -> float:
         """Need no wake-up."""
         return float("inf")
 
--- a/hickoryloom/bench/driver.py
+++ b/hickoryloom/bench/driver.py
@@ -223,7 +223,7 @@
         entry.epochs = epochs
 
     def _set_wake(self, entry: _Entry) -> None:
-        at = entry.policy.admission.next_wake(self._clock.now)
+        at = entry.policy.admission.next_wake()
         if at < entry.wake_at:
             entry.wake_at = at
             self._at(at, lambda: self._wake(entry, at))
