--- a/hickoryloom/bench/configuration.py
+++ b/hickoryloom/bench/configuration.py
@@ -145,6 +145,8 @@
     assert follower.snapshot.generation == changed["generation"]
     old = follower.snapshot
     new = attrs.evolve(old, keys=dict(list(old.keys.items())[1:]))
+    first = frozenset(list(old.keys)[:1])
+    told = attrs.evolve(new, changed_from=old.generation, changed_keys=first)
     return {
         "load_ms": 1000 * load_s,
         "memory_mb": _memory_mb(client, changed),
@@ -153,6 +155,7 @@
         "root_bytes": len(json.dumps(changed)),
         "change_ms": 1000 * change_s / CHANGES,
         "shard_reads_per_change": (source.reads - shard_reads) / CHANGES,
+        "withdrawn_keys_told_ms": 1000 * _processor_s(lambda: withdrawn_keys(old, told), 20),
         "withdrawn_keys_ms": 1000 * _processor_s(lambda: withdrawn_keys(old, new), 20),
     }
 
--- a/hickoryloom/commands/keys.py
+++ b/hickoryloom/commands/keys.py
@@ -9,8 +9,14 @@
 from hickoryloom.commands.platform_option import add_platform_option, connect_platform
 from hickoryloom.commands.registry import command
 from hickoryloom.config import InvalidValueError, Name
-from hickoryloom.configuration import KeyRecord, issue_key, list_keys, withdraw_key
-from hickoryloom.exceptions import UsageError
+from hickoryloom.configuration import (
+    ChangeErrorKind,
+    KeyRecord,
+    issue_key,
+    list_keys,
+    withdraw_key,
+)
+from hickoryloom.exceptions import UnavailableError, UsageError
 from hickoryloom.keys import hash_key, is_key, new_key
 from hickoryloom.tables import render_table
 
@@ -63,7 +69,11 @@
     _check_name("--label", label)
     _check_name("--customer", options.customer)
     record = KeyRecord(key_hash, options.customer, label, options.request_class, issued=True)
-    generation = unwrap_change(issue_key(connect_platform(options), record))
+    outcome = issue_key(connect_platform(options), record)
+    if outcome.is_err() and outcome.unwrap_err().kind is ChangeErrorKind.UNKNOWN:
+        detail = f"{outcome.unwrap_err().detail}; withdraw {label} once the platform answers"
+        raise UnavailableError(detail)
+    generation = unwrap_change(outcome)
     print(key)
     print(
         f"{label}: id {key_hash[:KEY_ID_CHARS]}, in force as of generation {generation}; "
--- a/hickoryloom/configuration/follower.py
+++ b/hickoryloom/configuration/follower.py
@@ -243,11 +243,10 @@
                 log_event(log, "shard-unread", shard=name, detail=answer.unwrap_err())
                 return None
             try:
-                fetched[name] = read_shard(name, reference, answer.unwrap())
+                fetched[name] = read_shard(name, reference, answer.unwrap(), _let_others_run)
             except (ValueError, KeyError, TypeError) as error:
                 log_event(log, "shard-unsound", shard=name, detail=str(error))
                 return None
-            gevent.sleep(0)
         return fetched
 
     def _announce(self, old: Snapshot) -> None:
@@ -261,6 +260,10 @@
                 log.exception("event=subscriber-failed generation={}", new.generation)
 
 
+def _let_others_run() -> None:
+    gevent.sleep(0)
+
+
 class _BundleShards:
     """Reads shards from an exported bundle."""
 
--- a/hickoryloom/configuration/follower_state.py
+++ b/hickoryloom/configuration/follower_state.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
 import attrs
@@ -21,6 +21,8 @@
 
 __all__ = ["FollowerState", "HeldShard", "read_shard"]
 
+RECORDS_BETWEEN_PAUSES = 40
+
 
 @attrs.frozen
 class HeldShard:
@@ -72,7 +74,8 @@
         for change in changes:
             _apply_change(change, sections)
         self._held = _regroup(self._held, root, sections, touched)
-        self._put_in_force(root, sections)
+        changed_from = self._snapshot.generation
+        self._put_in_force(root, sections, changed_from, frozenset(touched.get("keys", ())))
         return True
 
     def missing(self, root: Root, fetched: Mapping[str, HeldShard]) -> list[str]:
@@ -103,7 +106,7 @@
         for name, shard in held.items():
             sections[section_of(name)[0]].update(shard.records)
         self._held = held
-        self._put_in_force(root, sections)
+        self._put_in_force(root, sections, -1, frozenset())
         return True
 
     def shard_content(self, name: str) -> dict[str, StoredRecord] | None:
@@ -113,21 +116,45 @@
             return None
         return {key: encode_record(record) for key, record in shard.records.items()}
 
-    def _put_in_force(self, root: Root, sections: Mapping[str, Mapping[str, Any]]) -> None:
+    def _put_in_force(
+        self,
+        root: Root,
+        sections: Mapping[str, Mapping[str, Any]],
+        changed_from: int,
+        changed_keys: frozenset[str],
+    ) -> None:
         self._root = root
-        self._snapshot = attrs.evolve(self._snapshot, generation=root.generation, **sections)
-
-
-def read_shard(name: str, reference: str, content: Any) -> HeldShard:
+        self._snapshot = attrs.evolve(
+            self._snapshot,
+            generation=root.generation,
+            changed_from=changed_from,
+            changed_keys=changed_keys,
+            **sections,
+        )
+
+
+def read_shard(
+    name: str, reference: str, content: Any, pause: Callable[[], object] = lambda: None
+) -> HeldShard:
     """Check a shard's content against its reference and build its records.
 
+    Args:
+        name: Name of the shard.
+        reference: Its generation and digest, from the root.
+        content: The JSON value read.
+        pause: Called every few records, to let other tasks go on.
+
     Raises:
         ValueError: The content is not what the reference names.
     """
     if not isinstance(content, dict) or digest_of(content) != reference.partition("-")[2]:
         raise ValueError(f"shard {name} is not of digest {reference}")
     section = section_of(name)[0]
-    records = {key: decode_record(section, key, stored) for key, stored in content.items()}
+    records = {}
+    for number, (key, stored) in enumerate(content.items()):
+        if number % RECORDS_BETWEEN_PAUSES == 0:
+            pause()
+        records[key] = decode_record(section, key, stored)
     return HeldShard(reference, records)
 
 
--- a/hickoryloom/configuration/snapshot.py
+++ b/hickoryloom/configuration/snapshot.py
@@ -30,6 +30,8 @@
         classes: Request classes by name.
         customers: Customers by name.
         keys: Keys in force by hash; a withdrawn key is not among them.
+        changed_from: Generation from which `changed_keys` leads here; -1 when it is not known.
+        changed_keys: Hashes of keys that differ from those of that generation.
     """
 
     generation: int
@@ -38,6 +40,8 @@
     classes: Mapping[str, RequestClass] = attrs.field(factory=dict)
     customers: Mapping[str, Customer] = attrs.field(factory=dict)
     keys: Mapping[str, KeyRecord] = attrs.field(factory=dict)
+    changed_from: int = attrs.field(default=-1, eq=False)
+    changed_keys: frozenset[str] = attrs.field(default=frozenset(), eq=False)
 
     def pool_for_model(self, model: str) -> Pool | None:
         """Return the engine pool that serves `model`, or None."""
--- a/hickoryloom/configuration/tests/test_follower_state.py
+++ b/hickoryloom/configuration/tests/test_follower_state.py
@@ -118,6 +118,15 @@
             self.applied[number] = generation
             assert follower.snapshot == self.truth[generation]
 
+    @invariant()
+    def changed_keys_are_all_that_differ(self):
+        for follower in self.followers:
+            new = follower.snapshot
+            if new.changed_from >= 0:
+                old = self.truth[new.changed_from]
+                for key in {*old.keys, *new.keys} - new.changed_keys:
+                    assert old.keys.get(key) == new.keys.get(key)
+
     @invariant()
     def held_shards_are_those_of_the_root(self):
         for follower in self.followers:
--- a/hickoryloom/keys/tests/test_withdrawal.py
+++ b/hickoryloom/keys/tests/test_withdrawal.py
@@ -1,5 +1,6 @@
 """Withdrawn keys end their calls, and no handle leaks."""
 
+import attrs
 import gevent
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -100,6 +101,16 @@
     assert withdrawn_keys(old, old) == set()
 
 
+def test_known_changes_lead_to_the_same_withdrawals_as_a_comparison():
+    old = snapshot(1, k1="a", k2="a", k3="b")
+    new = snapshot(2, k1="a", k3="a", k4="b")
+    changed = frozenset({"k2", "k3", "k4"})
+    told = attrs.evolve(new, changed_from=1, changed_keys=changed)
+    assert withdrawn_keys(old, told) == {"k2", "k3"}
+    of_another = attrs.evolve(new, changed_from=0, changed_keys=frozenset())
+    assert withdrawn_keys(old, of_another) == {"k2", "k3"}
+
+
 def test_a_new_generation_ends_the_calls_of_withdrawn_keys_only():
     follower, clock = Follower(), ManualClock()
     calls = OpenCalls(lambda key: key in follower.snapshot.keys)
--- a/hickoryloom/keys/withdrawal_task.py
+++ b/hickoryloom/keys/withdrawal_task.py
@@ -25,14 +25,14 @@
     """
     if old.keys is new.keys:
         return set()
-    gone = set(old.keys.keys() - new.keys.keys())
-    moved = (key for key, record in new.keys.items() if _has_moved(old, key, record.customer))
-    return gone.union(moved)
+    known = new.changed_from == old.generation
+    candidates = new.changed_keys if known else old.keys.keys()
+    return {key for key in candidates if key in old.keys and _is_withdrawn(old, new, key)}
 
 
-def _has_moved(old: Snapshot, key: str, customer: str) -> bool:
-    record = old.keys.get(key)
-    return record is not None and record.customer != customer
+def _is_withdrawn(old: Snapshot, new: Snapshot, key: str) -> bool:
+    record = new.keys.get(key)
+    return record is None or record.customer != old.keys[key].customer
 
 
 class WithdrawalTask:
--- a/tests/test_keys_processes.py
+++ b/tests/test_keys_processes.py
@@ -110,12 +110,29 @@
 
 
 def test_withdrawal_through_a_slow_platform(whole):
-    key = issue(whole)
-    stream = Stream(whole, "entry-2", key)
+    key, other = issue(whole), issue(whole)
+    stream, spared = Stream(whole, "entry-2", key), Stream(whole, "entry-2", other)
     whole.set_faults("platform", slow_s=1.5)
     gevent.sleep(1.0)
     withdrawn = withdraw(whole, key)
     assert_withdrawn_in_time(whole, "entry-2", key, stream, withdrawn)
+    assert spared.ended is None and whole.ask("entry-2", other, max_tokens=1).status == 200
+
+
+def test_an_entry_that_was_paused_serves_no_key_withdrawn_meanwhile(whole):
+    key = issue(whole)
+    whole.entries[0].freeze()
+    whole.links[0].cut()
+    withdraw(whole, key)
+    gevent.sleep(WITHDRAWAL_BOUND_S)
+    asked = gevent.spawn(whole.ask, "entry-1", key, max_tokens=1)
+    gevent.sleep(0.1)
+    whole.entries[0].wake()
+    statuses = [asked.get(timeout=20).status]
+    end = time.monotonic() + WITHDRAWAL_BOUND_S
+    while statuses[-1] != 401 and time.monotonic() < end:
+        statuses.append(whole.ask("entry-1", key, max_tokens=1).status)
+    assert set(statuses) <= {401, 503} and statuses[-1] == 401
 
 
 def test_withdrawal_reaches_an_entry_that_is_cut_off_from_the_platform_by_its_peers(whole):
@@ -127,6 +144,7 @@
     assert_withdrawn_in_time(whole, "entry-3", key, stream, withdrawn)
     assert whole.ask("entry-3", key).status == 401
     assert whole.ask("entry-3", other, max_tokens=1).status == 200
+    assert whole.status("entry-3")["ready"]
 
 
 def test_an_entry_cut_off_from_platform_and_peers_refuses_and_cuts_keyed_calls(whole):
