--- a/hickoryloom/claims/tests/test_claims.py
+++ b/hickoryloom/claims/tests/test_claims.py
@@ -184,6 +184,15 @@
     assert refused.retry_after_s > 0
 
 
+def test_without_the_platform_an_entry_remembers_what_it_sent(platform, build):
+    one = build("e1")
+    one.complete(one.mark_sent(begin(one).unwrap()).unwrap(), STORED)
+    one.abandon(one.mark_sent(begin(one, key="k2").unwrap()).unwrap())
+    fault(platform, outage="error")
+    assert begin(one).unwrap_err().verdict is Verdict.MAY_HAVE_RUN
+    assert begin(one, key="k2").unwrap_err().verdict is Verdict.NOT_RUN
+
+
 def test_outage_between_claim_and_send_leaves_no_claim_behind(platform, build):
     one = build("e1")
     claim = begin(one).unwrap()
@@ -205,6 +214,38 @@
     assert begin(two).unwrap() == STORED
 
 
+def test_more_bookings_than_the_budget_bears_do_not_starve_each_other(platform):
+    """What is begun is ended: a share of the budget for new claims alone would end none."""
+    clock = SystemClock()
+    budget = CallBudget(clock.monotonic(), processes=14)
+    client = PlatformClient(platform.address, clock, budget, Random(1))
+    claims = Claims(client, clock, "e1", random=Random(1))
+    claims.start()
+    done, refused = [], []
+
+    def book_on(caller):
+        for number in range(1000):
+            claim = begin(claims, key=f"{caller}-{number}")
+            marked = claim.and_then(claims.mark_sent)
+            if marked.is_ok():
+                claims.complete(marked.unwrap(), STORED)
+                done.append(number)
+            else:
+                refused.append(marked.unwrap_err())
+            gevent.sleep(0.1)
+
+    tasks = [gevent.spawn(book_on, caller) for caller in range(40)]
+    gevent.sleep(5)
+    gevent.killall(tasks)
+    writes = platform.calls["create"] + platform.calls["update"] + platform.calls["delete"]
+    assert len(refused) > len(done) > 0, "the budget was not used up"
+    assert writes <= 4.5 * len(done)
+    assert {one.verdict for one in refused} == {Verdict.NOT_RUN}
+    assert all(one.retry_after_s > 0 for one in refused)
+    claims.stop()
+    client.close()
+
+
 def test_answer_too_large_to_keep_is_told_as_run(platform, build):
     one, two = build("e1"), build("e2")
     claim = one.mark_sent(begin(one).unwrap()).unwrap()
