--- a/hickoryloom/commands/keys.py
+++ b/hickoryloom/commands/keys.py
@@ -87,11 +87,18 @@
     if is_key(name):
         raise UsageError("don't write a key on the command line; pass - and write it to input")
     if name == "-":
-        name = hash_key(sys.stdin.readline().strip())
+        name = _hash_from_input()
     generation = unwrap_change(withdraw_key(connect_platform(options), name))
     print(f"withdrawn as of generation {generation}")
 
 
+def _hash_from_input() -> str:
+    key = sys.stdin.readline().strip()
+    if not is_key(key):
+        raise UsageError("what stands on standard input is no key")
+    return hash_key(key)
+
+
 def _list(options: argparse.Namespace) -> None:
     keys = unwrap_change(list_keys(connect_platform(options)))
     shown = [key for key in keys if options.customer in ("", key.customer)]
--- a/hickoryloom/configuration/known_peers.py
+++ b/hickoryloom/configuration/known_peers.py
@@ -14,6 +14,7 @@
 KNOWN_FOR_S = 3600.0
 ASK_ALL_UP_TO = 16
 ASKED_PER_DOMAIN = 2
+FEW_PEERS = 2
 
 
 @attrs.frozen
@@ -77,6 +78,15 @@
             chosen.update(dict.fromkeys(self._rng.sample(addresses, count), failure_domain))
         return chosen
 
+    def choose_few(self) -> list[str]:
+        """Return the peers of a large fleet whose own evidence is worth asking for first.
+
+        None in a small fleet, where a round costs little more.
+        """
+        if len(self._known) <= ASK_ALL_UP_TO:
+            return []
+        return self._rng.sample(sorted(self._known), FEW_PEERS)
+
     def choose_among(self, asked: Mapping[str, str]) -> dict[str, str]:
         """Return those asked that still count once the round is over."""
         if not self._known:
--- a/hickoryloom/configuration/peers.py
+++ b/hickoryloom/configuration/peers.py
@@ -28,6 +28,7 @@
 ROOT_PATH = "/peer/configuration"
 SHARD_PATH = "/peer/configuration/shards"
 ASK_AFTER_S = 2.5
+INHERIT_UP_TO_S = 2.0
 QUICK_ANSWER_S = 0.2
 ASK_SPACING_S = 0.5
 ASK_TIMEOUT_S = 0.8
@@ -124,6 +125,13 @@
         self._follower.evidence.peer_answered(sent, view)
         return True
 
+    def renew_evidence(self) -> None:
+        """Ask a few peers of a large fleet for their evidence, and in a round if it is too old."""
+        for address in self._known.choose_few():
+            self.ask(address)
+        if self._follower.freshness.vouched_age(self._clock.monotonic()) > INHERIT_UP_TO_S:
+            self.ask_round()
+
     def ask_round(self) -> bool:
         """Ask enough peers to vouch for the view.
 
@@ -181,7 +189,7 @@
                 self.ask(self._rng.choice(sorted(ahead)))
             now = self._clock.monotonic()
             if self._follower.freshness.vouched_age(now) > ASK_AFTER_S:
-                self.ask_round()
+                self.renew_evidence()
                 gevent.sleep(ASK_SPACING_S)
 
     def _get(self, address: str, path: str, timeout_s: float) -> Result[JsonAnswer, CallFailed]:
--- a/hickoryloom/configuration/tests/test_freshness.py
+++ b/hickoryloom/configuration/tests/test_freshness.py
@@ -300,3 +300,6 @@
     assert len(asked) == 21 * ASKED_PER_DOMAIN > ASK_ALL_UP_TO
     assert set(asked.values()) == {f"domain-{number}" for number in range(21)}
     assert asked != known.choose(1.0)
+    assert len(set(known.choose_few())) == 2
+    known.keep({f"of-p:{number}" for number in range(16)})
+    assert known.choose_few() == []
