--- a/hickoryloom/configuration/follower.py
+++ b/hickoryloom/configuration/follower.py
@@ -58,6 +58,8 @@
         clock: Source of time.
         failure_domain: Where this entry runs.
         rng: Spreads retries.
+        watch_timeout_s: Seconds after which a watch without a change is renewed; also how old the
+            evidence for the view may get.
     """
 
     def __init__(
@@ -66,8 +68,10 @@
         clock: Clock,
         failure_domain: str = "",
         rng: random.Random | None = None,
+        watch_timeout_s: float = WATCH_TIMEOUT_S,
     ) -> None:
         self._client = client
+        self._renew_after_s = watch_timeout_s
         self._clock = clock
         self._rng = rng or random.Random()
         self._state = FollowerState()
@@ -75,7 +79,7 @@
         self._subscribers: list[Subscriber] = []
         self._task: gevent.Greenlet | None = None
         self._since: int | None = None
-        self._watch_timeout_s = WATCH_TIMEOUT_S
+        self._watch_timeout_s = watch_timeout_s
 
     @property
     def snapshot(self) -> Snapshot:
@@ -162,8 +166,12 @@
         failures = 0
         while True:
             began = self._clock.monotonic()
-            answer = self._list() if self._since is None else self._watch(self._since)
-            failures = 0 if answer.is_ok() else failures + 1
+            try:
+                answer = self._list() if self._since is None else self._watch(self._since)
+                failures = 0 if answer.is_ok() else failures + 1
+            except Exception:
+                log.exception("event=follower-failed")
+                failures += 1
             gevent.sleep(self._pause(failures, self._clock.monotonic() - began))
 
     def _pause(self, failures: int, spent_s: float) -> float:
@@ -197,7 +205,7 @@
         values = [change.value for change in batch.changes if change.key == ROOT_KEY]
         if self._take(values, batch.revision):
             self._evidence.platform_answered(sent, batch.revision)
-        self._watch_timeout_s = WATCH_TIMEOUT_S
+        self._watch_timeout_s = self._renew_after_s
         return Ok(None)
 
     def _take(self, values: list[Any], revision: int) -> bool:
@@ -224,7 +232,7 @@
         if not self._state.is_newer(root):
             return False
         old = self.snapshot
-        if self._state.apply_changes(root):
+        if self._apply_changes(root):
             self._announce(old)
             return True
         fetched = self._fetch(root, source)
@@ -234,6 +242,13 @@
         self._announce(old)
         return True
 
+    def _apply_changes(self, root: Root) -> bool:
+        try:
+            return self._state.apply_changes(root)
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            log_event(log, "changes-unsound", generation=root.generation, detail=str(error))
+            return False
+
     def _fetch(self, root: Root, source: ShardSource) -> dict[str, HeldShard] | None:
         fetched: dict[str, HeldShard] = {}
         for name in self._state.missing(root, {}):
@@ -244,7 +259,7 @@
                 return None
             try:
                 fetched[name] = read_shard(name, reference, answer.unwrap(), _let_others_run)
-            except (ValueError, KeyError, TypeError) as error:
+            except (ValueError, KeyError, TypeError, AttributeError) as error:
                 log_event(log, "shard-unsound", shard=name, detail=str(error))
                 return None
         return fetched
--- a/hickoryloom/configuration/peers.py
+++ b/hickoryloom/configuration/peers.py
@@ -184,13 +184,19 @@
         while True:
             self._wake.wait(TICK_S)
             self._wake.clear()
-            ahead, self._ahead = self._ahead, set()
-            if ahead:
-                self.ask(self._rng.choice(sorted(ahead)))
-            now = self._clock.monotonic()
-            if self._follower.freshness.vouched_age(now) > ASK_AFTER_S:
-                self.renew_evidence()
-                gevent.sleep(ASK_SPACING_S)
+            try:
+                self._ask_as_needed()
+            except Exception:
+                log.exception("event=peers-failed")
+
+    def _ask_as_needed(self) -> None:
+        ahead, self._ahead = self._ahead, set()
+        if ahead:
+            self.ask(self._rng.choice(sorted(ahead)))
+        now = self._clock.monotonic()
+        if self._follower.freshness.vouched_age(now) > ASK_AFTER_S:
+            self.renew_evidence()
+            gevent.sleep(ASK_SPACING_S)
 
     def _get(self, address: str, path: str, timeout_s: float) -> Result[JsonAnswer, CallFailed]:
         if address not in self._clients:
--- a/hickoryloom/configuration/tests/test_publish_follow.py
+++ b/hickoryloom/configuration/tests/test_publish_follow.py
@@ -226,3 +226,39 @@
     wait_for(follower, 5)
     assert [key.label for key in follower.snapshot.keys.values()] == ["key-9"]
     follower.stop()
+
+
+UNSOUND = [
+    None,
+    "text",
+    {},
+    {"generation": 2},
+    {"generation": 2, "publish_id": "x", "documents": "", "shards": [], "changes": []},
+    {"generation": 2, "publish_id": "x", "documents": "", "shards": {}, "changes": [1]},
+]
+
+
+@pytest.mark.parametrize("number", range(len(UNSOUND) + 3))
+def test_an_unsound_root_neither_comes_in_force_nor_ends_the_follower(number):
+    platform = FakePlatform()
+    publish(platform, studio()).unwrap()
+    follower = follow(platform)
+    wait_for(follower, 1)
+    sound = platform.objects[ROOT_KEY].value
+    bad = UNSOUND[number] if number < len(UNSOUND) else unsound_change(sound, number)
+    platform.update(ROOT_KEY, bad, 1).unwrap()
+    gevent.sleep(0.3)
+    assert follower.snapshot.generation == 1
+    platform.update(ROOT_KEY, sound, 2).unwrap()
+    assert issue_key(platform, key_record(1)).unwrap() == 2
+    wait_for(follower, 2)
+    follower.stop()
+
+
+def unsound_change(sound, number):
+    """Return a root of generation 2 whose change holds a record that is none."""
+    record = [{"customer": 7}, "text", {"customer": "museum-shop"}][number - len(UNSOUND)]
+    put = {"keys": {"0" * 64: record}}
+    change = {"generation": 2, "publish_id": "x", "follows": sound["publish_id"], "put": put}
+    shards = {**sound["shards"], "keys-1-0": "2-0000"}
+    return {**sound, "generation": 2, "changes": [change], "shards": shards}
--- a/hickoryloom/control/process.py
+++ b/hickoryloom/control/process.py
@@ -21,6 +21,7 @@
 
 __all__ = ["Control", "build_control"]
 
+WATCH_TIMEOUT_S = 4.0
 FLEET_DUTY = "fleet"
 USAGE_DUTY = "usage"
 PLATFORM_SILENT_S = 30.0
@@ -39,7 +40,9 @@
         self._clock = clock
         self._incarnation = f"{settings.instance}-control-{uuid.uuid4().hex[:12]}"
         self._client = PlatformClient(settings.platform, clock)
-        self._follower = ConfigurationFollower(self._client, clock, settings.failure_domain)
+        self._follower = ConfigurationFollower(
+            self._client, clock, settings.failure_domain, watch_timeout_s=WATCH_TIMEOUT_S
+        )
         self._leases = {
             duty: LeaseKeeper(duty, self._client, clock, self._incarnation, settings.lease_s)
             for duty in (FLEET_DUTY, USAGE_DUTY)
