Give back what a request holds when its greenlet is killed while the answer is opened

Cause: a kill or timeout inside Relay.open left the request registered and its engine running. Seen to fail first: 1 open request after the kill.

--- a/hickoryloom/relay/task.py
+++ b/hickoryloom/relay/task.py
@@ -81,12 +81,12 @@
         self._watchdog.start()
         request = admitted.request
         attempts = Attempts(self._parts, request, call, may_send)
-        begun = attempts.begin(call.body)
-        if isinstance(begun, Err):
+        try:
+            return self._open(attempts, request, call)
+        except BaseException:
+            attempts.abandon()
             attempts.close()
-            return begun
-        answer = self._build_answer(attempts, begun.ok_value, request, call)
-        return answer.read_first().map(lambda _: answer)
+            raise
 
     def cancel(self, request_id: str, reason: RefusalReason) -> None:
         """End a request at once, also while `open` waits for its first bytes."""
@@ -111,6 +111,14 @@
         self._watchdog.stop()
         self._connections.close_idle()
 
+    def _open(self, attempts: Attempts, request: Request, call: Call) -> Result[Answer, Refused]:
+        begun = attempts.begin(call.body)
+        if isinstance(begun, Err):
+            attempts.close()
+            return begun
+        answer = self._build_answer(attempts, begun.ok_value, request, call)
+        return answer.read_first().map(lambda _: answer)
+
     def _build_answer(
         self, attempts: Attempts, attempt: Attempt, request: Request, call: Call
     ) -> StreamAnswer | WholeAnswer:
--- a/hickoryloom/relay/tests/test_task.py
+++ b/hickoryloom/relay/tests/test_task.py
@@ -122,3 +122,13 @@
     gevent.sleep(0.1)
     assert engine.counters["cancelled"] == 1
     assert_nothing_held(relay)
+
+
+def test_a_greenlet_killed_while_it_waits_for_the_first_bytes_holds_nothing(engine):
+    relay = build_relay(view("e1", engine.address))
+    engine.switches = engine.switches.__class__(late_next=1, late_s=20.0)
+    task = gevent.spawn(relay.open, admitted(), chat_call())
+    gevent.sleep(0.2)
+    assert relay.open_requests == 1
+    task.kill()
+    assert_nothing_held(relay)
