--- a/hickoryloom/usage/counter.py
+++ b/hickoryloom/usage/counter.py
@@ -21,7 +21,7 @@
 from hickoryloom.usage.codec import read_as, read_with_rows
 from hickoryloom.usage.copies import HeldCopies
 from hickoryloom.usage.figures import Figures
-from hickoryloom.usage.ledger import UsageLedger
+from hickoryloom.usage.ledger import Part, UsageLedger
 from hickoryloom.usage.messages import UsageCopy, UsageKey, UsageObject, UsageTimes, UsageTotals
 from hickoryloom.usage.partner import choose_partner
 
@@ -152,11 +152,10 @@
             call = writer.next_call(figures, sequence)
             if call is None:
                 return
-            go_on = (
-                self._read(writer, call)
-                if isinstance(call, ChainRead)
-                else self._write(writer, call)
-            )
+            if isinstance(call, ChainRead):
+                go_on = self._read(writer, call)
+            else:
+                go_on = self._write(writer, call)
             if not go_on:
                 return
 
@@ -191,22 +190,29 @@
         return False
 
     def _send_copies(self) -> None:
+        """Hand the partner what it lacks; a partner that forgot is sent everything at once."""
         partner = self._find_partner()
         if partner is None:
             return
         name, client = partner
         for part in self._ledger.parts:
-            copy = part.copy_for(name)
-            if copy is None:
-                continue
-            answer = client.call(
-                "POST", COPY_PATH, attrs.asdict(copy), COPY_CALL_TIMEOUT_S, self._headers
-            )
-            if isinstance(answer, Err) or answer.ok_value.status != 200:
-                part.on_copied(name, 0)
+            if not self._send_copy(part, name, client) and not self._send_copy(part, name, client):
                 return
+
+    def _send_copy(self, part: Part, name: str, client: JsonClient) -> bool:
+        """Send one part's changes; return whether the partner holds it whole now."""
+        copy = part.copy_for(name)
+        if copy is None:
+            return True
+        answer = client.call(
+            "POST", COPY_PATH, attrs.asdict(copy), COPY_CALL_TIMEOUT_S, self._headers
+        )
+        held = 0
+        if isinstance(answer, Ok) and answer.ok_value.status == 200:
             held = answer.ok_value.body.get("sequence", 0)
-            part.on_copied(name, held if held == copy.sequence else 0)
+        whole = bool(held == copy.sequence)
+        part.on_copied(name, copy.sequence if whole else 0)
+        return whole
 
     def _find_partner(self) -> tuple[str, JsonClient] | None:
         peer = choose_partner(self._incarnation, self._failure_domain, self._peers())
--- a/hickoryloom/usage/tests/test_races.py
+++ b/hickoryloom/usage/tests/test_races.py
@@ -107,6 +107,28 @@
     assert store.total_requests() == 1
 
 
+def test_a_right_that_ends_between_two_reports_stops_the_second():
+    store, clock = UsageStore(), ManualClock()
+    (entry, _), (reporter, successor) = make(store, clock)
+    store.lose_reports = 99
+    for _ in range(2):
+        entry.add(KEY, ONE)
+        entry._flush()
+        clock.advance(2 * WINDOW_S)
+        run_passes(reporter)
+    assert len(sealed_windows(store)) == 2
+    store.lose_reports, sent = 0, len(store.sent)
+
+    def end_right():
+        reporter._lease.held = None
+
+    store.interrupts.append(end_right)
+    reporter.run_pass()
+    assert len(store.sent) == sent + 1
+    run_passes(successor)
+    assert store.total_requests() == 2
+
+
 def test_an_object_from_a_clock_far_ahead_is_sealed_after_two_windows():
     store, clock = UsageStore(), ManualClock()
     ahead = ManualClock(epoch=clock.epoch + 90_000)
--- /dev/null
+++ b/tests/test_control_cost.py
@@ -0,0 +1,50 @@
+"""What a control process spends on its duties, against the targets of the planned fleet."""
+
+import os
+from pathlib import Path
+
+import gevent
+import pytest
+
+from tests.harness import wait_until
+from tests.site import Site
+
+pytestmark = [pytest.mark.processes, pytest.mark.bench]
+
+MAX_CORE_PART = 0.015
+MAX_MEMORY_MB = 64.0
+MEASURED_S = 12.0
+ENTRIES = 2
+
+
+def processor_s(pid):
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def memory_mb(pid):
+    lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    return next(int(line.split()[1]) for line in lines if line.startswith("VmRSS")) / 1024
+
+
+def test_a_holder_of_both_leases_and_a_candidate_keep_to_the_targets(tmp_path, capsys):
+    site = Site(tmp_path)
+    try:
+        site.publish()
+        for _ in range(ENTRIES):
+            site.add_entry()
+        for _ in range(2):
+            site.add_control(window_s=60.0)
+        wait_until(lambda: site.client.get("leases/usage").is_ok(), 20.0, "lease")
+        gevent.sleep(2.0)
+        before = [processor_s(process.pid) for process in site.controls]
+        gevent.sleep(MEASURED_S)
+        after = [processor_s(process.pid) for process in site.controls]
+        parts = [(b - a) / MEASURED_S for a, b in zip(before, after, strict=True)]
+        memory = [memory_mb(process.pid) for process in site.controls]
+        with capsys.disabled():
+            print(f"\ncontrol: parts of a core {parts}, MB {memory}")
+        assert max(parts) <= MAX_CORE_PART
+        assert max(memory) <= MAX_MEMORY_MB
+    finally:
+        site.stop()
