--- a/hickoryloom/bench/driver.py
+++ b/hickoryloom/bench/driver.py
@@ -169,6 +169,7 @@
         if decider is entry:
             self._submit(attempt, decider)
         else:
+            self.exchange.messages += 2
             self._after(self._experiment.delay_s, lambda: self._submit(attempt, decider))
 
     def _request(self, arrival: Arrival, tries: int, now: float) -> Request:
@@ -308,6 +309,7 @@
         if decider is attempt.entry:
             self._finish(decider, admitted, outcome)
         else:
+            self.exchange.messages += 1
             delay = self._experiment.delay_s
             self._after(delay, lambda: self._finish(decider, admitted, outcome))
 
--- a/hickoryloom/membership/state.py
+++ b/hickoryloom/membership/state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from typing import Any
 
 import attrs
 
@@ -108,8 +109,8 @@
         self._listed = now
         present = set()
         for item in listing.items:
-            presence = Presence(**{f.name: item.value[f.name] for f in attrs.fields(Presence)})
-            if presence.role != ENTRY_ROLE or presence.incarnation == self._incarnation:
+            presence = _read_presence(item.value)
+            if presence is None or presence.incarnation == self._incarnation:
                 continue
             present.add(presence.incarnation)
             if self._gone.get(presence.incarnation) == item.version:
@@ -168,3 +169,15 @@
             if number == sequence:
                 return built
         return None
+
+
+def _read_presence(value: Any) -> Presence | None:
+    """Return the presence of an entry, None for other processes and malformed objects."""
+    if not isinstance(value, dict):
+        return None
+    fields = {field.name: value.get(field.name) for field in attrs.fields(Presence)}
+    if not all(isinstance(found, str) and found for found in fields.values()):
+        return None
+    presence = Presence(**fields)
+    port = presence.address.rpartition(":")[2]
+    return presence if presence.role == ENTRY_ROLE and port.isdigit() else None
--- a/hickoryloom/membership/task.py
+++ b/hickoryloom/membership/task.py
@@ -127,8 +127,11 @@
     def _run_presence(self) -> None:
         while True:
             gevent.sleep(PRESENCE_S)
-            self._presence.renew()
-            self._presence.list(self._take_listing)
+            try:
+                self._presence.renew()
+                self._presence.list(self._take_listing)
+            except Exception:
+                log.exception("event=presence-fault")
 
     def _take_listing(self, listing: Listing) -> None:
         now = self._clock.monotonic()
@@ -212,7 +215,10 @@
             log_event(log, "peers", count=len(names), joined=joined, lost=lost)
             self._live_names = names
         for callback in self._callbacks:
-            callback(peers)
+            try:
+                callback(peers)
+            except Exception:
+                log.exception("event=peers-callback-fault")
 
 
 class _HeartbeatResource:
--- a/hickoryloom/membership/tests/test_state.py
+++ b/hickoryloom/membership/tests/test_state.py
@@ -97,6 +97,15 @@
     assert state.missing(FAILURE_S + 0.1) == ()
 
 
+def test_malformed_presence_objects_are_passed_over():
+    state = MembershipState("me")
+    good = attrs.asdict(Presence("a", "a:1", "d"))
+    bad = [None, 3, [], {}, {"incarnation": "x"}, {**good, "address": 5}, {**good, "address": "a"}]
+    items = [Versioned(f"presence/{n}", 1, value) for n, value in enumerate([*bad, good])]
+    state.list_presence(Listing(1, tuple(items)), 0.0)
+    assert state.addresses == {"a": "a:1"}
+
+
 def test_control_processes_are_no_peers():
     state = MembershipState("me")
     value = attrs.asdict(Presence("c", "c:1", "d", role="control"))
