--- a/hickoryloom/membership/state.py
+++ b/hickoryloom/membership/state.py
@@ -17,6 +17,7 @@
 OUTAGE_HOLD_S = 60.0
 KEEP_BUILT_S = 30.0
 ENTRY_ROLE = "entry"
+REQUIRED_FIELDS = ("incarnation", "address", "failure_domain")
 
 
 @attrs.define
@@ -175,8 +176,12 @@
     """Return the presence of an entry, None for other processes and malformed objects."""
     if not isinstance(value, dict):
         return None
-    fields = {field.name: value.get(field.name) for field in attrs.fields(Presence)}
-    if not all(isinstance(found, str) and found for found in fields.values()):
+    fields = {
+        field.name: found
+        for field in attrs.fields(Presence)
+        if isinstance(found := value.get(field.name), str)
+    }
+    if not all(fields.get(name) for name in REQUIRED_FIELDS):
         return None
     presence = Presence(**fields)
     port = presence.address.rpartition(":")[2]
