Let no new instance vouch for entries that it was cut off with

Cause: an entry that has only ever known its seeds took a round over them for a quorum, and the cut-off entry beside it took that as evidence in turn. Seen by a process test: a withdrawn key was served (200) by an entry that had neither platform nor its own peers. Ruled out: raising the quorum, since the new entry did not know who was missing. Peers now tell whom they count, and a round that did not ask all of these counts for nothing.

--- a/hickoryloom/configuration/peers.py
+++ b/hickoryloom/configuration/peers.py
@@ -36,6 +36,9 @@
 TICK_S = 0.25
 FORGET_INTERVAL_S = 1.0
 
+# Incarnation, failure domain and seconds since its word, as a peer tells it of another.
+KnownElsewhere = tuple[str, str, float]
+
 log = logbook.Logger("hickoryloom.configuration")
 
 
@@ -47,6 +50,7 @@
         clock: Source of time.
         seeds: Addresses to ask before any peer is known.
         secret: The token that entries show to each other; empty for none.
+        own_address: Address of this entry for others.
         rng: Chooses which peers to ask.
     """
 
@@ -57,12 +61,13 @@
         seeds: Iterable[str] = (),
         secret: str = "",
         rng: random.Random | None = None,
+        own_address: str = "",
     ) -> None:
         self._follower = follower
         self._clock = clock
         self._secret = secret
         self._rng = rng or random.Random()
-        self._known = KnownPeers(self._rng, seeds)
+        self._known = KnownPeers(self._rng, seeds, own_address)
         self._clients: dict[str, JsonClient] = {}
         self._wake = Event()
         self._ahead: set[str] = set()
@@ -99,8 +104,8 @@
 
     def add_routes(self, app: falcon.App) -> None:
         """Add the routes that peers ask."""
-        app.add_route(ROOT_PATH, _RootResource(self._follower, self._secret))
-        app.add_route(f"{SHARD_PATH}/{{name}}", _ShardResource(self._follower, self._secret))
+        app.add_route(ROOT_PATH, _RootResource(self))
+        app.add_route(f"{SHARD_PATH}/{{name}}", _ShardResource(self))
 
     def ask(self, address: str) -> bool:
         """Ask one peer, apply what it has newer and record what it knows.
@@ -110,21 +115,46 @@
         """
         sent = self._clock.monotonic()
         have = self._follower.snapshot.generation
-        answer = self._get(address, f"{ROOT_PATH}?have={have}", ASK_TIMEOUT_S)
+        path = f"{ROOT_PATH}?have={have}&known={len(self._known)}"
+        answer = self._get(address, path, ASK_TIMEOUT_S)
         if answer.is_err():
             if answer.unwrap_err().applied is Applied.NOT_APPLIED:
-                self._known.refused(address)
+                self._known.refused(address, self._clock.monotonic())
             return False
         try:
-            view, root = _read_answer(answer.unwrap())
-        except (KeyError, TypeError, ValueError) as error:
+            view, root, known = _read_answer(answer.unwrap())
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
             log_event(log, "peer-unsound", peer=address, detail=str(error))
             return False
         if root is not None:
             self._follower.offer_root(root, _PeerShards(self, address))
         self._follower.evidence.peer_answered(sent, view)
+        self._learn(address, known, sent)
         return True
 
+    def tell(self, have: int, asker_knows: int) -> dict[str, Any]:
+        """Return the answer to a peer that asks.
+
+        Args:
+            have: Generation that the peer has.
+            asker_knows: Peers that it knows.
+        """
+        view = self._follower.peer_view()
+        return {
+            "view": attrs.asdict(view),
+            "root": self._follower.root_json() if view.generation > have else None,
+            "known": self._known.told(self._clock.monotonic(), asker_knows),
+        }
+
+    def shard_content(self, name: str) -> dict[str, Any] | None:
+        """Return the content of a shard in force, for a peer, or None."""
+        return self._follower.shard_content(name)
+
+    def is_peer(self, shown: str) -> bool:
+        """Return whether a header `Authorization` shows the peers' secret."""
+        expected = f"Bearer {self._secret}"
+        return not self._secret or hmac.compare_digest(shown.encode(), expected.encode())
+
     def renew_evidence(self) -> None:
         """Ask a few peers of a large fleet for their evidence, and in a round if it is too old."""
         for address in self._known.choose_few():
@@ -144,8 +174,15 @@
         self._await_answers(tasks)
         answered = {address for address, task in tasks.items() if task.value}
         still_known = self._known.choose_among(asked)
+        if not self._known.has_reached(asked):
+            return False
         return self._follower.evidence.round_ended(now, still_known, answered)
 
+    def _learn(self, address: str, known: dict[str, KnownElsewhere], sent: float) -> None:
+        self._known.answered(address, sent)
+        for other, (incarnation, domain, age_s) in known.items():
+            self._known.learn(other, incarnation, domain, sent - age_s)
+
     def _hear(self, beat: Heartbeat, heard: float) -> None:
         self._heard[beat.incarnation] = beat
         self._known.listed(beat, heard)
@@ -220,16 +257,12 @@
 class _PeerResource:
     """Answers peers that show the secret."""
 
-    def __init__(self, follower: ConfigurationFollower, secret: str) -> None:
-        self._follower = follower
-        self._secret = secret
+    def __init__(self, peers: ConfigurationPeers) -> None:
+        self._peers = peers
 
     def check(self, req: falcon.Request) -> None:
         """Refuse a caller without the secret."""
-        if not self._secret:
-            return
-        shown = req.get_header("Authorization") or ""
-        if not hmac.compare_digest(shown.encode(), f"Bearer {self._secret}".encode()):
+        if not self._peers.is_peer(req.get_header("Authorization") or ""):
             raise falcon.HTTPUnauthorized()
 
 
@@ -238,25 +271,23 @@
         """Tell the view, and the root when it is newer than the asker's."""
         self.check(req)
         have = req.get_param_as_int("have", default=0, min_value=0)
-        view = self._follower.peer_view()
-        is_newer = view.generation > have
-        resp.media = {
-            "view": attrs.asdict(view),
-            "root": self._follower.root_json() if is_newer else None,
-        }
+        known = req.get_param_as_int("known", default=0, min_value=0)
+        resp.media = self._peers.tell(have, known)
 
 
 class _ShardResource(_PeerResource):
     def on_get(self, req: falcon.Request, resp: falcon.Response, name: str) -> None:
         """Tell one shard in force."""
         self.check(req)
-        content = self._follower.shard_content(name)
+        content = self._peers.shard_content(name)
         if content is None:
             raise falcon.HTTPNotFound()
         resp.media = content
 
 
-def _read_answer(answer: JsonAnswer) -> tuple[PeerView, Any]:
+def _read_answer(
+    answer: JsonAnswer,
+) -> tuple[PeerView, Any, dict[str, KnownElsewhere]]:
     if answer.status != 200:
         raise ValueError(f"status {answer.status}")
     view = answer.body["view"]
@@ -266,4 +297,8 @@
         float(view["age_s"]),
         float(view["vouched_age_s"]),
     )
-    return built, answer.body["root"]
+    known = {
+        str(address): (str(incarnation), str(domain), float(age_s))
+        for address, (incarnation, domain, age_s) in answer.body["known"].items()
+    }
+    return built, answer.body["root"], known
--- a/hickoryloom/configuration/tests/test_freshness.py
+++ b/hickoryloom/configuration/tests/test_freshness.py
@@ -283,7 +283,7 @@
     assert known.choose(3000.0) == {"a:1": "huta-a", "b:1": "huta-b"}
     known.listed(heartbeat("a:1", "huta-a", stopping=True), 3000.0)
     assert known.choose(3000.0) == {"b:1": "huta-b"}
-    known.refused("b:1")
+    known.refused("b:1", 3000.0)
     assert known.choose(3000.0) == {"seed:1": ""}
     known.listed(heartbeat("c:1", "huta-b"), 3000.0)
     known.listed(heartbeat("d:1", "huta-b"), 3000.0)
@@ -303,3 +303,45 @@
     assert len(set(known.choose_few())) == 2
     known.keep({f"of-p:{number}" for number in range(16)})
     assert known.choose_few() == []
+
+
+def test_a_round_that_did_not_ask_all_known_peers_counts_for_nothing():
+    known = KnownPeers(random.Random(1), ["f:1"], own_address="new:1")
+    asked = known.choose(0.0)
+    assert asked == {"f:1": ""} and not known.has_reached(asked)
+    known.answered("f:1", 0.0)
+    known.learn("g:1", "of-g", "huta-b", -5.0)
+    known.learn("new:1", "of-new", "huta-a", -1.0)
+    assert not known.has_reached(asked)
+    asked = known.choose(1.0)
+    assert asked == {"f:1": "", "g:1": "huta-b"} and known.has_reached(asked)
+
+
+def test_a_sole_entry_reaches_all_once_its_seeds_refuse():
+    known = KnownPeers(random.Random(1), ["f:1", "new:1"], own_address="new:1")
+    assert not known.has_reached({})
+    known.refused("f:1", 1.0)
+    assert known.choose(2.0) == {"f:1": ""} and known.has_reached({"f:1": ""})
+    assert known.choose_among({"f:1": ""}) == {}
+    assert not known.has_reached(known.choose(70.0))
+
+
+def test_a_peer_that_refused_is_not_learned_again_from_old_words():
+    known = KnownPeers(random.Random(1))
+    known.learn("g:1", "of-g", "huta-b", 0.0)
+    known.refused("g:1", 10.0)
+    known.learn("g:1", "of-g", "huta-b", 9.0)
+    assert len(known) == 0
+    known.learn("g:1", "of-g", "huta-b", 11.0)
+    assert len(known) == 1
+
+
+def test_in_a_large_fleet_only_an_asker_that_knows_few_is_told_of_all():
+    known = KnownPeers(random.Random(1))
+    for number in range(370):
+        known.listed(heartbeat(f"p:{number}", f"domain-{number % 21}"), 5.0)
+    assert known.told(7.0, 360) == {}
+    told = known.told(7.0, 3)
+    assert len(told) == 370 and told["p:0"] == ("of-p:0", "domain-0", 2.0)
+    assert not known.has_reached({"p:0": "domain-0"})
+    assert known.has_reached(known.choose(7.0))
--- a/hickoryloom/entry/process.py
+++ b/hickoryloom/entry/process.py
@@ -71,7 +71,12 @@
         self._client = PlatformClient(settings.platform, clock)
         self._follower = ConfigurationFollower(self._client, clock, settings.failure_domain, rng)
         self._configuration_peers = ConfigurationPeers(
-            self._follower, clock, settings.seeds, settings.peer_secret, rng
+            self._follower,
+            clock,
+            settings.seeds,
+            settings.peer_secret,
+            rng,
+            settings.advertise or self._peer_server.address,
         )
         self._membership = Membership(
             self._settings, self._incarnation, clock, self._client, self._build_heartbeat
--- a/tests/test_keys_processes.py
+++ b/tests/test_keys_processes.py
@@ -162,6 +162,23 @@
     assert not whole.status("entry-1")["ready"]
 
 
+def test_a_new_instance_does_not_vouch_for_those_it_was_cut_off_with(whole):
+    key = issue(whole)
+    whole.links[0].cut()
+    for entry in whole.entries[1:]:
+        entry.freeze()
+    seeds = [whole.addresses["entry-1"]["peer"]]
+    name = whole.add_entry(failure_domain=DOMAINS[1], platform=whole.links[0].address, seeds=seeds)
+    try:
+        gevent.sleep(WITHDRAWAL_BOUND_S)
+        withdraw(whole, key)
+        for entry in ("entry-1", name):
+            assert whole.ask(entry, key, max_tokens=1).status in (401, 503)
+            assert not whole.status(entry)["ready"]
+    finally:
+        whole.entries.pop().kill()
+
+
 def test_a_platform_outage_that_peers_confirm_keeps_service_and_ends_with_withdrawal(whole):
     key = issue(whole)
     whole.set_faults("platform", outage=True)
