Count a peer that can't be reached until its host refuses connections

Cause: a connection that never came about is a call of which nothing was applied, and was taken for a refused one; so entries behind a cut that drops packets dropped those beyond it from their rounds, and vouched for one another. Seen with a listener that takes no connection: the second round vouched. Ruled out: telling them apart by time, since a refused connection may be slow as well.

--- a/hickoryloom/configuration/peers.py
+++ b/hickoryloom/configuration/peers.py
@@ -21,7 +21,6 @@
 from hickoryloom.http import CallFailed, JsonAnswer, JsonClient
 from hickoryloom.logs import log_event
 from hickoryloom.membership import Heartbeat, Peer
-from hickoryloom.verdict import Applied
 
 __all__ = ["ConfigurationPeers"]
 
@@ -118,7 +117,7 @@
         path = f"{ROOT_PATH}?have={have}&known={len(self._known)}"
         answer = self._get(address, path, ASK_TIMEOUT_S)
         if answer.is_err():
-            if answer.unwrap_err().applied is Applied.NOT_APPLIED:
+            if answer.unwrap_err().refused_by_host:
                 self._known.refused(address, self._clock.monotonic())
             return False
         try:
@@ -178,6 +177,15 @@
             return False
         return self._follower.evidence.round_ended(now, still_known, answered)
 
+    def read_shard(self, address: str, name: str) -> Result[Any, str]:
+        """Return a shard's content from a peer, or why it can't be had."""
+        answer = self._get(address, f"{SHARD_PATH}/{name}", SHARD_TIMEOUT_S)
+        if answer.is_err():
+            return Err(answer.unwrap_err().detail)
+        if answer.unwrap().status != 200:
+            return Err(f"peer {address} answered {answer.unwrap().status}")
+        return Ok(answer.unwrap().body)
+
     def _learn(self, address: str, known: dict[str, KnownElsewhere], sent: float) -> None:
         self._known.answered(address, sent)
         for other, (incarnation, domain, age_s) in known.items():
@@ -208,15 +216,6 @@
         age_s = self._follower.freshness.age(self._clock.monotonic())
         return age_s <= ASK_AFTER_S
 
-    def read_shard(self, address: str, name: str) -> Result[Any, str]:
-        """Return a shard's content from a peer, or why it can't be had."""
-        answer = self._get(address, f"{SHARD_PATH}/{name}", SHARD_TIMEOUT_S)
-        if answer.is_err():
-            return Err(answer.unwrap_err().detail)
-        if answer.unwrap().status != 200:
-            return Err(f"peer {address} answered {answer.unwrap().status}")
-        return Ok(answer.unwrap().body)
-
     def _run(self) -> None:
         while True:
             self._wake.wait(TICK_S)
--- a/hickoryloom/http/client.py
+++ b/hickoryloom/http/client.py
@@ -43,11 +43,13 @@
         applied: Whether its change may have taken effect.
         detail: A sentence for the log.
         refused_by_guard: Whether the guard said no, so that nothing was written.
+        refused_by_host: Whether the host refused the connection, so that nothing listens there.
     """
 
     applied: Applied
     detail: str
     refused_by_guard: bool = False
+    refused_by_host: bool = False
 
 
 class JsonClient:
@@ -109,6 +111,9 @@
         except TimeoutError as error:
             self._http.close_idle()
             return _failed(attempt, str(error))
+        except ConnectionRefusedError as error:
+            failed = _failed(attempt, f"{type(error).__name__}: {error}").err_value
+            return Err(attrs.evolve(failed, refused_by_host=True))
         except (OSError, HTTPParseError, ValueError) as error:
             return _failed(attempt, f"{type(error).__name__}: {error}")
         finally:
