--- a/hickoryloom/configuration/known_peers.py
+++ b/hickoryloom/configuration/known_peers.py
@@ -49,6 +49,11 @@
         self._known: dict[str, _Known] = {}
         self._refused: dict[str, float] = {}
 
+    @property
+    def addresses(self) -> set[str]:
+        """Addresses that may be asked: of known peers and of seeds."""
+        return self._seeds.union(self._known)
+
     def __len__(self) -> int:
         return len(self._known)
 
--- a/hickoryloom/configuration/peers.py
+++ b/hickoryloom/configuration/peers.py
@@ -206,6 +206,8 @@
         left = {peer.heartbeat.incarnation for peer in peers}.union(missing)
         self._known.keep(left)
         self._heard = {name: beat for name, beat in self._heard.items() if name in left}
+        for address in set(self._clients) - self._known.addresses:
+            self._clients.pop(address).close()
 
     def _await_answers(self, tasks: dict[str, gevent.Greenlet]) -> None:
         quick = gevent.joinall(list(tasks.values()), timeout=QUICK_ANSWER_S)
--- a/hickoryloom/configuration/tests/test_peers.py
+++ b/hickoryloom/configuration/tests/test_peers.py
@@ -56,3 +56,13 @@
     follower, peers = peers_that_know(refusing_address)
     assert peers.ask_round()
     assert follower.freshness.vouched > 0
+
+
+def test_connections_to_peers_that_are_gone_are_closed(refusing_address):
+    follower, peers = peers_that_know(refusing_address)
+    peers.ask_round()
+    assert set(peers._clients) == {refusing_address}
+    follower.evidence.platform_answered(SystemClock().monotonic(), 1)
+    peers._forgot = 0.0
+    peers.set_peers([])
+    assert peers._clients == {}
