Give callers up that stop reading, and send cancels at once

Cause: the greenlet that serves a caller sent the cancel to the engine itself, so a caller that had stopped reading kept its engine slot, also after its key was withdrawn. Seen to fail first: no cancel call at the engine 0.3 s after the withdrawal. Contract change, additive: Relay takes caller_timeout_s.

--- a/hickoryloom/relay/attempt.py
+++ b/hickoryloom/relay/attempt.py
@@ -24,6 +24,7 @@
         first_position: Position at which its stream begins.
         tokens: Tokens received.
         silence: Judges its connection when it goes silent.
+        cancelling: Whether its cancel is on its way to the engine.
     """
 
     id: str
@@ -34,6 +35,7 @@
     first_position: int = 0
     tokens: int = 0
     silence: SilenceJudge = attrs.field(factory=SilenceJudge)
+    cancelling: bool = False
 
     @property
     def next_position(self) -> int:
--- a/hickoryloom/relay/attempts.py
+++ b/hickoryloom/relay/attempts.py
@@ -109,8 +109,10 @@
         if self._reason is not None:
             return
         self._reason = reason
-        if self.current is not None and self.current.exchange is not None:
-            self.current.exchange.interrupt(FailureCause.CANCELLED)
+        attempt = self.current
+        if attempt is not None and attempt.exchange is not None:
+            attempt.exchange.interrupt(FailureCause.CANCELLED)
+            self._stop_at_engine(attempt)
 
     def preempt(self, readmit: Readmit) -> None:
         """Give the backend server up at once; go on when `readmit` gives leave.
@@ -294,14 +296,20 @@
 
     def _finish(self, attempt: Attempt, end: AttemptEnd) -> None:
         self.current = None
-        exchange = attempt.exchange
-        ended = exchange is not None and exchange.ended
-        if exchange is not None:
-            self._parts.connections.close(exchange)
+        self._stop_at_engine(attempt)
+        if attempt.exchange is not None:
+            self._parts.connections.close(attempt.exchange)
         now = self._parts.clock.monotonic()
         outcome = AttemptOutcome(end, attempt.started, now, attempt.first_token_at, attempt.tokens)
         self._parts.router.finished(attempt.choice, self._request, outcome)
-        if self._for_engine and attempt.wrote and not ended:
+
+    def _stop_at_engine(self, attempt: Attempt) -> None:
+        """Send a cancel to the engine, once, unless its response has been read to the end."""
+        exchange = attempt.exchange
+        if exchange is None or exchange.ended or attempt.cancelling:
+            return
+        if self._for_engine and exchange.wrote:
+            attempt.cancelling = True
             self._cancels.append(gevent.spawn(self._cancel_at_engine, attempt))
 
     def _cancel_at_engine(self, attempt: Attempt) -> None:
--- a/hickoryloom/relay/exchange.py
+++ b/hickoryloom/relay/exchange.py
@@ -46,6 +46,7 @@
         address: The backend server's `host:port`.
         attempt_id: Id that the backend server must send back.
         waiting_since: Monotonic time since which it waits for bytes; None while it doesn't.
+        waited_at: Monotonic time at which it last began to wait for bytes; None before.
         wrote: Whether a byte of the request may have left.
         confirmed: Whether the response was seen to be the attempt's own.
 
@@ -61,6 +62,7 @@
         self.address = address
         self.attempt_id = attempt_id
         self.waiting_since: float | None = None
+        self.waited_at: float | None = None
         self.wrote = False
         self.confirmed = False
         self._sock = sock
@@ -190,7 +192,7 @@
         return self.confirmed and not self._response.should_close()
 
     def _receive(self) -> int:
-        self.waiting_since = self._monotonic()
+        self.waiting_since = self.waited_at = self._monotonic()
         try:
             data = self._recv(READ_BYTES)
         except OSError as error:
--- a/hickoryloom/relay/task.py
+++ b/hickoryloom/relay/task.py
@@ -28,6 +28,7 @@
 
 EVENT_STREAM = "text/event-stream"
 SERVICE_TIMEOUT_S = 30.0
+CALLER_TIMEOUT_S = 60.0
 
 
 class Relay:
@@ -38,6 +39,7 @@
         clock: Source of time.
         credential: The token that entries show to backend servers.
         service_timeout_s: Seconds without a byte after which a plain service is given up.
+        caller_timeout_s: Seconds without asking for more after which a caller is given up.
     """
 
     def __init__(
@@ -46,13 +48,14 @@
         clock: Clock,
         credential: str = "",
         service_timeout_s: float = SERVICE_TIMEOUT_S,
+        caller_timeout_s: float = CALLER_TIMEOUT_S,
     ) -> None:
         self._router = router
         self._clock = clock
         self._connections = Connections(clock)
         engine = EngineControl(credential)
         self._parts = RelayParts(router, clock, self._connections, engine, credential)
-        self._watchdog = Watchdog(self._parts, service_timeout_s)
+        self._watchdog = Watchdog(self._parts, service_timeout_s, caller_timeout_s)
 
     @property
     def open_requests(self) -> int:
--- a/hickoryloom/relay/tests/support.py
+++ b/hickoryloom/relay/tests/support.py
@@ -16,11 +16,11 @@
     return BackendView(id=id, address=address, failure_domain="huta-a", pool=pool, **more)
 
 
-def build_relay(*views, credential="backend-secret"):
+def build_relay(*views, credential="backend-secret", **options):
     clock = SystemClock()
     router = Router(clock, random.Random(1), "huta-a")
     router.set_views(views)
-    return Relay(router, clock, credential)
+    return Relay(router, clock, credential, **options)
 
 
 def admitted(id="req-1", idempotent=True, stream=True, pool="assistants", service="assistant"):
--- a/hickoryloom/relay/tests/test_bad_streams.py
+++ b/hickoryloom/relay/tests/test_bad_streams.py
@@ -134,3 +134,40 @@
     answer = relay.open(admitted(), chat_call()).unwrap()
     assert (answer.status, b"".join(answer)) == (400, body)
     assert_nothing_held(relay)
+
+
+def stalled_answer(engine, **options):
+    """Return a relay and an answer of which one block was read."""
+    relay = build_relay(view("e1", engine.address), **options)
+    call = chat_call(answer_tokens=5000, max_tokens=5000)
+    answer = relay.open(admitted(), call).unwrap()
+    next(iter(answer))
+    return relay, answer
+
+
+def test_a_caller_that_does_not_read_for_long_is_given_up():
+    engine = build_engine(token_ms=20.0)
+    engine.start()
+    relay, answer = stalled_answer(engine, caller_timeout_s=0.5)
+    gevent.sleep(1.5)
+    assert engine.counters["cancel_calls"] == 1
+    assert engine.batch.running == 0
+    list(answer)
+    assert answer.failure.reason is RefusalReason.CALLER_LEFT
+    assert_nothing_held(relay)
+    engine.stop()
+
+
+def test_a_cancel_reaches_the_engine_while_the_caller_does_not_read():
+    engine = build_engine(token_ms=20.0)
+    engine.start()
+    relay, answer = stalled_answer(engine)
+    answer.cancel(RefusalReason.KEY_WITHDRAWN)
+    gevent.sleep(0.3)
+    assert engine.counters["cancel_calls"] == 1
+    assert engine.batch.running == 0
+    list(answer)
+    assert answer.failure.reason is RefusalReason.KEY_WITHDRAWN
+    assert engine.counters["cancel_calls"] == 1
+    assert_nothing_held(relay)
+    engine.stop()
--- a/hickoryloom/relay/watchdog.py
+++ b/hickoryloom/relay/watchdog.py
@@ -5,8 +5,9 @@
 import gevent
 from gevent.pool import Pool
 
+from hickoryloom.admission.messages import RefusalReason
 from hickoryloom.relay.attempt import Attempt
-from hickoryloom.relay.attempts import RelayParts
+from hickoryloom.relay.attempts import Attempts, RelayParts
 from hickoryloom.relay.messages import FailureCause
 
 __all__ = ["Watchdog"]
@@ -21,11 +22,15 @@
     Args:
         parts: What all requests share.
         service_timeout_s: Seconds without a byte after which a plain service is given up.
+        caller_timeout_s: Seconds without asking for more after which a caller is given up.
     """
 
-    def __init__(self, parts: RelayParts, service_timeout_s: float) -> None:
+    def __init__(
+        self, parts: RelayParts, service_timeout_s: float, caller_timeout_s: float
+    ) -> None:
         self._parts = parts
         self._service_timeout_s = service_timeout_s
+        self._caller_timeout_s = caller_timeout_s
         self._probes = Pool(MAX_OPEN_PROBES)
         self._task: gevent.Greenlet | None = None
 
@@ -47,9 +52,18 @@
             now = self._parts.clock.monotonic()
             for attempts in list(self._parts.open.values()):
                 if attempts.current is not None:
+                    self._check_caller(attempts, attempts.current, now)
                     self._check(attempts.current, attempts.for_engine, now)
             self._parts.connections.drop_idle()
 
+    def _check_caller(self, attempts: Attempts, attempt: Attempt, now: float) -> None:
+        """Give a request up whose caller has not asked for more for too long."""
+        exchange = attempt.exchange
+        if exchange is None or exchange.waiting_since is not None or exchange.waited_at is None:
+            return
+        if now - exchange.waited_at > self._caller_timeout_s:
+            attempts.cancel(RefusalReason.CALLER_LEFT)
+
     def _check(self, attempt: Attempt, for_engine: bool, now: float) -> None:
         exchange = attempt.exchange
         since = exchange.waiting_since if exchange is not None else None
