--- a/hickoryloom/bench/routing.py
+++ b/hickoryloom/bench/routing.py
@@ -37,7 +37,6 @@
 PREFILL_S_PER_TOKEN = 0.0001
 PROMPT_TOKENS = 2000
 CACHED_PART = 0.8
-FAIL_AFTER_S = 0.005
 REPORT_INTERVAL_S = 1.0
 MAX_ATTEMPTS = 5
 
@@ -57,6 +56,7 @@
         report_lag_s: Seconds by which load reports lag.
         slow: Factor on the times of engine 0, whose reports lag for `slow_report_lag_s`.
         failing: Whether engine 0 fails every attempt between a fifth and four fifths of the time.
+        fail_after_s: Seconds until such an attempt fails.
         late_engine: Whether engine 0 comes up after half of the time, with slow first requests.
         foreign_jobs: Slots of engine 0 that others' work holds all the time.
         prefixes: Different prompt prefixes; 0 for prompts without.
@@ -77,6 +77,7 @@
     slow: float = 1.0
     slow_report_lag_s: float = 1.0
     failing: bool = False
+    fail_after_s: float = 0.005
     late_engine: bool = False
     foreign_jobs: int = 0
     prefixes: int = 0
@@ -112,6 +113,7 @@
     ),
     RoutingExperiment("failure-domain", ("failure_domain",), utilization=0.5, link_s=0.0015),
     RoutingExperiment("ejection", ("ejection",), failing=True),
+    RoutingExperiment("ejection-of-slow-failures", ("ejection",), failing=True, fail_after_s=2.0),
     RoutingExperiment("slow-start", ("slow_start",), late_engine=True, utilization=0.9),
 )
 
@@ -242,7 +244,7 @@
         self._sent_to_0 += number == 0
         now = self._clock.now
         if number == 0 and self._is_failing(now):
-            self._at(now + FAIL_AFTER_S, lambda: self._fail(attempt))
+            self._at(now + self._experiment.fail_after_s, lambda: self._fail(attempt))
             return
         self._submit(attempt, number, now)
 
--- a/hickoryloom/relay/tests/test_verdicts.py
+++ b/hickoryloom/relay/tests/test_verdicts.py
@@ -107,3 +107,20 @@
     verdict, whole, _ = run_call([(WHOLE, WHOLE, "error")], "POST", idempotent=False)
     assert whole
     assert verdict is Verdict.MAY_HAVE_RUN
+
+
+def test_retries_of_an_overloaded_pool_stay_a_small_part():
+    requests = 100
+    server = FaultyServer([(WHOLE, WHOLE, "not-run")] * 1000)
+    relay = build_relay(
+        view("s1", server.address, pool="booking"), view("s2", server.address, pool="booking")
+    )
+    reasons = set()
+    for number in range(requests):
+        request = admitted(f"req-{number}", idempotent=True, pool="booking", service="booking")
+        refused = relay.open(request, service_call("GET")).unwrap_err()
+        assert refused.verdict is Verdict.NOT_RUN
+        reasons.add(refused.reason)
+    assert RefusalReason.RETRY_BUDGET in reasons
+    assert requests < server.connections <= requests * 1.1 + 20
+    server.close()
