Never send a preempted call again that may not be repeated

Cause: the relay asked for readmission after any preemption; only the entry kept bookings away from it. Seen to fail first: the booking was answered as run after a second sending. The relay now cancels such a call. An engine whose stream is preempted also hears so at once, as for other cancels.

--- a/hickoryloom/relay/attempts.py
+++ b/hickoryloom/relay/attempts.py
@@ -117,13 +117,19 @@
     def preempt(self, readmit: Readmit) -> None:
         """Give the backend server up at once; go on when `readmit` gives leave.
 
-        Safe from any greenlet; `readmit` is called in the request's own.
+        Safe from any greenlet; `readmit` is called in the request's own. A request that may not be
+        repeated is cancelled instead.
         """
+        if not self._request.idempotent:
+            self.cancel(RefusalReason.PREEMPTED)
+            return
         if self._reason is not None or self._readmit is not None:
             return
         self._readmit = readmit
-        if self.current is not None and self.current.exchange is not None:
-            self.current.exchange.interrupt(FailureCause.PREEMPTED)
+        attempt = self.current
+        if attempt is not None and attempt.exchange is not None:
+            attempt.exchange.interrupt(FailureCause.PREEMPTED)
+            self._stop_at_engine(attempt)
 
     def begin(self, body: bytes, first_position: int = 0) -> Result[Attempt, Refused]:
         """Make attempts until one has the head of a response worth reading.
--- a/tests/test_true_refusals.py
+++ b/tests/test_true_refusals.py
@@ -146,3 +146,16 @@
     relay = build_relay(*[service.address for service in services], pool=POOL)
     assert call_once(relay, method="GET", idempotent=True) == (Verdict.RAN, True)
     assert_nothing_held(relay)
+
+
+def test_a_preempted_booking_is_not_sent_again(services):
+    set_faults(services[0].address, after_s=1.0)
+    set_faults(services[1].address, after_s=1.0)
+    relay = build_relay(*[service.address for service in services], pool=POOL)
+    task = gevent.spawn(call_once, relay)
+    wait_until(lambda: total_runs(*services) == 1, 5.0)
+    relay.preempt("r0", lambda delivered: None)
+    assert task.get(timeout=10.0) == (Verdict.MAY_HAVE_RUN, False)
+    gevent.sleep(0.2)
+    assert total_runs(*services) == 1
+    assert_nothing_held(relay)
