--- a/hickoryloom/leases/tests/test_keeper.py
+++ b/hickoryloom/leases/tests/test_keeper.py
@@ -7,8 +7,15 @@
 DURATION_S = 0.4
 
 
+class NoWallClock(SystemClock):
+    """A clock whose wall time nobody may ask for."""
+
+    def wall(self):
+        raise AssertionError("no right depends on the wall clock")
+
+
 def make(store, name):
-    return LeaseKeeper("fleet", store, SystemClock(), name, DURATION_S)
+    return LeaseKeeper("fleet", store, NoWallClock(), name, DURATION_S)
 
 
 def wait_for(condition, timeout_s=10.0):
