--- a/hickoryloom/control/presence.py
+++ b/hickoryloom/control/presence.py
@@ -10,6 +10,7 @@
 
 from hickoryloom.clock import Clock
 from hickoryloom.logs import log_event
+from hickoryloom.loops import repeat_until
 from hickoryloom.membership import Presence, PresenceKeeper
 from hickoryloom.platform import Listing, PlatformClient
 
@@ -58,11 +59,13 @@
         self._keeper.remove()
 
     def _run(self) -> None:
-        while not self._stopping.is_set():
-            self._keeper.renew()
-            if self._cleans():
-                self._keeper.list(self._remove_stale)
-            self._stopping.wait(RENEW_INTERVAL_S)
+        repeat_until(self._stopping, self._step, "presence", log)
+
+    def _step(self) -> float:
+        self._keeper.renew()
+        if self._cleans():
+            self._keeper.list(self._remove_stale)
+        return RENEW_INTERVAL_S
 
     def _remove_stale(self, listing: Listing) -> None:
         now = self._clock.monotonic()
--- a/hickoryloom/fleet/task.py
+++ b/hickoryloom/fleet/task.py
@@ -25,6 +25,7 @@
 from hickoryloom.fleet.views import view_servers
 from hickoryloom.leases import Guard, LeaseKeeper, ObjectStore, Right
 from hickoryloom.logs import log_event
+from hickoryloom.loops import repeat_until
 from hickoryloom.platform import (
     ErrorKind,
     LiveBackend,
@@ -160,9 +161,11 @@
         self._leaving = tuple(leaving)
 
     def _run(self) -> None:
-        while not self._stopping.is_set():
-            self.run_step()
-            self._stopping.wait(self._step_s)
+        repeat_until(self._stopping, self._run_step_and_pause, "fleet", log)
+
+    def _run_step_and_pause(self) -> float:
+        self.run_step()
+        return self._step_s
 
     def _begin_term(self, right: Right) -> None:
         self._records.forget()
--- a/hickoryloom/leases/keeper.py
+++ b/hickoryloom/leases/keeper.py
@@ -17,6 +17,7 @@
 from hickoryloom.leases.state import LeaseState
 from hickoryloom.leases.store import Guard, ObjectStore
 from hickoryloom.logs import log_event
+from hickoryloom.loops import repeat_until
 from hickoryloom.platform import ErrorKind, PlatformError, Versioned
 from hickoryloom.verdict import Applied
 
@@ -99,13 +100,12 @@
         log_event(log, "lease-released", duty=self._duty, term=record.term, told=answer.is_ok())
 
     def _run(self) -> None:
-        while not self._stopping.is_set():
-            now = self._clock.monotonic()
-            self._log_change(now)
-            step = self._state.next_step(now)
-            wait_s = self._take(step)
-            if wait_s > 0:
-                self._stopping.wait(wait_s)
+        repeat_until(self._stopping, self._step, f"lease-{self._duty}", log)
+
+    def _step(self) -> float:
+        now = self._clock.monotonic()
+        self._log_change(now)
+        return self._take(self._state.next_step(now))
 
     def _take(self, step: Step) -> float:
         """Carry out a step and return the seconds to wait after it."""
--- a/hickoryloom/usage/counter.py
+++ b/hickoryloom/usage/counter.py
@@ -15,6 +15,7 @@
 from hickoryloom.http import JsonClient
 from hickoryloom.leases import ObjectStore
 from hickoryloom.logs import log_event
+from hickoryloom.loops import repeat_until
 from hickoryloom.membership import Peer
 from hickoryloom.platform import ErrorKind
 from hickoryloom.usage.chain import ChainRead, ChainWrite, ChainWriter
@@ -71,7 +72,6 @@
         self._partner: tuple[str, JsonClient] | None = None
         self._stopping = Event()
         self._tasks: list[gevent.Greenlet] = []
-        self._last_write = float("-inf")
 
     @property
     def unsettled_parts(self) -> int:
@@ -114,15 +114,13 @@
         return self._copies.offer(self._clock.monotonic(), copy)
 
     def _run_writes(self) -> None:
-        while not self._stopping.wait(self._times.spacing_s):
-            self._write_due()
+        repeat_until(self._stopping, self._write_due, "usage-writes", log)
 
     def _run_copies(self) -> None:
-        while not self._stopping.wait(self._times.copy_s):
-            self._send_copies()
+        repeat_until(self._stopping, self._send_copies, "usage-copies", log)
 
-    def _write_due(self) -> None:
-        """Write at most one own part and one held copy."""
+    def _write_due(self) -> float:
+        """Write at most one own part and one held copy; return the seconds until the next."""
         now = self._clock.monotonic()
         for part in self._ledger.due(now, self._clock.wall())[:1]:
             part.written_at = now
@@ -130,6 +128,7 @@
         for held in self._copies.due(now)[:1]:
             self._settle(held.writer, held.figures, held.sequence)
         self._drop_settled(now)
+        return self._times.spacing_s
 
     def _flush(self) -> None:
         for part in self._ledger.parts:
@@ -189,15 +188,19 @@
         writer.on_unknown()
         return False
 
-    def _send_copies(self) -> None:
-        """Hand the partner what it lacks; a partner that forgot is sent everything at once."""
+    def _send_copies(self) -> float:
+        """Hand the partner what it lacks; return the seconds until the next time.
+
+        A partner that forgot what it held is sent everything at once.
+        """
         partner = self._find_partner()
         if partner is None:
-            return
+            return self._times.copy_s
         name, client = partner
         for part in self._ledger.parts:
             if not self._send_copy(part, name, client) and not self._send_copy(part, name, client):
-                return
+                break
+        return self._times.copy_s
 
     def _send_copy(self, part: Part, name: str, client: JsonClient) -> bool:
         """Send one part's changes; return whether the partner holds it whole now."""
--- a/hickoryloom/usage/reporter.py
+++ b/hickoryloom/usage/reporter.py
@@ -13,6 +13,7 @@
 from hickoryloom.clock import Clock
 from hickoryloom.leases import Guard, LeaseKeeper, ObjectStore, Right
 from hickoryloom.logs import log_event
+from hickoryloom.loops import repeat_until
 from hickoryloom.platform import ErrorKind, PlatformError, UsageReport, Versioned
 from hickoryloom.usage.cleaner import UsageCleaner
 from hickoryloom.usage.codec import read_as, read_with_rows
@@ -103,11 +104,13 @@
         return more
 
     def _run(self) -> None:
+        repeat_until(self._stopping, self._run_pass_and_pause, "usage-reporter", log)
+
+    def _run_pass_and_pause(self) -> float:
+        if self.run_pass():
+            return SHORTEST_PAUSE_S
         pause_s = self._times.window_s / PASSES_PER_WINDOW
-        pause_s = min(max(pause_s, SHORTEST_PAUSE_S), LONGEST_PAUSE_S)
-        while not self._stopping.is_set():
-            more = self.run_pass()
-            self._stopping.wait(SHORTEST_PAUSE_S if more else pause_s)
+        return min(max(pause_s, SHORTEST_PAUSE_S), LONGEST_PAUSE_S)
 
     def _take_over(self, right: Right) -> bool:
         """Read what predecessors have sealed and reported, once for each term."""
