List recent windows only, and everything every ten windows

Cause: every pass listed all usage objects of 24 hours; worked out at about 140 KB/s for 7 entries against the target of 14 KB/s for all of control. Ruled out: dropping remains earlier, since writers may come back after hours. Late figures of older windows wait for at most ten windows.

--- a/hickoryloom/usage/cleaner.py
+++ b/hickoryloom/usage/cleaner.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections import deque
+from collections.abc import Callable, Sequence
+from functools import partial
 
 import attrs
 from result import Err, Ok
@@ -16,11 +18,13 @@
 __all__ = ["FLOOR_KEY", "UsageCleaner"]
 
 FLOOR_KEY = "usage-floor"
-MAX_RECORDS_PER_PASS = 5
+REMOVALS_PER_PASS = 10
+
+Stored = Versioned[UsageObject]
 
 
 class UsageCleaner:
-    """Cleans up under a reporter's lease.
+    """Cleans up under a reporter's lease, a little in each pass.
 
     Before a sealed record goes, the floor is raised above its window, so that no later reporter
     takes the window for one that was never sealed.
@@ -37,6 +41,7 @@
         self._book = book
         self._remains = Remains(times)
         self._floor_version = 0
+        self._removals: deque[Callable[[], object]] = deque()
 
     def read_floor(self) -> bool:
         """Read the floor; return whether the platform answered."""
@@ -47,14 +52,8 @@
             return True
         return answer.err_value.kind is ErrorKind.ABSENT
 
-    def clean(
-        self,
-        now: float,
-        guard: Guard,
-        objects: Sequence[Versioned[UsageObject]],
-        reported: set[int],
-    ) -> None:
-        """Remove what is old enough."""
+    def plan(self, now: float, guard: Guard, objects: Sequence[Stored], reported: set[int]) -> None:
+        """Decide what to remove, from a listing of all usage objects."""
         floor = self._book.floor
         settled = [
             item
@@ -62,21 +61,28 @@
             if item.value.closed_into in reported or item.value.closed_into < floor
         ]
         self._remains.see(now, settled)
-        for item in self._remains.rows_to_drop(now, settled):
-            value = attrs.evolve(item.value, rows=[], dropped=True)
-            self._client.update(item.key, attrs.asdict(value), item.version, guard)
-        for item in self._remains.objects_to_delete(now, settled):
-            if guard():
-                self._client.delete(item.key, item.version)
-        self._remove_records(now, guard, objects, reported)
-
-    def _remove_records(
-        self,
-        now: float,
-        guard: Guard,
-        objects: Sequence[Versioned[UsageObject]],
-        reported: set[int],
-    ) -> None:
+        self._removals.clear()
+        self._removals += [
+            partial(self._drop_rows, item, guard)
+            for item in self._remains.rows_to_drop(now, settled)
+        ]
+        self._removals += [
+            partial(self._client.delete, item.key, item.version)
+            for item in self._remains.objects_to_delete(now, settled)
+        ]
+        windows = self._old_windows(now, objects, reported)
+        if windows and self._raise_floor(guard, windows[-1] + 1):
+            self._removals += [partial(self._remove_record, window) for window in windows]
+
+    def clean(self, guard: Guard) -> None:
+        """Remove some of what was planned; what fails is planned again."""
+        for _ in range(REMOVALS_PER_PASS):
+            if not self._removals or not guard():
+                return
+            self._removals.popleft()()
+
+    def _old_windows(self, now: float, objects: Sequence[Stored], reported: set[int]) -> list[int]:
+        """Return the first windows whose records no object refers to any more."""
         in_use = {item.value.closed_into for item in objects}
         limit = now - self._times.objects_kept_s
         old = []
@@ -84,10 +90,11 @@
             if window in in_use or window not in reported or self._book.noted_at(window) > limit:
                 break
             old.append(window)
-        old = old[:MAX_RECORDS_PER_PASS]
-        if old and self._raise_floor(guard, old[-1] + 1):
-            gone = {window for window in old if guard() and self._delete_record(window)}
-            self._book.forget(gone)
+        return old
+
+    def _drop_rows(self, item: Stored, guard: Guard) -> None:
+        value = attrs.evolve(item.value, rows=[], dropped=True)
+        self._client.update(item.key, attrs.asdict(value), item.version, guard)
 
     def _raise_floor(self, guard: Guard, floor: int) -> bool:
         value = {"window": floor}
@@ -102,11 +109,13 @@
         self._book.floor = floor
         return True
 
-    def _delete_record(self, window: int) -> bool:
+    def _remove_record(self, window: int) -> None:
         record = self._book.sealed(window)
         digests = record.parts if record is not None else ()
         keys = [f"sealed-parts/{digest}" for digest in digests]
-        return all(self._delete(key) for key in [*keys, f"reported/{window}", f"sealed/{window}"])
+        keys += [f"reported/{window}", f"sealed/{window}"]
+        if all(self._delete(key) for key in keys):
+            self._book.forget({window})
 
     def _delete(self, key: str) -> bool:
         found = self._client.get(key)
--- a/hickoryloom/usage/remains.py
+++ b/hickoryloom/usage/remains.py
@@ -11,8 +11,6 @@
 
 __all__ = ["Remains"]
 
-MAX_REMOVALS = 20
-
 Stored = Versioned[UsageObject]
 
 
@@ -35,9 +33,9 @@
         """Return objects whose rows no writer needs any more."""
         limit = now - self.times.rows_kept_s
         old = [item for item in settled if self._since[item.key] <= limit]
-        return [item for item in old if not item.value.dropped][:MAX_REMOVALS]
+        return [item for item in old if not item.value.dropped]
 
     def objects_to_delete(self, now: float, settled: Sequence[Stored]) -> list[Stored]:
         """Return objects that no writer can come back to."""
         limit = now - self.times.objects_kept_s
-        return [item for item in settled if self._since[item.key] <= limit][:MAX_REMOVALS]
+        return [item for item in settled if self._since[item.key] <= limit]
--- a/hickoryloom/usage/reporter.py
+++ b/hickoryloom/usage/reporter.py
@@ -14,7 +14,7 @@
 from hickoryloom.leases import Guard, LeaseKeeper, ObjectStore, Right
 from hickoryloom.logs import log_event
 from hickoryloom.loops import repeat_until
-from hickoryloom.platform import ErrorKind, PlatformError, UsageReport, Versioned
+from hickoryloom.platform import ErrorKind, Listing, PlatformError, UsageReport, Versioned
 from hickoryloom.usage.cleaner import UsageCleaner
 from hickoryloom.usage.codec import read_as, read_with_rows
 from hickoryloom.usage.messages import SealedRecord, UsageObject, UsageTimes
@@ -22,9 +22,11 @@
 
 __all__ = ["UsageClient", "UsageReporter"]
 
-PASSES_PER_WINDOW = 12
+PASSES_PER_WINDOW = 4
+RECENT_WINDOWS = 4
+LIST_ALL_WINDOWS = 10
 SHORTEST_PAUSE_S = 0.1
-LONGEST_PAUSE_S = 5.0
+LONGEST_PAUSE_S = 15.0
 SEALED_PREFIX = "sealed/"
 PARTS_PREFIX = "sealed-parts/"
 REPORTED_PREFIX = "reported/"
@@ -70,6 +72,8 @@
         self._cleaner = UsageCleaner(client, self._times, self._book)
         self._reported: set[int] = set()
         self._refused: set[int] = set()
+        self._waiting: set[int] = set()
+        self._listed_at = float("-inf")
         self._term = 0
         self._stopping = Event()
         self._task: gevent.Greenlet | None = None
@@ -95,12 +99,17 @@
         if right is None or not self._take_over(right):
             return False
         guard = self._lease.guard(right)
-        objects = self._list_objects()
+        now = self._clock.monotonic()
+        everything = now - self._listed_at >= LIST_ALL_WINDOWS * self._times.window_s
+        objects = self._list_objects(now, everything)
         if objects is None:
             return False
         more = self._seal(guard, objects)
         self._report(right, guard)
-        self._cleaner.clean(self._clock.monotonic(), guard, objects, self._reported)
+        if everything:
+            self._listed_at = now
+            self._cleaner.plan(now, guard, objects, self._reported)
+        self._cleaner.clean(guard)
         return more
 
     def _run(self) -> None:
@@ -127,21 +136,36 @@
         for item in reported.ok_value.items:
             self._reported.add(int(item.key.removeprefix(REPORTED_PREFIX)))
         self._refused.clear()
+        self._listed_at = float("-inf")
         self._term = right.term
         return True
 
-    def _list_objects(self) -> list[Stored] | None:
-        answer = self._client.list(USAGE_PREFIX)
-        if isinstance(answer, Err):
-            return None
+    def _list_objects(self, now: float, everything: bool) -> list[Stored] | None:
+        """Return all usage objects, or those of windows that are recent or not settled yet."""
+        prefixes = [USAGE_PREFIX] if everything else self._recent_prefixes()
+        found: list[Stored] = []
+        for prefix in prefixes:
+            answer = self._client.list(prefix)
+            if isinstance(answer, Err):
+                return None
+            found += self._read_objects(answer.ok_value)
+        self._book.see(now, found, everything)
+        self._waiting = self._book.waiting_windows(found)
+        return found
+
+    def _recent_prefixes(self) -> list[str]:
+        wall, window_s = self._clock.wall(), self._times.window_s
+        recent = {self._times.window_at(wall - n * window_s) for n in range(RECENT_WINDOWS)}
+        return [f"{USAGE_PREFIX}{window}/" for window in sorted(recent | self._waiting)]
+
+    def _read_objects(self, listing: Listing) -> list[Stored]:
         found = []
-        for item in answer.ok_value.items:
+        for item in listing.items:
             value = read_with_rows(UsageObject, item.value)
             if isinstance(value, Ok) and value.ok_value.key == item.key:
                 found.append(Versioned(item.key, item.version, value.ok_value))
             else:
                 log_event(log, "usage-unreadable", key=item.key)
-        self._book.see(self._clock.monotonic(), found)
         return found
 
     def _seal(self, guard: Guard, objects: list[Stored]) -> bool:
--- a/hickoryloom/usage/sealing.py
+++ b/hickoryloom/usage/sealing.py
@@ -80,9 +80,14 @@
         self._sealed = {w: r for w, r in self._sealed.items() if w not in windows}
         self._noted = {w: at for w, at in self._noted.items() if w not in windows}
 
-    def see(self, now: float, objects: Sequence[Stored]) -> None:
-        """Note for how long each object has been there."""
-        self._seen = {item.key: self._seen.get(item.key, now) for item in objects}
+    def see(self, now: float, objects: Sequence[Stored], everything: bool) -> None:
+        """Note for how long each object has been there; `everything` forgets all others."""
+        seen = {item.key: self._seen.get(item.key, now) for item in objects}
+        self._seen = seen if everything else {**self._seen, **seen}
+
+    def waiting_windows(self, objects: Sequence[Stored]) -> set[int]:
+        """Return the windows with objects that are in no sealed record yet."""
+        return {item.value.window for item in objects if not self._is_settled(item)}
 
     def windows_of(self, now: float, wall: float, objects: Sequence[Stored]) -> set[int]:
         """Return the windows whose sealed records decide about `objects` now."""
