--- a/hickoryloom/configuration/peers.py
+++ b/hickoryloom/configuration/peers.py
@@ -28,6 +28,7 @@
 ROOT_PATH = "/peer/configuration"
 SHARD_PATH = "/peer/configuration/shards"
 ASK_AFTER_S = 2.5
+INHERIT_UP_TO_S = 2.0
 QUICK_ANSWER_S = 0.2
 ASK_SPACING_S = 0.5
 ASK_TIMEOUT_S = 0.8
@@ -124,6 +125,13 @@
         self._follower.evidence.peer_answered(sent, view)
         return True
 
+    def renew_evidence(self) -> None:
+        """Ask a few peers of a large fleet for their evidence, and in a round if it is too old."""
+        for address in self._known.choose_few():
+            self.ask(address)
+        if self._follower.freshness.vouched_age(self._clock.monotonic()) > INHERIT_UP_TO_S:
+            self.ask_round()
+
     def ask_round(self) -> bool:
         """Ask enough peers to vouch for the view.
 
@@ -176,13 +184,19 @@
         while True:
             self._wake.wait(TICK_S)
             self._wake.clear()
-            ahead, self._ahead = self._ahead, set()
-            if ahead:
-                self.ask(self._rng.choice(sorted(ahead)))
-            now = self._clock.monotonic()
-            if self._follower.freshness.vouched_age(now) > ASK_AFTER_S:
-                self.ask_round()
-                gevent.sleep(ASK_SPACING_S)
+            try:
+                self._ask_as_needed()
+            except Exception:
+                log.exception("event=peers-failed")
+
+    def _ask_as_needed(self) -> None:
+        ahead, self._ahead = self._ahead, set()
+        if ahead:
+            self.ask(self._rng.choice(sorted(ahead)))
+        now = self._clock.monotonic()
+        if self._follower.freshness.vouched_age(now) > ASK_AFTER_S:
+            self.renew_evidence()
+            gevent.sleep(ASK_SPACING_S)
 
     def _get(self, address: str, path: str, timeout_s: float) -> Result[JsonAnswer, CallFailed]:
         if address not in self._clients:
