--- a/hickoryloom/fleet/engines.py
+++ b/hickoryloom/fleet/engines.py
@@ -7,7 +7,6 @@
 import attrs
 from result import Err
 
-from hickoryloom.clock import Clock
 from hickoryloom.http import JsonClient
 from hickoryloom.leases import Guard, Right
 
@@ -33,13 +32,11 @@
     """Short calls to backend servers.
 
     Args:
-        clock: Source of monotonic time.
         incarnation: This process, the sender of load orders.
         credential: The token shown to backend servers; empty for none.
     """
 
-    def __init__(self, clock: Clock, incarnation: str, credential: str = "") -> None:
-        self._clock = clock
+    def __init__(self, incarnation: str, credential: str = "") -> None:
         self._incarnation = incarnation
         self._headers = {"Authorization": f"Bearer {credential}"} if credential else {}
 
--- a/hickoryloom/fleet/task.py
+++ b/hickoryloom/fleet/task.py
@@ -108,7 +108,7 @@
         self._step_s = step_s
         self._scale_down_delay_s = scale_down_delay_s
         self._random = source or random.Random()
-        calls = BackendCalls(clock, incarnation, credential)
+        calls = BackendCalls(incarnation, credential)
         self._draining = Draining(clock, calls)
         self._tracking = ServerTracking(clock)
         self._loading = ModelLoading(client, clock, calls)
