Finish a removal of sealed records that a predecessor began

Cause: parts and the mark of the report go before the record; a holder that died in between left a record that its successor would try to report for ever, and that held up all later removals. Seen to fail by test_a_removal_that_was_cut_short_is_finished_and_nothing_is_reported_again; records below the floor are now removed first and never reported.

--- a/hickoryloom/usage/cleaner.py
+++ b/hickoryloom/usage/cleaner.py
@@ -49,6 +49,7 @@
         if isinstance(answer, Ok):
             self._book.floor = max(self._book.floor, int(answer.ok_value.value["window"]))
             self._floor_version = answer.ok_value.version
+            self._book.forget({w for w in self._book.windows if w < self._book.floor})
             return True
         return answer.err_value.kind is ErrorKind.ABSENT
 
@@ -82,12 +83,13 @@
             self._removals.popleft()()
 
     def _old_windows(self, now: float, objects: Sequence[Stored], reported: set[int]) -> list[int]:
-        """Return the first windows whose records no object refers to any more."""
+        """Return the first windows whose records no one needs, those below the floor included."""
         in_use = {item.value.closed_into for item in objects}
         limit = now - self._times.objects_kept_s
         old = []
         for window in self._book.windows:
-            if window in in_use or window not in reported or self._book.noted_at(window) > limit:
+            needed = window in in_use or window not in reported
+            if window >= self._book.floor and (needed or self._book.noted_at(window) > limit):
                 break
             old.append(window)
         return old
@@ -97,6 +99,8 @@
         self._client.update(item.key, attrs.asdict(value), item.version, guard)
 
     def _raise_floor(self, guard: Guard, floor: int) -> bool:
+        if floor <= self._book.floor:
+            return True
         value = {"window": floor}
         if self._floor_version:
             answer = self._client.update(FLOOR_KEY, value, self._floor_version, guard)
--- a/hickoryloom/usage/reporter.py
+++ b/hickoryloom/usage/reporter.py
@@ -108,6 +108,7 @@
         self._report(right, guard)
         if everything:
             self._listed_at = now
+            self._reported = {window for window in self._reported if window >= self._book.floor}
             self._cleaner.plan(now, guard, objects, self._reported)
         self._cleaner.clean(guard)
         return more
@@ -209,8 +210,10 @@
         return isinstance(answer, Ok) or answer.err_value.kind is ErrorKind.CONFLICT
 
     def _report(self, right: Right, guard: Guard) -> None:
-        waiting = set(self._book.windows) - self._reported - self._refused
-        for window in sorted(waiting):
+        done = self._reported | self._refused
+        for window in self._book.windows:
+            if window in done or window < self._book.floor:
+                continue
             record = self._book.sealed(window)
             if record is not None and self._send(right, guard, record):
                 self._client.create(f"{REPORTED_PREFIX}{window}", {"digest": record.digest}, guard)
--- a/hickoryloom/usage/tests/test_races.py
+++ b/hickoryloom/usage/tests/test_races.py
@@ -109,6 +109,25 @@
     assert store.total_requests() == 1
 
 
+def test_a_removal_that_was_cut_short_is_finished_and_nothing_is_reported_again():
+    store, clock = UsageStore(), ManualClock()
+    (entry, _), (reporter, successor) = make(store, clock)
+    entry.add(KEY, ONE)
+    assert entry.stop()
+    clock.advance(2 * WINDOW_S)
+    run_passes(reporter)
+    (window,) = sealed_windows(store)
+    sent = len(store.sent)
+    store.create("usage-floor", {"window": window + 1})
+    gone = ("usage/", "sealed-parts/", "reported/")
+    store.objects = {key: item for key, item in store.objects.items() if not key.startswith(gone)}
+    for _ in range(2):
+        run_passes(successor, 3)
+        clock.advance(LIST_ALL_WINDOWS * WINDOW_S)
+    assert set(store.objects) == {"usage-floor"}
+    assert len(store.sent) == sent
+
+
 def test_a_right_that_ends_between_two_reports_stops_the_second():
     store, clock = UsageStore(), ManualClock()
     (entry, _), (reporter, successor) = make(store, clock)
