Continue preempted answers in the bench, as the entry does now

Cause: since answers of resumable classes go on after a preemption, the bench wasted tokens that the product does not.

--- a/hickoryloom/bench/journal.py
+++ b/hickoryloom/bench/journal.py
@@ -33,6 +33,7 @@
         started_at: Time of its start.
         reserved: Whether it started in its class's reserve.
         cheap_tokens: Tokens generated on reclaimable backend servers.
+        continued: Whether it goes on with an answer that was preempted.
     """
 
     arrival: Arrival
@@ -46,6 +47,7 @@
     started_at: float | None = None
     reserved: bool = False
     cheap_tokens: int = 0
+    continued: bool = False
 
     @property
     def met(self) -> bool:
@@ -78,9 +80,15 @@
     messages: int = 0
     preemptions: int = 0
     lost: dict[str, float] = attrs.field(factory=dict)
-
-    def begin(self, arrival: Arrival, request: Request, number: int) -> Try:
-        """Record a try."""
+    _paused: dict[int, Try] = attrs.field(factory=dict)
+
+    def begin(self, arrival: Arrival, request: Request, number: int, begun: int) -> Try:
+        """Record a try, or the next part of one that was preempted."""
+        paused = self._paused.pop(arrival.number, None)
+        if paused is not None:
+            paused.delivered = begun
+            paused.ended_at = None
+            return paused
         found = Try(arrival, request, number)
         self.tries.append(found)
         return found
@@ -99,6 +107,13 @@
         if cheap:
             found.cheap_tokens += tokens
 
+    def preempted(self, found: Try) -> None:
+        """Record a preemption."""
+        self.preemptions += 1
+        if found.arrival.request_class.resumable:
+            found.continued = True
+            self._paused[found.arrival.number] = found
+
     def ended(self, found: Try, whole: bool, now: float) -> None:
         """Record the end of a try."""
         found.whole = whole
