--- a/hickoryloom/admission/pool.py
+++ b/hickoryloom/admission/pool.py
@@ -9,17 +9,18 @@
 from hickoryloom.admission.arrivals import ArrivalRates
 from hickoryloom.admission.decisions import Decision, Preempt, Refuse, Start
 from hickoryloom.admission.estimates import Estimates
+from hickoryloom.admission.holds import Holds
 from hickoryloom.admission.limits import LimitBook
-from hickoryloom.admission.messages import Admitted, RefusalReason, Refused, Request
+from hickoryloom.admission.messages import Admitted, RefusalReason, Request
 from hickoryloom.admission.peers import PoolPeers, Pressure
 from hickoryloom.admission.queues import ClassQueue, PoolQueues
+from hickoryloom.admission.refusals import ORDERED_REASONS, build_refusal
 from hickoryloom.admission.running import Running, choose_victim
 from hickoryloom.admission.urgency import Urgency
 from hickoryloom.admission.waiting import Waiting
 from hickoryloom.configuration import RequestClass
 from hickoryloom.membership.messages import PoolSummary
 from hickoryloom.relay.messages import Outcome
-from hickoryloom.verdict import Verdict
 
 __all__ = ["PoolState"]
 
@@ -28,23 +29,9 @@
 RESERVE_MEMORY_S = 10.0
 LONG_SLACK_S = 4.0
 LEAST_SLOTS_PART = 0.05
-MIN_RETRY_S = 0.5
-MAX_RETRY_S = 60.0
 NO_BACKEND_RETRY_S = 2.0
-RETRY_JITTER = 0.25
 TIME_SLACK_S = 1e-9
 
-DETAILS = {
-    RefusalReason.OVERLOAD: "too many requests wait",
-    RefusalReason.EXPECTED_LATE: "the request would miss its target",
-    RefusalReason.CUSTOMER_LIMIT: "the customer's limit is used up",
-    RefusalReason.NO_BACKEND: "no backend server is known",
-    RefusalReason.CALLER_LEFT: "the caller left",
-}
-ORDERED_REASONS = frozenset(
-    (RefusalReason.OVERLOAD, RefusalReason.EXPECTED_LATE, RefusalReason.NO_BACKEND)
-)
-
 
 class PoolState:
     """Pure decisions on one pool.
@@ -73,7 +60,7 @@
         self._urgency = Urgency()
         self._pressure = Pressure()
         self._late: list[Waiting] = []
-        self._held: dict[tuple[str, int, str], float] = {}
+        self._holds = Holds()
         self._entries = 1
         self._tiers: frozenset[int] = frozenset()
         self._busy: dict[int, int] = {}
@@ -117,8 +104,7 @@
         """Take in the pool's slots and the other entries' use of them."""
         self.capacity = capacity
         self.peers = peers
-        for held in list(self._held):
-            self._release(held)
+        self._holds.release_all()
         self._allotment = None
         for found in self._queues:
             self._size_reserve(found, entries)
@@ -157,9 +143,7 @@
         difference = outcome.output_tokens + outcome.wasted_tokens - admitted.estimated_tokens
         found.queue.settle(request.customer, difference)
         self._limits.finished(request.customer, difference, now)
-        for held in list(self._held):
-            if held[2] == request.customer:
-                self._release(held)
+        self._holds.release_customer(request.customer)
         if outcome.whole:
             self._estimates.learn(
                 request.request_class, outcome.output_tokens, now - admitted.started
@@ -170,7 +154,7 @@
         """Start, refuse and preempt whatever is due at `now`."""
         decisions: list[Decision] = []
         self._own_demand = self._demand(now)
-        self._release_due(now)
+        self._holds.release_due(now)
         self._start_all(decisions, now)
         for waiting in self._urgency.pop_due(now):
             self._give_up(waiting, self._late_reason(waiting))
@@ -197,7 +181,7 @@
 
     def next_wake(self, now: float) -> float:
         """Return when `dispatch` is due next without an event, in seconds."""
-        times = [self._urgency.next_due(now), *self._held.values()]
+        times = [self._urgency.next_due(now), *self._holds.times]
         times += [self._pressure.in_force_at(waiting.request.tier) for waiting in self._late]
         if len(self._running) < self.allotment.free:
             times += self._reserve_times()
@@ -231,7 +215,8 @@
             assert waiting is not None
             request = waiting.request
             if not self._limits.may_start(request.customer, now):
-                self._hold(found, request.customer, now)
+                until = self._limits.ready_at(request.customer, now)
+                self._holds.hold(found, request.customer, until)
                 continue
             self._queues.pop(found)
             decisions.append(self._start(found, waiting, reserved, now))
@@ -307,7 +292,7 @@
 
     def _late_reason(self, waiting: Waiting) -> RefusalReason:
         request = waiting.request
-        if (request.request_class, request.tier, request.customer) in self._held:
+        if self._holds.is_held(request.request_class, request.tier, request.customer):
             return RefusalReason.CUSTOMER_LIMIT
         return RefusalReason.EXPECTED_LATE if self.capacity else RefusalReason.NO_BACKEND
 
@@ -326,24 +311,18 @@
     def _refuse(self, waiting: Waiting, now: float) -> Refuse:
         reason = waiting.late or RefusalReason.OVERLOAD
         self._end(waiting, now)
-        retry_s = self._retry_after(waiting, reason, now)
-        return Refuse(waiting, Refused(reason, Verdict.NOT_RUN, retry_s, DETAILS[reason]))
+        wait_s = self._wait_of_next_try(waiting, reason, now)
+        return Refuse(waiting, build_refusal(reason, wait_s, self._rng))
 
-    def _retry_after(self, waiting: Waiting, reason: RefusalReason, now: float) -> float:
+    def _wait_of_next_try(self, waiting: Waiting, reason: RefusalReason, now: float) -> float:
         request = waiting.request
-        found = self._queues.queue_of(waiting)
         if reason is RefusalReason.NO_BACKEND:
-            wait = NO_BACKEND_RETRY_S
-        elif reason is RefusalReason.CUSTOMER_LIMIT:
-            queued = found.queue.queued(request.customer)
-            service_s = self._service_s(request)
-            wait = self._limits.expected_wait(
-                request.customer, queued, waiting.cost, service_s, now
-            )
-        else:
-            wait = self.expected_wait(waiting, now) - (request.deadline - request.arrived)
-        bounded = min(max(wait, MIN_RETRY_S), MAX_RETRY_S)
-        return bounded * (1.0 + RETRY_JITTER * self._rng.random())
+            return NO_BACKEND_RETRY_S
+        if reason is not RefusalReason.CUSTOMER_LIMIT:
+            return self.expected_wait(waiting, now) - (request.deadline - request.arrived)
+        queued = self._queues.queue_of(waiting).queue.queued(request.customer)
+        service_s = self._service_s(request)
+        return self._limits.expected_wait(request.customer, queued, waiting.cost, service_s, now)
 
     def _preempt(self, decisions: list[Decision], now: float) -> None:
         for waiting in self._urgency.take_last_calls():
@@ -372,21 +351,6 @@
         self._queues.remove(waiting)
         self._urgency.end(waiting, now)
 
-    def _hold(self, found: ClassQueue, customer: str, now: float) -> None:
-        found.queue.hold(customer)
-        self._held[found.name, found.tier, customer] = self._limits.ready_at(customer, now)
-
-    def _release_due(self, now: float) -> None:
-        for held, at in list(self._held.items()):
-            if at <= now:
-                self._release(held)
-
-    def _release(self, held: tuple[str, int, str]) -> None:
-        del self._held[held]
-        for found in self._queues:
-            if (found.name, found.tier) == held[:2]:
-                found.queue.release(held[2])
-
     @property
     def _ordinary(self) -> int:
         return len(self._running) - self._reserved
