--- a/hickoryloom/admission/pool.py
+++ b/hickoryloom/admission/pool.py
@@ -67,6 +67,7 @@
         self._reserved = 0
         self._own_demand: dict[int, int] = {}
         self._allotment: Allotment | None = None
+        self._dispatched_at = float("-inf")
 
     @property
     def in_flight(self) -> int:
@@ -153,13 +154,14 @@
     def dispatch(self, now: float) -> list[Decision]:
         """Start, refuse and preempt whatever is due at `now`."""
         decisions: list[Decision] = []
+        self._dispatched_at = now
         self._own_demand = self._demand(now)
         self._holds.release_due(now)
         self._start_all(decisions, now)
         for waiting in self._urgency.pop_due(now):
             self._give_up(waiting, self._late_reason(waiting))
             self._queues.remove(waiting)
-        self._announce(now)
+        self._pressure.announce(self._urgency.tier(now), now)
         self._preempt(decisions, now)
         self._refuse_late(decisions, now)
         return decisions
@@ -179,13 +181,17 @@
             demand=demand,
         )
 
-    def next_wake(self, now: float) -> float:
-        """Return when `dispatch` is due next without an event, in seconds."""
-        times = [self._urgency.next_due(now), *self._holds.times]
+    def next_wake(self) -> float:
+        """Return when `dispatch` is due next without an event, in seconds.
+
+        What came due since the last dispatch counts too, however late this is asked.
+        """
+        last = self._dispatched_at
+        times = [self._urgency.next_due(last), *self._holds.times]
         times += [self._pressure.in_force_at(waiting.request.tier) for waiting in self._late]
         if len(self._running) < self.allotment.free:
             times += self._reserve_times()
-        return min((at for at in times if at > now), default=float("inf"))
+        return min((at for at in times if at > last), default=float("inf"))
 
     def may_start(self, tier: int, now: float) -> bool:
         """Return whether a tier may start outside of its reserve, by the order of tiers."""
@@ -200,7 +206,7 @@
         highest = self._queues.highest
         if not highest or self.peers.alone or self._room(highest) > 0:
             return False
-        if self._ordinary >= self.allotment.wanted.get(highest, 0):
+        if len(self._running) - self._reserved >= self.allotment.wanted.get(highest, 0):
             return False
         told = self._pressure.demands[-1][1] if self._pressure.demands else {}
         wanted = len(self._running) + len(self._queues)
@@ -344,17 +350,10 @@
         decisions.append(Preempt(victim.admitted))
         return True
 
-    def _announce(self, now: float) -> None:
-        self._pressure.announce(self._urgency.tier(now), now)
-
     def _end(self, waiting: Waiting, now: float) -> None:
         self._queues.remove(waiting)
         self._urgency.end(waiting, now)
 
-    @property
-    def _ordinary(self) -> int:
-        return len(self._running) - self._reserved
-
     def _room(self, tier: int) -> int:
         return self.allotment.room(tier, len(self._running), self._reserved)
 
