--- a/hickoryloom/bench/slopes.py
+++ b/hickoryloom/bench/slopes.py
@@ -21,6 +21,7 @@
 from hickoryloom.configuration import Customer, Pool, PoolKind, RequestClass, Snapshot
 from hickoryloom.http import Server
 from hickoryloom.membership import Heartbeat, Membership, PoolSummary
+from hickoryloom.metrics import Measure, MetricsRecorder
 from hickoryloom.platform.messages import ErrorKind, Listing, PlatformError, Versioned
 from hickoryloom.routing import BackendView
 from hickoryloom.verdict import Applied
@@ -183,9 +184,22 @@
     print(f"bytes_per_waiting_request={waiting / QUEUED:.0f}", flush=True)
 
 
+def measure_metrics_memory() -> None:
+    """Print the memory of histograms, with more customers than are tracked."""
+    tracemalloc.start()
+    recorder = MetricsRecorder()
+    for number in range(CUSTOMERS):
+        for measure in Measure:
+            recorder.record(f"class-{number % len(TIERS)}", f"customer-{number}", measure, 0.1)
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    print(f"bytes_of_metrics_with_{CUSTOMERS}_customers_seen={size}", flush=True)
+
+
 def main() -> None:
     """Print all slopes."""
     measure_memory()
+    measure_metrics_memory()
     measure_heartbeats(2, counted=True)
     for count in SIZES:
         measure_heartbeats(count)
