--- a/hickoryloom/membership/task.py
+++ b/hickoryloom/membership/task.py
@@ -24,6 +24,7 @@
 __all__ = ["Membership"]
 
 HEARTBEAT_S = 1.0
+URGENT_GAP_S = 0.02
 PRESENCE_S = 10.0
 FIRST_ROUND_WAIT_S = 1.0
 KNOWN_EVERY = 5
@@ -117,12 +118,23 @@
         self._kick.set()
 
     def _run_rounds(self) -> None:
+        due = self._clock.monotonic()
         while True:
-            self._kick.clear()
+            now = self._clock.monotonic()
+            if now >= due:
+                due = now + HEARTBEAT_S
+                self._run_round()
+            if self._kick.wait(max(0.0, due - now)):
+                self._kick.clear()
+                self._send_all()
+                gevent.sleep(URGENT_GAP_S)
+
+    def _run_round(self) -> None:
+        try:
             self._update_links()
             self._send_round()
-            if self._kick.wait(HEARTBEAT_S):
-                self._send_all()
+        except Exception:
+            log.exception("event=round-fault")
 
     def _run_presence(self) -> None:
         while True:
