--- a/tests/harness.py
+++ b/tests/harness.py
@@ -20,15 +20,21 @@
 POLL_S = 0.02
 
 
-def wait_until(condition: Callable[[], Any], timeout_s: float = 10.0, what: str = "") -> Any:
-    """Wait for a truthy value and return it; fail the test when it does not come."""
+def wait_until(
+    condition: Callable[[], Any], timeout_s: float = 10.0, what: str | Callable[[], Any] = ""
+) -> Any:
+    """Wait for a truthy value and return it; fail the test when it does not come.
+
+    `what` says what was waited for; a function is called only when the wait has failed.
+    """
     end = time.monotonic() + timeout_s
     while time.monotonic() < end:
         found = condition()
         if found:
             return found
         gevent.sleep(POLL_S)
-    raise AssertionError(f"did not come about in {timeout_s} s: {what or condition}")
+    found = what() if callable(what) else what
+    raise AssertionError(f"did not come about in {timeout_s} s: {found or condition}")
 
 
 class Process:
--- a/tests/test_keys_processes.py
+++ b/tests/test_keys_processes.py
@@ -71,7 +71,10 @@
 def issue(site, customer="studio"):
     key = site.issue_key(customer)
     for entry in ("entry-1", "entry-2", "entry-3"):
-        wait_until(lambda entry=entry: site.ask(entry, key, max_tokens=1).status == 200)
+        wait_until(
+            lambda entry=entry: site.ask(entry, key, max_tokens=1).status == 200,
+            what=lambda entry=entry: (entry, site.ask(entry, key), site.status(entry)),
+        )
     return key
 
 
