--- a/hickoryloom/control/process.py
+++ b/hickoryloom/control/process.py
@@ -10,10 +10,9 @@
 from hickoryloom.clock import Clock, SystemClock
 from hickoryloom.config import Settings
 from hickoryloom.configuration import ConfigurationFollower
-from hickoryloom.control.admin import build_admin_app
 from hickoryloom.control.presence import ROLE, ControlPresence
 from hickoryloom.fleet import DemandSurvey, FleetPlan, FleetTask
-from hickoryloom.http import Server
+from hickoryloom.http import Server, build_admin_app
 from hickoryloom.leases import LeaseKeeper
 from hickoryloom.membership import Presence
 from hickoryloom.platform import PlatformClient
--- a/hickoryloom/entry/accounting.py
+++ b/hickoryloom/entry/accounting.py
@@ -9,7 +9,7 @@
 from hickoryloom.admission import Admitted, Refused, Request
 from hickoryloom.clock import Clock
 from hickoryloom.configuration import RequestClass
-from hickoryloom.entry.admin import DecisionLog
+from hickoryloom.entry.decisions import DecisionLog
 from hickoryloom.fleet import DemandMeter
 from hickoryloom.logs import log_event
 from hickoryloom.metrics import Measure, MetricsRecorder
--- a/hickoryloom/entry/process.py
+++ b/hickoryloom/entry/process.py
@@ -17,12 +17,12 @@
 from hickoryloom.config import Settings
 from hickoryloom.configuration import ConfigurationFollower, ConfigurationPeers, Snapshot
 from hickoryloom.entry.accounting import Accounting
-from hickoryloom.entry.admin import DecisionLog, build_admin_app
 from hickoryloom.entry.app import build_caller_app
+from hickoryloom.entry.decisions import DecisionLog, add_explain_route
 from hickoryloom.entry.exchange import Slices
 from hickoryloom.entry.messages import ClassSummary
 from hickoryloom.fleet import DemandMeter, add_demand_routes
-from hickoryloom.http import Server
+from hickoryloom.http import Server, build_admin_app
 from hickoryloom.keys import OpenCalls, ViewGuard, WithdrawalTask
 from hickoryloom.logs import log_event
 from hickoryloom.membership import Heartbeat, Membership, Peer
@@ -59,9 +59,8 @@
         self._peer_server = _bind(self._peer_app, settings.peer_listen)
         self._metrics = MetricsRecorder()
         self._decisions = DecisionLog()
-        admin_app = build_admin_app(
-            self.why_not_ready, self._render_metrics, self.status, self._decisions
-        )
+        admin_app = build_admin_app(self.why_not_ready, self.status, self._render_metrics)
+        add_explain_route(admin_app, self._decisions)
         self._admin_server = _bind(admin_app, settings.admin_listen)
         self._settings = attrs.evolve(
             settings,
