--- a/hickoryloom/bench/relay.py
+++ b/hickoryloom/bench/relay.py
@@ -45,7 +45,9 @@
 SPREAD_S = 0.5
 READ_BYTES = 65536
 MAX_CONNECTIONS = 4096
-BODY = json.dumps({"model": "bench", "messages": [{"role": "user", "content": "x" * 200}]}).encode()
+BODY = json.dumps(
+    {"model": "bench", "stream": True, "messages": [{"role": "user", "content": "x" * 200}]}
+).encode()
 EVENT_END = b"\n\n"
 
 
@@ -176,14 +178,20 @@
         )
 
 
-def run_callers(targets: list[str], streams: int) -> list[Figures]:
-    """Open `streams` streams at each target, all at the same time, and read them to the end."""
+def run_callers(targets: list[str], streams: int, key: str = "") -> list[Figures]:
+    """Open `streams` streams at each target, all at the same time, and read them to the end.
+
+    Args:
+        targets: `host:port` of each target.
+        streams: Streams at each target.
+        key: A caller's key to show; empty for none.
+    """
     reports = [CallersReport() for _ in targets]
     tasks = []
     for number in range(streams):
         for target, report in zip(targets, reports, strict=True):
             after_s = SPREAD_S * number / streams
-            tasks.append(gevent.spawn_later(after_s, _read_stream, target, report))
+            tasks.append(gevent.spawn_later(after_s, _read_stream, target, report, key))
     gevent.joinall(tasks)
     return [report.figures() for report in reports]
 
@@ -196,13 +204,14 @@
     return body
 
 
-def _read_stream(target: str, report: CallersReport) -> None:
+def _read_stream(target: str, report: CallersReport, key: str) -> None:
     host, _, port = target.rpartition(":")
+    shown = f"Authorization: Bearer {key}\r\n" if key else ""
     head = f"POST {PATH} HTTP/1.1\r\nHost: {target}\r\nContent-Length: {len(BODY)}\r\n"
     try:
         sock = socket.create_connection((host, int(port)), timeout=60.0)
         began = time.monotonic()
-        sock.sendall(f"{head}Connection: close\r\n\r\n".encode() + BODY)
+        sock.sendall(f"{head}{shown}Connection: close\r\n\r\n".encode() + BODY)
         _read_events(sock, began, report)
         sock.close()
     except OSError:
@@ -263,9 +272,10 @@
     callers = roles.add_parser("callers")
     callers.add_argument("targets", nargs="+", metavar="HOST:PORT")
     callers.add_argument("--streams", type=int, default=200, help="streams at each target")
+    callers.add_argument("--key", default="", help="a caller's key to show")
     options = parser.parse_args(arguments)
     if options.role == "callers":
-        figures = run_callers(options.targets, options.streams)
+        figures = run_callers(options.targets, options.streams, options.key)
         print(json.dumps([attrs.asdict(one) for one in figures]), flush=True)
     elif options.role == "source":
         _serve(EventSource(options.events, options.pace_ms / 1000), options.listen)
--- /dev/null
+++ b/tests/test_entry_speed.py
@@ -0,0 +1,78 @@
+"""The whole entry's cost of an event beside a bare relay's, both driven at the same time."""
+
+import json
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from hickoryloom.bench.relay import read_cost
+from hickoryloom.standins import register_backend
+from tests.harness import wait_until
+from tests.site import DOMAINS, Site
+from tests.test_relay_speed import roles as roles  # noqa: PLC0414
+
+MAX_RATIO = 1.5
+STREAMS = 150
+REPEATS = 3
+EVENTS = "100"
+DOCUMENTS = {
+    "pools": {
+        "bench": {
+            "kind": "engine",
+            "model": "bench",
+            "slots": 1000,
+            "failure_domains": list(DOMAINS),
+            "max_servers": 1,
+        }
+    },
+    "classes": {"guest": {"tier": 1, "first_token_ms": 20000, "token_gap_ms": 1000}},
+    "customers": {"studio": {"classes": ["guest"]}},
+}
+
+
+@pytest.fixture
+def site(tmp_path, roles):
+    site = Site(tmp_path, DOCUMENTS)
+    source = roles("source", "--events", EVENTS, "--pace-ms", "50")
+    row = {"id": "source", "address": source, "failure_domain": DOMAINS[0], "pool": "bench"}
+    register_backend(site.platform_address, {**row, "cheap": False, "state": "live"}, spare=False)
+    site.publish()
+    site.add_entry(log_level="ERROR")
+    site.wait_serving("entry-1")
+    site.bare = roles("bare", "--source", source)
+    yield site
+    site.stop()
+
+
+def processor_s(pid):
+    fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def drive(site, key):
+    """Return processor time of an event in microseconds: bare relay and entry."""
+    targets = [site.bare, site.listen("entry-1")]
+    command = [sys.executable, "-m", "hickoryloom.bench.relay", "callers", *targets]
+    command += ["--streams", str(STREAMS), "--key", key]
+    bare_s, entry_s = read_cost(site.bare)["cpu_s"], processor_s(site.entries[0].pid)
+    done = subprocess.run(command, stdout=subprocess.PIPE, text=True, check=True)
+    bare_s = read_cost(site.bare)["cpu_s"] - bare_s
+    entry_s = processor_s(site.entries[0].pid) - entry_s
+    of_bare, of_entry = json.loads(done.stdout)
+    assert of_bare["broken"] == of_entry["broken"] == 0
+    return bare_s / of_bare["events"] * 1e6, entry_s / of_entry["events"] * 1e6
+
+
+@pytest.mark.bench
+@pytest.mark.processes
+def test_an_event_through_the_whole_entry_costs_little_more_than_in_a_bare_relay(site):
+    key = site.issue_key("studio")
+    wait_until(lambda: site.status("entry-1")["generation"] >= 2)
+    drive(site, key)
+    figures = [drive(site, key) for _ in range(REPEATS)]
+    ratios = sorted(entry / bare for bare, entry in figures)
+    print(f"us per event, bare and entry: {figures}, ratios {ratios}")
+    assert ratios[REPEATS // 2] <= MAX_RATIO
