Check the peers' secret in one place and in constant time

The check stood in four forms, two of them not in constant time. Without a secret, membership asked for an empty token that HTTP strips, so entries with the default settings never heard each other: test_entries_without_a_peer_secret_hear_each_other failed before and passes now.

--- a/hickoryloom/configuration/peers.py
+++ b/hickoryloom/configuration/peers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hmac
 import random
 from collections.abc import Collection, Iterable
 from typing import Any
@@ -18,7 +17,7 @@
 from hickoryloom.configuration.follower import ConfigurationFollower
 from hickoryloom.configuration.freshness import PeerView
 from hickoryloom.configuration.known_peers import KnownPeers
-from hickoryloom.http import CallFailed, JsonAnswer, JsonClient
+from hickoryloom.http import CallFailed, JsonAnswer, JsonClient, bearer_headers, shows_token
 from hickoryloom.logs import log_event
 from hickoryloom.membership import Heartbeat, Peer
 
@@ -149,10 +148,9 @@
         """Return the content of a shard in force, for a peer, or None."""
         return self._follower.shard_content(name)
 
-    def is_peer(self, shown: str) -> bool:
+    def is_peer(self, authorization: str | None) -> bool:
         """Return whether a header `Authorization` shows the peers' secret."""
-        expected = f"Bearer {self._secret}"
-        return not self._secret or hmac.compare_digest(shown.encode(), expected.encode())
+        return shows_token(authorization, self._secret)
 
     def renew_evidence(self) -> None:
         """Ask a few peers of a large fleet for their evidence, and in a round if it is too old."""
@@ -239,7 +237,7 @@
     def _get(self, address: str, path: str, timeout_s: float) -> Result[JsonAnswer, CallFailed]:
         if address not in self._clients:
             self._clients[address] = JsonClient(address, connections=2)
-        headers = {"Authorization": f"Bearer {self._secret}"} if self._secret else None
+        headers = bearer_headers(self._secret)
         return self._clients[address].call("GET", path, timeout_s=timeout_s, headers=headers)
 
 
@@ -263,7 +261,7 @@
 
     def check(self, req: falcon.Request) -> None:
         """Refuse a caller without the secret."""
-        if not self._peers.is_peer(req.get_header("Authorization") or ""):
+        if not self._peers.is_peer(req.get_header("Authorization")):
             raise falcon.HTTPUnauthorized()
 
 
--- a/hickoryloom/fleet/demand.py
+++ b/hickoryloom/fleet/demand.py
@@ -11,6 +11,7 @@
 from result import Err, Ok, Result
 
 from hickoryloom.fleet.messages import Demand, PoolDemand, TierDemand
+from hickoryloom.http import shows_token
 
 __all__ = ["DEMAND_PATH", "DemandMeter", "add_demand_routes", "merge_demands", "read_demand"]
 
@@ -159,11 +160,11 @@
     ) -> None:
         self._measure = measure
         self._on_leaving = on_leaving
-        self._authorization = f"Bearer {peer_secret}" if peer_secret else ""
+        self._peer_secret = peer_secret
 
     def on_post(self, request: falcon.Request, response: falcon.Response) -> None:
         """Take the ids of leaving backend servers, and answer with the demand."""
-        if self._authorization and request.get_header("Authorization") != self._authorization:
+        if not shows_token(request.get_header("Authorization"), self._peer_secret):
             raise falcon.HTTPForbidden(title="not a peer")
         body = request.get_media()
         leaving = body.get("leaving") if isinstance(body, dict) else None
--- a/hickoryloom/fleet/engines.py
+++ b/hickoryloom/fleet/engines.py
@@ -7,7 +7,7 @@
 import attrs
 from result import Err
 
-from hickoryloom.http import JsonClient
+from hickoryloom.http import JsonClient, bearer_headers
 from hickoryloom.leases import Guard, Right
 
 __all__ = ["BackendCalls", "ServerLoad"]
@@ -38,7 +38,7 @@
 
     def __init__(self, incarnation: str, credential: str = "") -> None:
         self._incarnation = incarnation
-        self._headers = {"Authorization": f"Bearer {credential}"} if credential else {}
+        self._headers = bearer_headers(credential)
 
     def load(self, address: str) -> ServerLoad | None:
         """Return a backend server's load, None without a usable answer."""
--- a/hickoryloom/fleet/survey.py
+++ b/hickoryloom/fleet/survey.py
@@ -14,7 +14,7 @@
 from hickoryloom.clock import Clock
 from hickoryloom.fleet.demand import DEMAND_PATH, merge_demands, read_demand
 from hickoryloom.fleet.messages import Demand, PoolDemand
-from hickoryloom.http import JsonClient
+from hickoryloom.http import JsonClient, bearer_headers
 from hickoryloom.leases import ObjectStore
 from hickoryloom.membership import Presence
 
@@ -57,7 +57,7 @@
     def __init__(self, client: ObjectStore, clock: Clock, peer_secret: str = "") -> None:
         self._client = client
         self._clock = clock
-        self._headers = {"Authorization": f"Bearer {peer_secret}"} if peer_secret else {}
+        self._headers = bearer_headers(peer_secret)
         self._known: dict[str, _Known] = {}
         self._listed_at = float("-inf")
 
--- /dev/null
+++ b/hickoryloom/http/tests/test_credential.py
@@ -0,0 +1,22 @@
+"""A token is asked for in constant time, and an empty one asks for nothing."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hickoryloom.http import bearer_headers, shows_token
+
+tokens = st.text(st.characters(min_codepoint=33, max_codepoint=126), min_size=1, max_size=40)
+
+
+@given(tokens, tokens)
+def test_only_the_token_itself_is_taken(token, other):
+    shown = bearer_headers(token)["Authorization"]
+    assert shows_token(shown, token)
+    assert shows_token(shown, other) is (token == other)
+    assert not shows_token(None, token)
+    assert not shows_token(token, token)
+
+
+def test_an_empty_token_asks_for_nothing():
+    assert bearer_headers("") == {}
+    assert shows_token(None, "") and shows_token("Bearer x", "")
--- a/hickoryloom/membership/link.py
+++ b/hickoryloom/membership/link.py
@@ -7,7 +7,7 @@
 import gevent
 from gevent.event import Event
 
-from hickoryloom.http import JsonClient
+from hickoryloom.http import JsonClient, bearer_headers
 from hickoryloom.membership.codec import Word, decode_word, encode_word
 
 __all__ = ["EXCHANGE_TIMEOUT_S", "HEARTBEAT_PATH", "PeerLink"]
@@ -34,7 +34,7 @@
         receive: Callable[[Word], None],
     ) -> None:
         self.address = address
-        self._headers = {"Authorization": f"Bearer {secret}"}
+        self._headers = bearer_headers(secret)
         self._build = build
         self._receive = receive
         self._due = Event()
--- a/hickoryloom/membership/task.py
+++ b/hickoryloom/membership/task.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hmac
 from collections.abc import Callable
 
 import attrs
@@ -13,6 +12,7 @@
 
 from hickoryloom.clock import Clock
 from hickoryloom.config import Settings
+from hickoryloom.http import shows_token
 from hickoryloom.logs import log_event
 from hickoryloom.membership.codec import Word, decode_word, encode_word
 from hickoryloom.membership.link import HEARTBEAT_PATH, PeerLink
@@ -237,13 +237,12 @@
     """Answers a peer's heartbeat with this entry's own."""
 
     def __init__(self, secret: str, answer: Callable[[Word], Word]) -> None:
-        self._expected = f"Bearer {secret}"
+        self._secret = secret
         self._answer = answer
 
     def on_post(self, req: falcon.Request, resp: falcon.Response) -> None:
         """Take in a heartbeat and return one."""
-        shown = req.get_header("Authorization") or ""
-        if not hmac.compare_digest(shown.encode(), self._expected.encode()):
+        if not shows_token(req.get_header("Authorization"), self._secret):
             raise falcon.HTTPForbidden(description="wrong peer secret")
         decoded = decode_word(req.get_media())
         if decoded.is_err():
--- a/hickoryloom/relay/engine.py
+++ b/hickoryloom/relay/engine.py
@@ -9,7 +9,7 @@
 import attrs
 from result import Err
 
-from hickoryloom.http import JsonClient
+from hickoryloom.http import JsonClient, bearer_headers
 
 __all__ = ["EngineControl", "RequestState", "RequestStatus"]
 
@@ -62,7 +62,7 @@
     def _call(
         self, address: str, method: str, path: str, body: object, timeout_s: float
     ) -> dict[str, Any]:
-        headers = {"Authorization": f"Bearer {self.credential}"} if self.credential else {}
+        headers = bearer_headers(self.credential)
         client = JsonClient(address, timeout_s, connections=1)
         try:
             answer = client.call(method, path, body, timeout_s, headers)
--- a/hickoryloom/usage/counter.py
+++ b/hickoryloom/usage/counter.py
@@ -12,7 +12,7 @@
 from result import Err, Ok
 
 from hickoryloom.clock import Clock
-from hickoryloom.http import JsonClient
+from hickoryloom.http import JsonClient, bearer_headers, shows_token
 from hickoryloom.leases import ObjectStore
 from hickoryloom.logs import log_event
 from hickoryloom.loops import repeat_until
@@ -66,7 +66,8 @@
         self._times = UsageTimes.of(window_s)
         self._peers = peers
         self._failure_domain = failure_domain
-        self._headers = {"Authorization": f"Bearer {peer_secret}"} if peer_secret else {}
+        self._headers = bearer_headers(peer_secret)
+        self._peer_secret = peer_secret
         self._ledger = UsageLedger(incarnation, self._times)
         self._copies = HeldCopies(self._times)
         self._partner: tuple[str, JsonClient] | None = None
@@ -107,7 +108,7 @@
 
     def add_routes(self, app: falcon.App) -> None:
         """Add the route by which peers hand over copies."""
-        app.add_route(COPY_PATH, _CopyResource(self, self._headers.get("Authorization", "")))
+        app.add_route(COPY_PATH, _CopyResource(self, self._peer_secret))
 
     def accept_copy(self, copy: UsageCopy) -> int:
         """Hold a peer's copy and return the sequence held, 0 to ask for everything."""
@@ -229,13 +230,13 @@
 
 
 class _CopyResource:
-    def __init__(self, counter: UsageCounter, authorization: str) -> None:
+    def __init__(self, counter: UsageCounter, secret: str) -> None:
         self._counter = counter
-        self._authorization = authorization
+        self._secret = secret
 
     def on_post(self, request: falcon.Request, response: falcon.Response) -> None:
         """Hold a peer's copy."""
-        if self._authorization and request.get_header("Authorization") != self._authorization:
+        if not shows_token(request.get_header("Authorization"), self._secret):
             raise falcon.HTTPForbidden(title="not a peer")
         copy = read_as(UsageCopy, request.get_media())
         if isinstance(copy, Err):
--- a/tests/test_operators_view.py
+++ b/tests/test_operators_view.py
@@ -75,3 +75,14 @@
         assert part in shown.stdout
     assert shown.stdout.count("verdict not-run") >= 2
     assert "Traceback" not in shown.stderr
+
+
+def test_entries_without_a_peer_secret_hear_each_other(tmp_path):
+    site = start_site(tmp_path, entries=0)
+    try:
+        for _ in range(2):
+            site.add_entry(peer_secret="")
+        for entry in ("entry-1", "entry-2"):
+            wait_until(lambda entry=entry: len(site.status(entry)["peers"]) == 1)
+    finally:
+        site.stop()
