--- a/hickoryloom/entry/app.py
+++ b/hickoryloom/entry/app.py
@@ -27,6 +27,7 @@
 
 MODELS_PATH = "/v1/models"
 STALE_VIEW_RETRY_S = 5.0
+FAULT_RETRY_S = 1.0
 
 
 class _Callers:
@@ -38,14 +39,7 @@
     def __call__(self, req: falcon.Request, resp: falcon.Response, **_: Any) -> None:
         """Serve one call."""
         request_id = uuid.uuid4().hex
-        reply = self._serve(req.env, request_id)
-        resp.status = reply.status
-        for name, value in reply.headers:
-            resp.append_header(name, value)
-        if isinstance(reply.body, list):
-            resp.data = b"".join(reply.body)
-        else:
-            resp.stream = reply.body
+        _send(self._serve(req.env, request_id), resp)
 
     def _serve(self, environ: dict[str, Any], request_id: str) -> Reply:
         read = read_call(environ)
@@ -87,6 +81,23 @@
         return Reply(200, [("Content-Type", "application/json")], [body])
 
 
+def _answer_fault(req: falcon.Request, resp: falcon.Response, error: Exception, _: Any) -> None:
+    """Answer for a fault of this program; how far the request came is not known here."""
+    log.exception("event=fault path={}", req.path)
+    refused = Refused(RefusalReason.INTERNAL, Verdict.MAY_HAVE_RUN, FAULT_RETRY_S)
+    _send(reply_with_error(answer_for_refusal(refused, uuid.uuid4().hex)), resp)
+
+
+def _send(reply: Reply, resp: falcon.Response) -> None:
+    resp.status = reply.status
+    for name, value in reply.headers:
+        resp.append_header(name, value)
+    if isinstance(reply.body, list):
+        resp.data = b"".join(reply.body)
+    else:
+        resp.stream = reply.body
+
+
 def _reply_with_fault(error: CallerError, request_id: str) -> Reply:
     return reply_with_error(answer_for_caller_error(error, request_id))
 
@@ -95,4 +106,5 @@
     """Build the application that serves callers."""
     app = falcon.App()
     app.add_sink(_Callers(slices), "/")
+    app.add_error_handler(Exception, _answer_fault)
     return app
--- a/hickoryloom/entry/identify.py
+++ b/hickoryloom/entry/identify.py
@@ -9,14 +9,14 @@
 from hickoryloom.entry.messages import CallerError
 from hickoryloom.entry.requests import (
     MODEL_PATHS,
-    SERVICE_PREFIX,
     parse_model_request,
     parse_service_request,
+    split_service_path,
 )
 from hickoryloom.http import Call
 from hickoryloom.keys import Identity, UnauthenticatedReason, anonymous, authenticate
 
-__all__ = ["identify", "is_open", "parse_request", "split_service_path"]
+__all__ = ["identify", "is_open", "parse_request"]
 
 IGNORED_ON_OPEN_ROUTES = frozenset(
     (
@@ -49,20 +49,9 @@
         if call.method != "POST":
             return Err(CallerError(405, "bad-method", "Only POST is allowed here."))
         return parse_model_request(call, identity, snapshot, request_id, now)
-    service, path = split_service_path(call.path)
-    if not service:
+    if not split_service_path(call.path)[0]:
         return Err(CallerError(404, "unknown-path", "No such path."))
-    return parse_service_request(
-        call, service, path, identity, snapshot, now, request_id=request_id
-    )
-
-
-def split_service_path(path: str) -> tuple[str, str]:
-    """Return the service's name and the path below it; an empty name for other paths."""
-    if not path.startswith(SERVICE_PREFIX):
-        return "", ""
-    service, slash, rest = path[len(SERVICE_PREFIX) :].partition("/")
-    return service, slash + rest if slash else "/"
+    return parse_service_request(call, identity, snapshot, request_id, now)
 
 
 def is_open(call: Call, snapshot: Snapshot) -> bool:
--- a/hickoryloom/entry/requests.py
+++ b/hickoryloom/entry/requests.py
@@ -21,6 +21,7 @@
     "allowed_models",
     "parse_model_request",
     "parse_service_request",
+    "split_service_path",
 ]
 
 MODEL_PATHS = ("/v1/chat/completions", "/v1/completions")
@@ -28,7 +29,6 @@
 CLASS_HEADER = "x-request-class"
 IDEMPOTENCY_HEADER = "idempotency-key"
 MAX_IDEMPOTENCY_KEY_CHARACTERS = 200
-MAX_JSON_DEPTH_ERROR = "The body is nested too deeply."
 BYTES_PER_TOKEN = 4
 PREFIX_CHARACTERS = 1024
 PREFIX_HASH_CHARACTERS = 16
@@ -83,28 +83,21 @@
 
 
 def parse_service_request(
-    call: Call,
-    service: str,
-    path: str,
-    identity: Identity,
-    snapshot: Snapshot,
-    now: float,
-    **ids: str,
+    call: Call, identity: Identity, snapshot: Snapshot, request_id: str, now: float
 ) -> Result[Request, CallerError]:
     """Check a call of a plain service.
 
     Args:
-        call: The call.
-        service: Service's name.
-        path: Path below the service, with a leading slash.
+        call: The call, its path below `SERVICE_PREFIX`.
         identity: Who sent it.
         snapshot: Configuration in force.
+        request_id: Id for the request.
         now: Monotonic time of arrival, in seconds.
-        **ids: `request_id`, the id for the request.
 
     Returns:
         The request, or what is wrong with it.
     """
+    service, path = split_service_path(call.path)
     route = snapshot.route_of(service, call.method, path)
     if route is None or not _may_call_service(identity, service):
         return Err(CallerError(404, "unknown-route", "No such call of this service."))
@@ -120,7 +113,7 @@
     request_class = chosen.ok_value
     return Ok(
         Request(
-            id=ids["request_id"],
+            id=request_id,
             customer=identity.customer.name,
             service=service,
             pool=snapshot.services[service].pool,
@@ -135,11 +128,19 @@
     )
 
 
+def split_service_path(path: str) -> tuple[str, str]:
+    """Return the service's name and the path below it; an empty name for other paths."""
+    if not path.startswith(SERVICE_PREFIX):
+        return "", ""
+    service, slash, rest = path[len(SERVICE_PREFIX) :].partition("/")
+    return service, slash + rest if slash else "/"
+
+
 def _parse_object(body: bytes) -> Result[dict[str, Any], CallerError]:
     try:
         parsed = json.loads(body)
     except RecursionError:
-        return Err(CallerError(400, "bad-json", MAX_JSON_DEPTH_ERROR))
+        return Err(CallerError(400, "bad-json", "The body is nested too deeply."))
     except ValueError as error:
         return Err(CallerError(400, "bad-json", f"The body is not JSON: {type(error).__name__}."))
     if not isinstance(parsed, dict):
@@ -196,7 +197,7 @@
 ) -> Result[RequestClass, CallerError]:
     asked = call.header(CLASS_HEADER)
     if identity.is_anonymous:
-        return Ok(lowest_class(snapshot))
+        return _choose_open_class(snapshot)
     if asked and asked not in identity.customer.classes:
         return Err(CallerError(403, "class-not-allowed", "The customer may not use this class."))
     name = asked or identity.default_class
@@ -205,9 +206,11 @@
     return Ok(snapshot.classes[name])
 
 
-def lowest_class(snapshot: Snapshot) -> RequestClass:
-    """Return the class of callers without a key: the lowest tier's, first by name."""
-    return max(snapshot.classes.values(), key=lambda found: (found.tier, found.name))
+def _choose_open_class(snapshot: Snapshot) -> Result[RequestClass, CallerError]:
+    """Return the class of callers without a key: the lowest tier's, last by name."""
+    if not snapshot.classes:
+        return Err(CallerError(404, "unknown-route", "No such call of this service."))
+    return Ok(max(snapshot.classes.values(), key=lambda found: (found.tier, found.name)))
 
 
 def _hash_prefix(body: dict[str, Any]) -> str:
--- a/hickoryloom/entry/tests/test_requests.py
+++ b/hickoryloom/entry/tests/test_requests.py
@@ -115,7 +115,7 @@
 
 def service_call(method, path, headers=()):
     call = Call(method, f"/services/desk{path}", "", tuple(headers), b"{}")
-    return parse_service_request(call, "desk", path, STUDIO, SNAPSHOT, 100.0, request_id="r1")
+    return parse_service_request(call, STUDIO, SNAPSHOT, "r1", 100.0)
 
 
 def test_non_idempotent_call_needs_a_key():
