--- a/tests/test_tiers_processes.py
+++ b/tests/test_tiers_processes.py
@@ -8,6 +8,7 @@
 import pytest
 from gevent import socket
 
+from tests.backends import journal
 from tests.harness import Link, wait_until
 from tests.site import DOCUMENTS, DOMAINS, Site
 
@@ -110,6 +111,19 @@
     ]
 
 
+def assert_engines_saw_only_logged_starts(site):
+    """Check by the engines' own journals that the logs leave no start out and no tier wrong."""
+    logged = {f["request_id"]: f["tier"] for _, _, f in events(site, "start")}
+    seen = {}
+    for number in range(len(DOMAINS)):
+        for row in journal(site.addresses[f"engine-{number + 1}"]["address"])["seen"]:
+            if row["path"].endswith("/completions"):
+                id = row["headers"]["X-REQUEST-ID"].partition("~")[0]
+                seen[id] = row["headers"]["X-PRIORITY"]
+    assert len(seen) > GUESTS and set(seen.values()) == {"1", "3"}
+    assert {id: tier for id, tier in seen.items() if logged.get(id) != tier} == {}
+
+
 def test_no_lower_tier_starts_while_a_higher_one_is_refused(site):
     """The top tier comes to one entry only: the others have just its word, or its silence."""
     key = site.issue_key("studio")
@@ -132,6 +146,7 @@
         load.stop()
     assert 0 < frozen < woken
     assert lower_starts_at_refusals(site) == []
+    assert_engines_saw_only_logged_starts(site)
     lapsed = cut + LEAVE_S + 1.0
     after = [f for at, _, f in events(site, "start") if at > lapsed]
     assert [f for f in after if f["tier"] == "1"], "the top tier is served across a cut"
