Let one loop class serve the four tasks that repeat a step until they are stopped

The lease keeper, the fleet task, the usage reporter and control's presence each held the same event, greenlet, start and stop. Exchange kept a key hash that nothing read.

--- a/hickoryloom/control/presence.py
+++ b/hickoryloom/control/presence.py
@@ -4,13 +4,11 @@
 
 from collections.abc import Callable
 
-import gevent
 import logbook
-from gevent.event import Event
 
 from hickoryloom.clock import Clock
 from hickoryloom.logs import log_event
-from hickoryloom.loops import repeat_until
+from hickoryloom.loops import TaskLoop
 from hickoryloom.membership import Presence, PresenceKeeper
 from hickoryloom.platform import Listing, PlatformClient
 
@@ -44,23 +42,17 @@
         self._keeper = PresenceKeeper(client, presence)
         self._cleans = cleans
         self._versions: dict[str, tuple[int, float]] = {}
-        self._stopping = Event()
-        self._task: gevent.Greenlet | None = None
+        self._loop = TaskLoop(self._step, "presence", log)
 
     def start(self) -> None:
         """Write the presence object and begin to renew it."""
-        self._task = gevent.spawn(self._run)
+        self._loop.start()
 
     def stop(self) -> None:
         """Remove the presence object."""
-        self._stopping.set()
-        if self._task is not None:
-            self._task.join()
+        self._loop.stop()
         self._keeper.remove()
 
-    def _run(self) -> None:
-        repeat_until(self._stopping, self._step, "presence", log)
-
     def _step(self) -> float:
         self._keeper.renew()
         if self._cleans():
--- a/hickoryloom/entry/exchange.py
+++ b/hickoryloom/entry/exchange.py
@@ -64,7 +64,6 @@
         self._slices = slices
         self._request = request
         self._call = call
-        self._key_hash = key_hash
         self._cancelled = Event()
         self._cancel_reason: RefusalReason | None = None
         self._admitted: Admitted | None = None
--- a/hickoryloom/fleet/task.py
+++ b/hickoryloom/fleet/task.py
@@ -6,9 +6,7 @@
 from typing import Any, Protocol
 
 import attrs
-import gevent
 import logbook
-from gevent.event import Event
 from result import Err, Ok, Result
 
 from hickoryloom.clock import Clock
@@ -25,7 +23,7 @@
 from hickoryloom.fleet.views import view_servers
 from hickoryloom.leases import Guard, LeaseKeeper, ObjectStore, Right
 from hickoryloom.logs import log_event
-from hickoryloom.loops import repeat_until
+from hickoryloom.loops import TaskLoop
 from hickoryloom.platform import (
     ErrorKind,
     LiveBackend,
@@ -120,8 +118,7 @@
         self._leaving: tuple[str, ...] = ()
         self._term = 0
         self._fenced_term = 0
-        self._stopping = Event()
-        self._task: gevent.Greenlet | None = None
+        self._loop = TaskLoop(self._run_step_and_pause, "fleet", log)
 
     @property
     def plans(self) -> dict[str, FleetPlan]:
@@ -130,13 +127,11 @@
 
     def start(self) -> None:
         """Begin to order whenever the lease is held."""
-        self._task = gevent.spawn(self._run)
+        self._loop.start()
 
     def stop(self) -> None:
         """Stop after the call in progress; a successor adopts what is recorded."""
-        self._stopping.set()
-        if self._task is not None:
-            self._task.join()
+        self._loop.stop()
 
     def run_step(self) -> None:
         """Plan all pools once and carry the plans out."""
@@ -160,9 +155,6 @@
             self._loading.step(pool, backends, right, guard)
         self._leaving = tuple(leaving)
 
-    def _run(self) -> None:
-        repeat_until(self._stopping, self._run_step_and_pause, "fleet", log)
-
     def _run_step_and_pause(self) -> float:
         self.run_step()
         return self._step_s
--- a/hickoryloom/leases/keeper.py
+++ b/hickoryloom/leases/keeper.py
@@ -7,9 +7,7 @@
 from typing import Any
 
 import attrs
-import gevent
 import logbook
-from gevent.event import Event
 from result import Err, Ok
 
 from hickoryloom.clock import Clock
@@ -17,7 +15,7 @@
 from hickoryloom.leases.state import LeaseState
 from hickoryloom.leases.store import Guard, ObjectStore
 from hickoryloom.logs import log_event
-from hickoryloom.loops import repeat_until
+from hickoryloom.loops import TaskLoop
 from hickoryloom.platform import ErrorKind, PlatformError, Versioned
 from hickoryloom.verdict import Applied
 
@@ -57,8 +55,7 @@
         self._clock = clock
         self._state = LeaseState(incarnation, LeaseTimes.of(duration_s))
         self._random = source or random.Random()
-        self._stopping = Event()
-        self._task: gevent.Greenlet | None = None
+        self._loop = TaskLoop(self._step, f"lease-{duty}", log)
         self._term_held = 0
 
     @property
@@ -86,22 +83,17 @@
 
     def start(self) -> None:
         """Begin to take and renew the lease."""
-        self._task = gevent.spawn(self._run)
+        self._loop.start()
 
     def stop(self) -> None:
         """Give up the right at once and tell the platform, so that a successor need not wait."""
-        self._stopping.set()
-        if self._task is not None:
-            self._task.join()
+        self._loop.stop()
         record = self._state.release()
         if record is None:
             return
         answer = self._client.update(self._key, attrs.asdict(record), self._state.version)
         log_event(log, "lease-released", duty=self._duty, term=record.term, told=answer.is_ok())
 
-    def _run(self) -> None:
-        repeat_until(self._stopping, self._step, f"lease-{self._duty}", log)
-
     def _step(self) -> float:
         now = self._clock.monotonic()
         self._log_change(now)
--- a/hickoryloom/loops.py
+++ b/hickoryloom/loops.py
@@ -4,12 +4,13 @@
 
 from collections.abc import Callable
 
+import gevent
 import logbook
 from gevent.event import Event
 
 from hickoryloom.logs import log_event
 
-__all__ = ["repeat_until"]
+__all__ = ["TaskLoop", "repeat_until"]
 
 FAILED_PAUSE_S = 1.0
 
@@ -34,3 +35,32 @@
             pause_s = FAILED_PAUSE_S
         if pause_s > 0:
             stopping.wait(pause_s)
+
+
+class TaskLoop:
+    """A greenlet that repeats one step until it is stopped.
+
+    Args:
+        step: Does one step and returns the seconds to wait after it.
+        name: Name of the task, for the log.
+        log: Logger of the task's slice.
+    """
+
+    def __init__(self, step: Callable[[], float], name: str, log: logbook.Logger) -> None:
+        self._step = step
+        self._name = name
+        self._log = log
+        self._stopping = Event()
+        self._greenlet: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Begin to repeat the step."""
+        self._greenlet = gevent.spawn(
+            repeat_until, self._stopping, self._step, self._name, self._log
+        )
+
+    def stop(self) -> None:
+        """End after the step in progress and wait for its end."""
+        self._stopping.set()
+        if self._greenlet is not None:
+            self._greenlet.join()
--- a/hickoryloom/usage/reporter.py
+++ b/hickoryloom/usage/reporter.py
@@ -5,15 +5,13 @@
 from typing import Any, Protocol
 
 import attrs
-import gevent
 import logbook
-from gevent.event import Event
 from result import Err, Ok, Result
 
 from hickoryloom.clock import Clock
 from hickoryloom.leases import Guard, LeaseKeeper, ObjectStore, Right
 from hickoryloom.logs import log_event
-from hickoryloom.loops import repeat_until
+from hickoryloom.loops import TaskLoop
 from hickoryloom.platform import ErrorKind, Listing, PlatformError, UsageReport, Versioned
 from hickoryloom.usage.cleaner import UsageCleaner
 from hickoryloom.usage.codec import read_as, read_with_rows
@@ -75,8 +73,7 @@
         self._waiting: set[int] = set()
         self._listed_at = float("-inf")
         self._term = 0
-        self._stopping = Event()
-        self._task: gevent.Greenlet | None = None
+        self._loop = TaskLoop(self._run_pass_and_pause, "usage-reporter", log)
 
     @property
     def reported(self) -> frozenset[int]:
@@ -85,13 +82,11 @@
 
     def start(self) -> None:
         """Begin to seal and report whenever the lease is held."""
-        self._task = gevent.spawn(self._run)
+        self._loop.start()
 
     def stop(self) -> None:
         """Stop after the call in progress; a successor goes on from what is sealed."""
-        self._stopping.set()
-        if self._task is not None:
-            self._task.join()
+        self._loop.stop()
 
     def run_pass(self) -> bool:
         """Seal and report what is due; return whether there is more to do at once."""
@@ -113,9 +108,6 @@
         self._cleaner.clean(guard)
         return more
 
-    def _run(self) -> None:
-        repeat_until(self._stopping, self._run_pass_and_pause, "usage-reporter", log)
-
     def _run_pass_and_pause(self) -> float:
         if self.run_pass():
             return SHORTEST_PAUSE_S
