--- a/hickoryloom/relay/answer.py
+++ b/hickoryloom/relay/answer.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Generator
+from collections.abc import Generator, Mapping
+from typing import Any
 
 from hickoryloom.admission.messages import RefusalReason, Refused
 from hickoryloom.relay.attempts import Attempts
@@ -53,3 +54,9 @@
 
     def _end(self) -> None:
         raise NotImplementedError
+
+
+def read_count(usage: Mapping[str, Any], name: str, default: int = 0) -> int:
+    """Return a count that an engine told, or `default` when it is no count."""
+    value = usage.get(name)
+    return value if type(value) is int and value >= 0 else default
--- a/hickoryloom/relay/stream.py
+++ b/hickoryloom/relay/stream.py
@@ -11,7 +11,7 @@
 from hickoryloom.admission.messages import RefusalReason, Refused
 from hickoryloom.clock import Clock
 from hickoryloom.http import Call
-from hickoryloom.relay.answer import Answer
+from hickoryloom.relay.answer import Answer, read_count
 from hickoryloom.relay.assembly import AnswerAssembly, StreamFault
 from hickoryloom.relay.attempt import Attempt
 from hickoryloom.relay.attempts import Attempts
@@ -190,8 +190,8 @@
         self.outcome = self._attempts.outcome(
             assembly.complete,
             duplicates=assembly.duplicates,
-            prompt_tokens=_count_of(usage, "prompt_tokens", 0),
-            output_tokens=_count_of(usage, "completion_tokens", assembly.next_position),
+            prompt_tokens=read_count(usage, "prompt_tokens"),
+            output_tokens=read_count(usage, "completion_tokens", assembly.next_position),
             first_token_at=self._first_token_at,
             worst_gap_s=self._worst_gap_s,
         )
@@ -200,8 +200,3 @@
         exchange.confirmed = True
         exchange.read_end()
         self._attempts.succeed()
-
-
-def _count_of(usage: dict[str, Any], name: str, default: int) -> int:
-    value = usage.get(name)
-    return value if type(value) is int and value >= 0 else default
--- a/hickoryloom/relay/whole.py
+++ b/hickoryloom/relay/whole.py
@@ -11,7 +11,7 @@
 from hickoryloom.admission.messages import RefusalReason, Refused, Request
 from hickoryloom.clock import Clock
 from hickoryloom.http import Call
-from hickoryloom.relay.answer import Answer
+from hickoryloom.relay.answer import Answer, read_count
 from hickoryloom.relay.attempt import Attempt
 from hickoryloom.relay.attempts import Attempts
 from hickoryloom.relay.exchange import AttemptError, Exchange
@@ -129,12 +129,7 @@
             self.failure = self._attempts.refusal(RefusalReason.CALLER_LEFT, "")
         self.outcome = self._attempts.outcome(
             self._whole,
-            prompt_tokens=_count_of(self._usage, "prompt_tokens"),
-            output_tokens=_count_of(self._usage, "completion_tokens") if self._whole else 0,
+            prompt_tokens=read_count(self._usage, "prompt_tokens"),
+            output_tokens=read_count(self._usage, "completion_tokens") if self._whole else 0,
             first_token_at=self._first_byte_at,
         )
-
-
-def _count_of(usage: dict[str, Any], name: str) -> int:
-    value = usage.get(name)
-    return value if type(value) is int and value >= 0 else 0
