Name the client of the object store for what it is

The folder platform/ is to hold the adapter to the users' platform alone. Everything that was there is the product's own: call budget, breaker, settling of lost answers. It moves to store/, unchanged, with its tests.

--- a/hickoryloom/admission/tests/cluster.py
+++ b/hickoryloom/admission/tests/cluster.py
@@ -10,9 +10,9 @@
 from hickoryloom.configuration import Customer, Pool, PoolKind, RequestClass, Snapshot
 from hickoryloom.membership.messages import Heartbeat, Presence
 from hickoryloom.membership.state import MembershipState
-from hickoryloom.platform.messages import Listing, Versioned
 from hickoryloom.relay.messages import Outcome
 from hickoryloom.routing.messages import BackendView
+from hickoryloom.store.messages import Listing, Versioned
 from hickoryloom.verdict import Verdict
 
 SLOTS = 12
--- a/hickoryloom/bench/configuration.py
+++ b/hickoryloom/bench/configuration.py
@@ -32,7 +32,9 @@
 )
 from hickoryloom.http import Call, Server
 from hickoryloom.keys import authenticate, hash_key, new_key, scrub, withdrawn_keys
-from hickoryloom.platform import (
+from hickoryloom.standins import build_platform
+from hickoryloom.standins.objects import Conflict, ObjectStore
+from hickoryloom.store import (
     CallBudget,
     ErrorKind,
     Listing,
@@ -40,8 +42,6 @@
     PlatformError,
     Versioned,
 )
-from hickoryloom.standins import build_platform
-from hickoryloom.standins.objects import Conflict, ObjectStore
 from hickoryloom.verdict import Applied
 
 __all__ = ["main", "measure_followers", "measure_size"]
--- a/hickoryloom/bench/control_slopes.py
+++ b/hickoryloom/bench/control_slopes.py
@@ -22,7 +22,7 @@
     TierDemand,
     merge_demands,
 )
-from hickoryloom.platform import Versioned
+from hickoryloom.store import Versioned
 from hickoryloom.tables import render_table
 from hickoryloom.usage import UsageKey, UsageObject, UsageTimes, UsageTotals
 from hickoryloom.usage.ledger import UsageLedger
--- a/hickoryloom/bench/slopes.py
+++ b/hickoryloom/bench/slopes.py
@@ -22,8 +22,8 @@
 from hickoryloom.http import Server
 from hickoryloom.membership import Heartbeat, Membership, PoolSummary
 from hickoryloom.metrics import Measure, MetricsRecorder
-from hickoryloom.platform.messages import ErrorKind, Listing, PlatformError, Versioned
 from hickoryloom.routing import BackendView
+from hickoryloom.store.messages import ErrorKind, Listing, PlatformError, Versioned
 from hickoryloom.verdict import Applied
 
 MEASURED_S = 6.0
--- a/hickoryloom/claims/finisher.py
+++ b/hickoryloom/claims/finisher.py
@@ -13,7 +13,7 @@
 from result import Result
 
 from hickoryloom.logs import log_event
-from hickoryloom.platform import (
+from hickoryloom.store import (
     Backoff,
     ErrorKind,
     PlatformClient,
--- a/hickoryloom/claims/state.py
+++ b/hickoryloom/claims/state.py
@@ -22,7 +22,7 @@
     refuse_unknown,
     refuse_without_platform,
 )
-from hickoryloom.platform import (
+from hickoryloom.store import (
     DeleteStep,
     ErrorKind,
     PlatformError,
--- a/hickoryloom/claims/sweeper.py
+++ b/hickoryloom/claims/sweeper.py
@@ -12,7 +12,7 @@
 from hickoryloom.claims.epochs import EPOCH_KEY, EpochView, is_expired
 from hickoryloom.clock import Clock
 from hickoryloom.logs import log_event
-from hickoryloom.platform import CallPriority, ErrorKind, PlatformClient, Versioned
+from hickoryloom.store import CallPriority, ErrorKind, PlatformClient, Versioned
 
 __all__ = ["Sweeper"]
 
--- a/hickoryloom/claims/task.py
+++ b/hickoryloom/claims/task.py
@@ -22,7 +22,7 @@
 from hickoryloom.clock import Clock
 from hickoryloom.http import Call
 from hickoryloom.logs import log_event
-from hickoryloom.platform import CallPriority, PlatformClient, run_steps
+from hickoryloom.store import CallPriority, PlatformClient, run_steps
 from hickoryloom.verdict import Verdict
 
 __all__ = ["Claims"]
--- a/hickoryloom/claims/tests/model.py
+++ b/hickoryloom/claims/tests/model.py
@@ -12,7 +12,7 @@
     finish_steps,
     mark_sent_steps,
 )
-from hickoryloom.platform import (
+from hickoryloom.store import (
     DeleteStep,
     ErrorKind,
     PauseStep,
--- a/hickoryloom/claims/tests/test_claims.py
+++ b/hickoryloom/claims/tests/test_claims.py
@@ -11,8 +11,8 @@
 from hickoryloom.claims.epochs import EPOCH_KEY
 from hickoryloom.clock import SystemClock
 from hickoryloom.http import Call, JsonClient
-from hickoryloom.platform import CallBudget, CallPriority, PlatformClient
 from hickoryloom.standins import build_platform
+from hickoryloom.store import CallBudget, CallPriority, PlatformClient
 from hickoryloom.verdict import Verdict
 from tests.harness import wait_until
 
--- a/hickoryloom/claims/tests/test_state_machine.py
+++ b/hickoryloom/claims/tests/test_state_machine.py
@@ -7,7 +7,7 @@
 from hickoryloom.claims.codec import record_from_json
 from hickoryloom.claims.epochs import EPOCH_S, MAX_VIEW_AGE_S, is_expired
 from hickoryloom.claims.tests.model import Attempt, Entry, Platform, SendStep
-from hickoryloom.platform import DeleteStep
+from hickoryloom.store import DeleteStep
 from hickoryloom.verdict import Verdict
 
 DAY_S = 24 * 3600.0
--- a/hickoryloom/claims/tests/test_steps.py
+++ b/hickoryloom/claims/tests/test_steps.py
@@ -4,7 +4,7 @@
 from hickoryloom.claims.messages import ClaimRecord, ClaimState
 from hickoryloom.claims.state import discard_steps
 from hickoryloom.claims.tests.model import Platform
-from hickoryloom.platform import DeleteStep, UpdateStep
+from hickoryloom.store import DeleteStep, UpdateStep
 
 RECORD = ClaimRecord(ClaimState.CLAIMED, "e1/1", "e1", "x", 0.0, 1)
 
--- a/hickoryloom/commands/platform_option.py
+++ b/hickoryloom/commands/platform_option.py
@@ -8,7 +8,7 @@
 from hickoryloom.clock import SystemClock
 from hickoryloom.config import Address, InvalidValueError
 from hickoryloom.exceptions import UsageError
-from hickoryloom.platform import CallBudget, PlatformClient
+from hickoryloom.store import CallBudget, PlatformClient
 
 __all__ = ["add_platform_option", "connect_platform"]
 
--- a/hickoryloom/commands/status.py
+++ b/hickoryloom/commands/status.py
@@ -14,7 +14,7 @@
 from hickoryloom.commands.registry import command
 from hickoryloom.exceptions import UnavailableError, UsageError
 from hickoryloom.http import JsonClient
-from hickoryloom.platform import PlatformClient
+from hickoryloom.store import PlatformClient
 from hickoryloom.tables import render_table
 
 CALL_TIMEOUT_S = 2.0
--- a/hickoryloom/configuration/follower.py
+++ b/hickoryloom/configuration/follower.py
@@ -17,7 +17,7 @@
 from hickoryloom.configuration.shards import object_key
 from hickoryloom.configuration.snapshot import Snapshot
 from hickoryloom.logs import log_event
-from hickoryloom.platform import PlatformError, WatchBatch
+from hickoryloom.store import PlatformError, WatchBatch
 
 __all__ = ["ConfigurationFollower", "PlatformShards", "ShardSource"]
 
--- a/hickoryloom/configuration/publishing.py
+++ b/hickoryloom/configuration/publishing.py
@@ -23,7 +23,7 @@
     StoredConfiguration,
     UnreadableError,
 )
-from hickoryloom.platform import ErrorKind, PlatformError, Versioned
+from hickoryloom.store import ErrorKind, PlatformError, Versioned
 from hickoryloom.verdict import Applied
 
 __all__ = ["Change", "ChangeError", "ChangeErrorKind", "Publisher", "new_publish_id"]
--- a/hickoryloom/configuration/stored.py
+++ b/hickoryloom/configuration/stored.py
@@ -20,7 +20,7 @@
     size_of,
     split_section,
 )
-from hickoryloom.platform import PlatformError, Versioned
+from hickoryloom.store import PlatformError, Versioned
 
 __all__ = ["Plan", "ShardTooLargeError", "StoredConfiguration", "UnreadableError"]
 
--- a/hickoryloom/configuration/tests/fakes.py
+++ b/hickoryloom/configuration/tests/fakes.py
@@ -8,7 +8,7 @@
 from gevent.event import Event
 from result import Err, Ok
 
-from hickoryloom.platform import Change, ErrorKind, Listing, PlatformError, Versioned, WatchBatch
+from hickoryloom.store import Change, ErrorKind, Listing, PlatformError, Versioned, WatchBatch
 from hickoryloom.verdict import Applied
 
 UNAVAILABLE = PlatformError(ErrorKind.UNAVAILABLE, Applied.NOT_APPLIED, "down")
--- a/hickoryloom/control/presence.py
+++ b/hickoryloom/control/presence.py
@@ -10,7 +10,7 @@
 from hickoryloom.logs import log_event
 from hickoryloom.loops import TaskLoop
 from hickoryloom.membership import Presence, PresenceKeeper
-from hickoryloom.platform import Listing, PlatformClient
+from hickoryloom.store import Listing, PlatformClient
 
 __all__ = ["ControlPresence"]
 
--- a/hickoryloom/control/process.py
+++ b/hickoryloom/control/process.py
@@ -15,7 +15,7 @@
 from hickoryloom.http import Server, build_admin_app
 from hickoryloom.leases import LeaseKeeper
 from hickoryloom.membership import Presence
-from hickoryloom.platform import PlatformClient
+from hickoryloom.store import PlatformClient
 from hickoryloom.usage import UsageReporter
 
 __all__ = ["Control", "build_control"]
--- a/hickoryloom/demo/deployment.py
+++ b/hickoryloom/demo/deployment.py
@@ -23,7 +23,6 @@
 from hickoryloom.entry import Entry, build_entry
 from hickoryloom.exceptions import ConfigurationError, UnavailableError
 from hickoryloom.keys import hash_key, new_key
-from hickoryloom.platform import PlatformClient
 from hickoryloom.standins import (
     StandIn,
     build_engine,
@@ -31,6 +30,7 @@
     build_service,
     register_backend,
 )
+from hickoryloom.store import PlatformClient
 
 __all__ = ["Deployment"]
 
--- a/hickoryloom/entry/process.py
+++ b/hickoryloom/entry/process.py
@@ -27,9 +27,9 @@
 from hickoryloom.logs import log_event
 from hickoryloom.membership import Heartbeat, Membership, Peer
 from hickoryloom.metrics import Attainment, Measure, MetricsRecorder
-from hickoryloom.platform import PlatformClient
 from hickoryloom.relay import Relay
 from hickoryloom.routing import BackendDirectory, BackendView, Router
+from hickoryloom.store import PlatformClient
 from hickoryloom.usage import UsageCounter
 
 __all__ = ["Entry", "build_entry"]
--- a/hickoryloom/fleet/loading.py
+++ b/hickoryloom/fleet/loading.py
@@ -13,7 +13,7 @@
 from hickoryloom.fleet.engines import BackendCalls
 from hickoryloom.leases import Guard, Right
 from hickoryloom.logs import log_event
-from hickoryloom.platform import BackendState, LiveBackend, PlatformError, WeightGrant
+from hickoryloom.store import BackendState, LiveBackend, PlatformError, WeightGrant
 
 __all__ = ["ModelLoading", "WeightClient"]
 
--- a/hickoryloom/fleet/records.py
+++ b/hickoryloom/fleet/records.py
@@ -9,7 +9,7 @@
 from hickoryloom.fleet.intents import PoolIntents, intents_key, read_intents
 from hickoryloom.leases import Guard, ObjectStore
 from hickoryloom.logs import log_event
-from hickoryloom.platform import ErrorKind, Versioned
+from hickoryloom.store import ErrorKind, Versioned
 
 __all__ = ["IntentRecords"]
 
--- a/hickoryloom/fleet/task.py
+++ b/hickoryloom/fleet/task.py
@@ -24,7 +24,7 @@
 from hickoryloom.leases import Guard, LeaseKeeper, ObjectStore, Right
 from hickoryloom.logs import log_event
 from hickoryloom.loops import TaskLoop
-from hickoryloom.platform import (
+from hickoryloom.store import (
     ErrorKind,
     LiveBackend,
     PlatformError,
--- a/hickoryloom/fleet/tests/fakes.py
+++ b/hickoryloom/fleet/tests/fakes.py
@@ -11,7 +11,7 @@
 from hickoryloom.fleet.engines import ServerLoad
 from hickoryloom.leases import Right
 from hickoryloom.leases.tests.fakes import DOWN, LOST, REJECTED, MemoryStore
-from hickoryloom.platform import BackendState, ErrorKind, LiveBackend, PlatformError, WeightGrant
+from hickoryloom.store import BackendState, ErrorKind, LiveBackend, PlatformError, WeightGrant
 from hickoryloom.verdict import Applied
 
 FENCED = PlatformError(ErrorKind.FENCED, Applied.NOT_APPLIED)
--- a/hickoryloom/fleet/tracking.py
+++ b/hickoryloom/fleet/tracking.py
@@ -8,7 +8,7 @@
 
 from hickoryloom.clock import Clock
 from hickoryloom.fleet.intents import PoolIntents
-from hickoryloom.platform import LiveBackend
+from hickoryloom.store import LiveBackend
 
 __all__ = ["ServerTracking"]
 
--- a/hickoryloom/fleet/views.py
+++ b/hickoryloom/fleet/views.py
@@ -7,7 +7,7 @@
 from hickoryloom.configuration import Pool
 from hickoryloom.fleet.intents import OrderIntent, PoolIntents
 from hickoryloom.fleet.messages import ServerState, ServerView, Site
-from hickoryloom.platform import BackendState, LiveBackend
+from hickoryloom.store import BackendState, LiveBackend
 
 __all__ = ["view_servers"]
 
--- a/hickoryloom/leases/keeper.py
+++ b/hickoryloom/leases/keeper.py
@@ -16,7 +16,7 @@
 from hickoryloom.leases.store import Guard, ObjectStore
 from hickoryloom.logs import log_event
 from hickoryloom.loops import TaskLoop
-from hickoryloom.platform import ErrorKind, PlatformError, Versioned
+from hickoryloom.store import ErrorKind, PlatformError, Versioned
 from hickoryloom.verdict import Applied
 
 __all__ = ["DEFAULT_DURATION_S", "LeaseKeeper"]
--- a/hickoryloom/leases/store.py
+++ b/hickoryloom/leases/store.py
@@ -7,7 +7,7 @@
 
 from result import Result
 
-from hickoryloom.platform import Listing, PlatformError, Versioned
+from hickoryloom.store import Listing, PlatformError, Versioned
 
 __all__ = ["Guard", "ObjectStore"]
 
--- a/hickoryloom/leases/tests/fakes.py
+++ b/hickoryloom/leases/tests/fakes.py
@@ -7,7 +7,7 @@
 import attrs
 from result import Err, Ok
 
-from hickoryloom.platform import ErrorKind, Listing, PlatformError, Versioned
+from hickoryloom.store import ErrorKind, Listing, PlatformError, Versioned
 from hickoryloom.verdict import Applied
 
 CONFLICT = PlatformError(ErrorKind.CONFLICT, Applied.NOT_APPLIED)
--- a/hickoryloom/membership/presence.py
+++ b/hickoryloom/membership/presence.py
@@ -11,7 +11,7 @@
 
 from hickoryloom.logs import log_event
 from hickoryloom.membership.messages import Presence
-from hickoryloom.platform.messages import ErrorKind, Listing, PlatformError, Versioned
+from hickoryloom.store.messages import ErrorKind, Listing, PlatformError, Versioned
 
 __all__ = ["PRESENCE_PREFIX", "ObjectStore", "PresenceKeeper"]
 
--- a/hickoryloom/membership/state.py
+++ b/hickoryloom/membership/state.py
@@ -8,7 +8,7 @@
 import attrs
 
 from hickoryloom.membership.messages import Heartbeat, Peer, Presence
-from hickoryloom.platform.messages import Listing
+from hickoryloom.store.messages import Listing
 
 __all__ = ["FAILURE_S", "OUTAGE_HOLD_S", "PRESENCE_STALE_S", "MembershipState"]
 
--- a/hickoryloom/membership/task.py
+++ b/hickoryloom/membership/task.py
@@ -19,7 +19,7 @@
 from hickoryloom.membership.messages import Heartbeat, Peer, Presence
 from hickoryloom.membership.presence import ObjectStore, PresenceKeeper
 from hickoryloom.membership.state import MembershipState
-from hickoryloom.platform.messages import Listing
+from hickoryloom.store.messages import Listing
 
 __all__ = ["Membership"]
 
--- a/hickoryloom/membership/tests/fakes.py
+++ b/hickoryloom/membership/tests/fakes.py
@@ -8,7 +8,7 @@
 from hickoryloom.config import Settings
 from hickoryloom.http import Server
 from hickoryloom.membership import Heartbeat, Membership
-from hickoryloom.platform.messages import ErrorKind, Listing, PlatformError, Versioned
+from hickoryloom.store.messages import ErrorKind, Listing, PlatformError, Versioned
 from hickoryloom.verdict import Applied
 from tests.harness import Link
 
--- a/hickoryloom/membership/tests/test_state.py
+++ b/hickoryloom/membership/tests/test_state.py
@@ -9,7 +9,7 @@
     PRESENCE_STALE_S,
     MembershipState,
 )
-from hickoryloom.platform.messages import Listing, Versioned
+from hickoryloom.store.messages import Listing, Versioned
 
 
 def beat(name, sequence=1, seen=None, stopping=False):
--- a/hickoryloom/routing/directory.py
+++ b/hickoryloom/routing/directory.py
@@ -8,8 +8,8 @@
 import attrs
 
 from hickoryloom.configuration import EMPTY_SNAPSHOT, Pool, Snapshot, StaticBackend
-from hickoryloom.platform import BackendState, LiveBackend
 from hickoryloom.routing.messages import BackendView
+from hickoryloom.store import BackendState, LiveBackend
 
 __all__ = ["DirectoryState"]
 
--- a/hickoryloom/routing/task.py
+++ b/hickoryloom/routing/task.py
@@ -16,9 +16,9 @@
 from hickoryloom.http import JsonClient
 from hickoryloom.logs import log_event
 from hickoryloom.membership import Peer
-from hickoryloom.platform import LiveBackend, PlatformError
 from hickoryloom.routing.directory import DirectoryState
 from hickoryloom.routing.messages import BackendView, CacheEvent, LoadReport
+from hickoryloom.store import LiveBackend, PlatformError
 
 __all__ = ["BackendDirectory"]
 
--- a/hickoryloom/routing/tests/test_directory.py
+++ b/hickoryloom/routing/tests/test_directory.py
@@ -1,8 +1,8 @@
 """The directory's joining of lists, own words and peers' words."""
 
 from hickoryloom.configuration import Pool, PoolKind, Snapshot, StaticBackend
-from hickoryloom.platform import BackendState, LiveBackend
 from hickoryloom.routing import DirectoryState
+from hickoryloom.store import BackendState, LiveBackend
 
 POOL = Pool(
     "p", PoolKind.ENGINE, slots=4, servers=(StaticBackend("static", "10.0.0.1:1", "huta-a"),)
--- a/hickoryloom/routing/tests/test_properties.py
+++ b/hickoryloom/routing/tests/test_properties.py
@@ -9,7 +9,6 @@
 from hickoryloom.admission import Request
 from hickoryloom.clock import ManualClock
 from hickoryloom.configuration import Pool, PoolKind, Snapshot, StaticBackend
-from hickoryloom.platform import BackendState, LiveBackend
 from hickoryloom.routing import (
     AttemptEnd,
     AttemptOutcome,
@@ -18,6 +17,7 @@
     LoadReport,
     Router,
 )
+from hickoryloom.store import BackendState, LiveBackend
 
 LISTED = [f"b{number}" for number in range(5)]
 IDS = st.sampled_from(LISTED)
--- a/hickoryloom/platform/answers.py
+++ b/hickoryloom/store/answers.py
@@ -10,7 +10,7 @@
 from result import Err, Ok, Result
 
 from hickoryloom.http import JsonAnswer
-from hickoryloom.platform.messages import (
+from hickoryloom.store.messages import (
     Change,
     ErrorKind,
     Listing,
--- a/hickoryloom/platform/client.py
+++ b/hickoryloom/store/client.py
@@ -15,10 +15,10 @@
 from hickoryloom.clock import Clock
 from hickoryloom.http import CallFailed, JsonAnswer, JsonClient
 from hickoryloom.logs import log_event
-from hickoryloom.platform import answers
-from hickoryloom.platform.breaker import BreakerState, CircuitBreaker
-from hickoryloom.platform.budget import CallBudget, CallKind, CallPriority
-from hickoryloom.platform.messages import (
+from hickoryloom.store import answers
+from hickoryloom.store.breaker import BreakerState, CircuitBreaker
+from hickoryloom.store.budget import CallBudget, CallKind, CallPriority
+from hickoryloom.store.messages import (
     ErrorKind,
     Listing,
     LiveBackend,
@@ -41,7 +41,7 @@
 URGENT_PREFIXES = ("leases/", "intents/")
 BACKGROUND_PREFIXES = ("presence/", "status/")
 
-log = logbook.Logger("hickoryloom.platform")
+log = logbook.Logger("hickoryloom.store")
 
 Guard = Callable[[], bool]
 Answered = Result[JsonAnswer, PlatformError]
--- a/hickoryloom/platform/settle.py
+++ b/hickoryloom/store/settle.py
@@ -10,9 +10,9 @@
 import gevent
 from result import Err, Ok, Result
 
-from hickoryloom.platform.breaker import Backoff
-from hickoryloom.platform.budget import CallPriority
-from hickoryloom.platform.messages import ErrorKind, PlatformError, Versioned
+from hickoryloom.store.breaker import Backoff
+from hickoryloom.store.budget import CallPriority
+from hickoryloom.store.messages import ErrorKind, PlatformError, Versioned
 from hickoryloom.verdict import Applied
 
 __all__ = [
--- a/hickoryloom/platform/tests/test_breaker.py
+++ b/hickoryloom/store/tests/test_breaker.py
@@ -6,8 +6,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from hickoryloom.platform import Backoff, BreakerState, CircuitBreaker
-from hickoryloom.platform.breaker import (
+from hickoryloom.store import Backoff, BreakerState, CircuitBreaker
+from hickoryloom.store.breaker import (
     FAILURES_TO_OPEN,
     FIRST_DELAY_S,
     MAX_DELAY_S,
--- a/hickoryloom/platform/tests/test_budget.py
+++ b/hickoryloom/store/tests/test_budget.py
@@ -4,8 +4,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from hickoryloom.platform import CallBudget, CallKind, CallPriority
-from hickoryloom.platform.budget import (
+from hickoryloom.store import CallBudget, CallKind, CallPriority
+from hickoryloom.store.budget import (
     BURST_S,
     FLEET_SHARE,
     MAX_WAIT_S,
--- a/hickoryloom/platform/tests/test_client.py
+++ b/hickoryloom/store/tests/test_client.py
@@ -8,7 +8,8 @@
 
 from hickoryloom.clock import SystemClock
 from hickoryloom.http import JsonClient
-from hickoryloom.platform import (
+from hickoryloom.standins import build_platform
+from hickoryloom.store import (
     CallBudget,
     CallKind,
     ErrorKind,
@@ -18,7 +19,6 @@
     UsageReport,
     settled_update,
 )
-from hickoryloom.standins import build_platform
 from hickoryloom.verdict import Applied
 
 ROW = {"id": "e1", "address": "127.0.0.1:1", "failure_domain": "huta-a", "pool": "p"}
--- a/hickoryloom/platform/tests/test_long_outage.py
+++ b/hickoryloom/store/tests/test_long_outage.py
@@ -5,9 +5,9 @@
 
 import pytest
 
-from hickoryloom.platform import CallBudget, CallKind, CallPriority, CircuitBreaker
-from hickoryloom.platform.breaker import FAILURES_TO_OPEN
-from hickoryloom.platform.budget import PLATFORM_READS_PER_S, PLATFORM_WRITES_PER_S
+from hickoryloom.store import CallBudget, CallKind, CallPriority, CircuitBreaker
+from hickoryloom.store.breaker import FAILURES_TO_OPEN
+from hickoryloom.store.budget import PLATFORM_READS_PER_S, PLATFORM_WRITES_PER_S
 
 TICK_S = 0.1
 WANTED_PER_TICK = 4
--- a/hickoryloom/usage/cleaner.py
+++ b/hickoryloom/usage/cleaner.py
@@ -10,7 +10,7 @@
 from result import Err, Ok
 
 from hickoryloom.leases import Guard, ObjectStore
-from hickoryloom.platform import ErrorKind, Versioned
+from hickoryloom.store import ErrorKind, Versioned
 from hickoryloom.usage.messages import UsageObject, UsageTimes
 from hickoryloom.usage.remains import Remains
 from hickoryloom.usage.sealing import SealBook
--- a/hickoryloom/usage/counter.py
+++ b/hickoryloom/usage/counter.py
@@ -17,7 +17,7 @@
 from hickoryloom.logs import log_event
 from hickoryloom.loops import repeat_until
 from hickoryloom.membership import Peer
-from hickoryloom.platform import ErrorKind
+from hickoryloom.store import ErrorKind
 from hickoryloom.usage.chain import ChainRead, ChainWrite, ChainWriter
 from hickoryloom.usage.codec import read_as, read_with_rows
 from hickoryloom.usage.copies import HeldCopies
--- a/hickoryloom/usage/remains.py
+++ b/hickoryloom/usage/remains.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from hickoryloom.platform import Versioned
+from hickoryloom.store import Versioned
 from hickoryloom.usage.messages import UsageObject, UsageTimes
 
 __all__ = ["Remains"]
--- a/hickoryloom/usage/reporter.py
+++ b/hickoryloom/usage/reporter.py
@@ -12,7 +12,7 @@
 from hickoryloom.leases import Guard, LeaseKeeper, ObjectStore, Right
 from hickoryloom.logs import log_event
 from hickoryloom.loops import TaskLoop
-from hickoryloom.platform import ErrorKind, Listing, PlatformError, UsageReport, Versioned
+from hickoryloom.store import ErrorKind, Listing, PlatformError, UsageReport, Versioned
 from hickoryloom.usage.cleaner import UsageCleaner
 from hickoryloom.usage.codec import read_as, read_with_rows
 from hickoryloom.usage.messages import SealedRecord, UsageObject, UsageTimes
--- a/hickoryloom/usage/sealing.py
+++ b/hickoryloom/usage/sealing.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from hickoryloom.platform import Versioned
+from hickoryloom.store import Versioned
 from hickoryloom.usage.figures import Figures, add_figures, digest_rows, from_rows, to_rows
 from hickoryloom.usage.messages import SealedRecord, UsageObject, UsageTimes
 
--- a/hickoryloom/usage/tests/fakes.py
+++ b/hickoryloom/usage/tests/fakes.py
@@ -9,7 +9,7 @@
 
 from hickoryloom.leases import Right
 from hickoryloom.leases.tests.fakes import ABSENT, DOWN, LOST, REJECTED, MemoryStore
-from hickoryloom.platform import Listing, Versioned
+from hickoryloom.store import Listing, Versioned
 
 
 @attrs.define
--- a/scripts/measure_bookings.py
+++ b/scripts/measure_bookings.py
@@ -21,8 +21,8 @@
 from hickoryloom.claims import Claims, StoredAnswer
 from hickoryloom.clock import SystemClock
 from hickoryloom.http import Call
-from hickoryloom.platform import CallBudget, PlatformClient
 from hickoryloom.standins import build_platform
+from hickoryloom.store import CallBudget, PlatformClient
 
 MEASURE_S = 20.0
 CALLERS = 40
--- a/scripts/measure_platform_calls.py
+++ b/scripts/measure_platform_calls.py
@@ -20,7 +20,7 @@
 
 from hickoryloom.clock import SystemClock
 from hickoryloom.http import JsonClient
-from hickoryloom.platform import CallBudget, PlatformClient
+from hickoryloom.store import CallBudget, PlatformClient
 from tests.site import Site
 
 SETTLE_S = 15.0
--- a/tests/site.py
+++ b/tests/site.py
@@ -14,7 +14,7 @@
 from hickoryloom.configuration import KeyRecord, issue_key, publish, read_documents, withdraw_key
 from hickoryloom.http import JsonClient
 from hickoryloom.keys import hash_key, new_key
-from hickoryloom.platform import PlatformClient
+from hickoryloom.store import PlatformClient
 from tests.harness import Process, wait_until
 
 CREDENTIAL = "test-credential"
--- a/tests/test_leases_processes.py
+++ b/tests/test_leases_processes.py
@@ -5,7 +5,7 @@
 import pytest
 
 from hickoryloom.clock import SystemClock
-from hickoryloom.platform import ServerOrder
+from hickoryloom.store import ServerOrder
 from hickoryloom.usage import UsageCounter, UsageKey, UsageTotals
 from tests.harness import Link, wait_until
 from tests.site import Site
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -8,9 +8,9 @@
 from hickoryloom.clock import SystemClock
 from hickoryloom.configuration import Pool, PoolKind, Snapshot, StaticBackend
 from hickoryloom.membership import Heartbeat, Peer
-from hickoryloom.platform import PlatformClient
 from hickoryloom.relay import Relay
 from hickoryloom.routing import BackendDirectory, Router
+from hickoryloom.store import PlatformClient
 from tests.backends import POOL, Backends, call_json, journal, relay_stream, set_faults
 from tests.harness import wait_until
 
--- a/tests/test_platform_outage.py
+++ b/tests/test_platform_outage.py
@@ -4,7 +4,7 @@
 import pytest
 
 from hickoryloom.http import JsonClient
-from hickoryloom.platform.breaker import FAILURES_TO_OPEN, FIRST_DELAY_S, MAX_DELAY_S
+from hickoryloom.store.breaker import FAILURES_TO_OPEN, FIRST_DELAY_S, MAX_DELAY_S
 from tests.harness import wait_until
 from tests.site import start_site
 
