--- a/hickoryloom/commands/__init__.py
+++ b/hickoryloom/commands/__init__.py
@@ -17,6 +17,7 @@
     "version",
     "entry",
     "control",
+    "gateway",
     "publish",
     "check",
     "status",
--- /dev/null
+++ b/hickoryloom/gateway/__init__.py
@@ -0,0 +1,8 @@
+"""The data path before routed services: requests in, answers or true refusals out."""
+
+from hickoryloom.gateway import messages, ports, settings
+from hickoryloom.gateway.messages import *  # noqa: F403
+from hickoryloom.gateway.ports import *  # noqa: F403
+from hickoryloom.gateway.settings import *  # noqa: F403
+
+__all__ = [*messages.__all__, *ports.__all__, *settings.__all__]
--- a/hickoryloom/http/__init__.py
+++ b/hickoryloom/http/__init__.py
@@ -1,11 +1,12 @@
 """HTTP with JSON between processes, on geventhttpclient, gevent's server and falcon."""
 
-from hickoryloom.http import admin, client, credential, messages, server
+from hickoryloom.http import admin, client, credential, messages, server, strict
 from hickoryloom.http.admin import *  # noqa: F403
 from hickoryloom.http.client import *  # noqa: F403
 from hickoryloom.http.credential import *  # noqa: F403
 from hickoryloom.http.messages import *  # noqa: F403
 from hickoryloom.http.server import *  # noqa: F403
+from hickoryloom.http.strict import *  # noqa: F403
 
 __all__ = [
     *admin.__all__,
@@ -13,4 +14,5 @@
     *credential.__all__,
     *messages.__all__,
     *server.__all__,
+    *strict.__all__,
 ]
--- a/hickoryloom/http/server.py
+++ b/hickoryloom/http/server.py
@@ -9,6 +9,8 @@
 from gevent import socket
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
+from hickoryloom.http.strict import StrictFraming
+
 __all__ = ["SOCKET_KEY", "Server"]
 
 CLOSE_POLL_S = 0.02
@@ -22,6 +24,9 @@
 class Server:
     """Serves one WSGI application on one address.
 
+    Attributes:
+        idle_timeout_s: Seconds after which a connection that neither sends nor takes is closed.
+
     Args:
         app: The WSGI application.
         address: `host:port`; port 0 takes a free one.
@@ -30,6 +35,7 @@
     def __init__(self, app: WsgiApp, address: str) -> None:
         host, _, port = address.rpartition(":")
         self._app = app
+        self.idle_timeout_s = IO_TIMEOUT_S
         self._active = 0
         self._stopping = False
         self._server = WSGIServer(
@@ -39,7 +45,9 @@
             log=None,
             error_log=None,
             spawn=MAX_CONNECTIONS,
+            environ={"SERVER_NAME": host},
         )
+        self._server.owner = self
 
     @property
     def address(self) -> str:
@@ -108,12 +116,12 @@
         self._active -= 1
 
 
-class _Handler(WSGIHandler):
+class _Handler(StrictFraming, WSGIHandler):
     """Bounds slow callers, sends at once, writes no access log, drops connection errors."""
 
     def handle(self) -> None:
-        """Serve one connection; a read or write that stalls for `IO_TIMEOUT_S` ends it."""
-        self.socket.settimeout(IO_TIMEOUT_S)
+        """Serve one connection; a read or write that stalls too long ends it."""
+        self.socket.settimeout(max(IO_TIMEOUT_S, self.server.owner.idle_timeout_s + 1.0))
         self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         super().handle()
 
--- a/hickoryloom/leases/keeper.py
+++ b/hickoryloom/leases/keeper.py
@@ -81,6 +81,11 @@
 
         return holds
 
+    def resign(self, right: Right) -> None:
+        """End the right of a term for good, because a higher one was seen in use."""
+        self._state.resign(right.term)
+        log_event(log, "lease-resigned", duty=self._duty, term=right.term)
+
     def start(self) -> None:
         """Begin to take and renew the lease."""
         self._loop.start()
--- a/hickoryloom/leases/state.py
+++ b/hickoryloom/leases/state.py
@@ -46,6 +46,7 @@
     _renewed: float = 0.0
     _retry_at: float = 0.0
     _released: bool = False
+    _resigned_term: int = 0
 
     @property
     def record(self) -> LeaseRecord | None:
@@ -111,6 +112,13 @@
             return None
         return attrs.evolve(self._record, holder="", renewals=self._next_attempt())
 
+    def resign(self, term: int) -> None:
+        """End the own right of `term`; it is taken anew only with a higher one."""
+        self._resigned_term = max(self._resigned_term, term)
+        if self._right is not None and self._right.term <= term:
+            self._right = None
+        self._must_read = True
+
     @property
     def version(self) -> int:
         """Version of the object as it was seen last."""
@@ -161,11 +169,13 @@
         return self.times.duration_s + self.times.margin_s
 
     def _is_mine(self) -> bool:
-        return self._record is not None and self._record.holder == self.incarnation
+        if self._record is None or self._record.term <= self._resigned_term:
+            return False
+        return self._record.holder == self.incarnation
 
     def _settle_right(self, record: LeaseRecord) -> None:
         """Set the right from a record that is known to stand in the platform."""
-        if record.holder != self.incarnation:
+        if record.holder != self.incarnation or record.term <= self._resigned_term:
             self._right = None
             self._sent.clear()
             return
--- /dev/null
+++ b/hickoryloom/metering/totals.py
@@ -0,0 +1,40 @@
+"""Adds up what instances have counted; pure."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable
+
+from hickoryloom.metering.messages import InstanceCounts, ServiceDemand
+
+__all__ = ["live_instances", "sum_demand", "sum_window"]
+
+LIVE_S = 8.0
+"""An instance that has not written for so long is down or cut off."""
+
+
+def sum_window(all_counts: Iterable[InstanceCounts], window: int) -> dict[str, int]:
+    """Return the requests of each customer in one window, over all instances."""
+    total: Counter[str] = Counter()
+    for counts in all_counts:
+        total.update(counts.windows.get(str(window), {}))
+    return dict(sorted(total.items()))
+
+
+def live_instances(all_counts: Iterable[InstanceCounts], wall: float) -> list[InstanceCounts]:
+    """Return the counts of instances that have written lately."""
+    return [counts for counts in all_counts if abs(wall - counts.written) <= LIVE_S]
+
+
+def sum_demand(all_counts: Iterable[InstanceCounts]) -> dict[str, ServiceDemand]:
+    """Return the demand of each service over all given instances."""
+    total: dict[str, ServiceDemand] = {}
+    for counts in all_counts:
+        for service, demand in counts.demand.items():
+            known = total.get(service, ServiceDemand())
+            total[service] = ServiceDemand(
+                known.requests_per_s + demand.requests_per_s,
+                known.prompt_tokens_per_s + demand.prompt_tokens_per_s,
+                known.refused_per_s + demand.refused_per_s,
+            )
+    return total
--- /dev/null
+++ b/hickoryloom/placing/placer.py
@@ -0,0 +1,188 @@
+"""Chooses the backend server with the least expected delay; pure.
+
+Model engines answer a load of long prompts of which a large part is shared: reading it again costs
+more than waiting a little. A prompt goes first to the backend server that rendezvous hashing names
+for its session, the same at every instance, and spills to others only when their expected delay,
+reading included, is shorter. Plain services answer a load of short requests on few slots: these
+go to the least occupied backend server, the nearer one when two are alike.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable
+from hashlib import blake2b
+
+from hickoryloom.discovery import BackendServer
+from hickoryloom.placing.messages import Ending, Placement, ReportedLoad, Work
+from hickoryloom.placing.prefill import PrefillRate
+from hickoryloom.placing.tracked import TrackedServer
+
+__all__ = ["Placer"]
+
+MEAN_WAITING_PREFILL_S = 0.06
+"""Expected reading time of a request that waits at an engine, of whose prompt nothing is known."""
+
+FULL_PENALTY_S = 0.5
+"""Expected wait for a slot of an engine all of whose slots are taken."""
+
+FAILED_PENALTY_S = 1.0
+"""Expected cost of a failed attempt, times the share of attempts that failed."""
+
+SLOW_PENALTY_S = 0.1
+"""Handicap of a backend server that says it is still slow after its start."""
+
+RUNNING_PENALTY_S = 0.002
+"""Expected delay that each own request in flight adds at an engine."""
+
+FAR_OCCUPANCY = 0.05
+"""Occupancy that another failure domain must have less to be preferred."""
+
+
+class Placer:
+    """Knows the backend servers' load as one instance sees it.
+
+    Args:
+        failure_domain: The instance's own.
+        rng: Source of random numbers, for ties.
+    """
+
+    def __init__(self, failure_domain: str, rng: random.Random) -> None:
+        self._failure_domain = failure_domain
+        self._rng = rng
+        self._tracked: dict[str, TrackedServer] = {}
+        self._by_service: dict[str, list[TrackedServer]] = {}
+        self._rates: dict[str, PrefillRate] = {}
+
+    @property
+    def in_flight(self) -> int:
+        """Own requests at backend servers."""
+        return sum(tracked.in_flight for tracked in self._tracked.values())
+
+    def set_servers(self, servers: Iterable[BackendServer]) -> None:
+        """Take in the live list."""
+        current: dict[str, TrackedServer] = {}
+        by_service: dict[str, list[TrackedServer]] = {}
+        for server in servers:
+            tracked = self._tracked.get(server.id) or TrackedServer(server)
+            if tracked.server.started_ms != server.started_ms:
+                tracked.forget_cache()
+            tracked.server = server
+            current[server.id] = tracked
+            by_service.setdefault(server.service, []).append(tracked)
+        self._tracked = current
+        self._by_service = by_service
+
+    def usable(self, service: str) -> int:
+        """Return how many backend servers of a service may get work."""
+        return sum(1 for one in self._by_service.get(service, ()) if not one.server.leaving)
+
+    def occupancy(self, service: str, now: float) -> float:
+        """Return the mean occupancy of a service's usable backend servers."""
+        known = [one for one in self._by_service.get(service, ()) if not one.server.leaving]
+        return sum(one.occupancy(now) for one in known) / len(known) if known else 1.0
+
+    def choose(self, work: Work, exclude: frozenset[str], now: float) -> Placement | None:
+        """Return the best backend server for a request, or None.
+
+        Args:
+            work: The request.
+            exclude: Ids of backend servers that must not be chosen.
+            now: Monotonic time in seconds.
+        """
+        usable = [
+            tracked
+            for tracked in self._by_service.get(work.service, ())
+            if not tracked.server.leaving and tracked.server.id not in exclude
+        ]
+        awake = [tracked for tracked in usable if tracked.paused_until <= now]
+        candidates = awake or usable
+        if not candidates:
+            return None
+        if work.prompt_tokens:
+            return self._choose_engine(work, candidates, now)
+        return self._choose_plain(candidates, now)
+
+    def prefill_s(self, service: str, tokens: float) -> float:
+        """Return the seconds that an engine of a service takes to read so many tokens."""
+        return tokens / self._rate(service).tokens_per_s
+
+    def expected_wait_s(self, work: Work, now: float) -> float | None:
+        """Return the expected delay at the best backend server; None without any."""
+        placement = self.choose(work, frozenset(), now)
+        return None if placement is None else placement.expected_s
+
+    def started(self, placement: Placement, work: Work) -> None:
+        """Take in that a request is sent as chosen."""
+        tracked = self._tracked.get(placement.server.id)
+        if tracked is not None:
+            tracked.on_start(work, placement.prefill_tokens)
+
+    def first_token(self, placement: Placement, took_s: float) -> None:
+        """Take in that a prompt has been read; `took_s` counts from the send."""
+        tracked = self._tracked.get(placement.server.id)
+        if tracked is None:
+            return
+        tracked.on_first_token(placement.prefill_tokens)
+        if tracked.unread_tokens == 0:
+            self._rate(placement.server.service).observe(placement.prefill_tokens, took_s)
+
+    def finished(self, placement: Placement, ending: Ending, prompt_read: bool, now: float) -> None:
+        """Take in the end of an attempt; `prompt_read` tells whether `first_token` was called."""
+        tracked = self._tracked.get(placement.server.id)
+        if tracked is None:
+            return
+        if not prompt_read:
+            tracked.on_first_token(placement.prefill_tokens)
+        tracked.on_end(ending, now)
+
+    def report(self, id: str, load: ReportedLoad, now: float) -> None:
+        """Take in a backend server's word on its load."""
+        tracked = self._tracked.get(id)
+        if tracked is not None:
+            tracked.on_report(load, now)
+
+    def _choose_engine(self, work: Work, candidates: list[TrackedServer], now: float) -> Placement:
+        home = max(candidates, key=lambda one: _score(work.session, one.server.id))
+        best, best_s, best_tokens = home, float("inf"), 0
+        for tracked in candidates:
+            at_home = tracked is home and work.session != ""
+            tokens = tracked.uncached_tokens(work, at_home)
+            expected_s = self._engine_delay_s(tracked, tokens, now)
+            if expected_s < best_s or (expected_s == best_s and self._rng.random() < 0.5):
+                best, best_s, best_tokens = tracked, expected_s, tokens
+        reason = "least-loaded" if not work.session else "affinity" if best is home else "spilled"
+        return Placement(best.server, reason, best_s, best_tokens)
+
+    def _engine_delay_s(self, tracked: TrackedServer, tokens: int, now: float) -> float:
+        rate = self._rate(tracked.server.service)
+        own_s = rate.seconds(tracked.unread_tokens)
+        reported_s = tracked.reported_waiting(now) * MEAN_WAITING_PREFILL_S
+        delay_s = max(own_s, reported_s) + rate.seconds(tokens)
+        delay_s += tracked.in_flight * RUNNING_PENALTY_S
+        delay_s += FULL_PENALTY_S * (tracked.occupancy(now) >= 1.0)
+        delay_s += SLOW_PENALTY_S * (tracked.server.slow_s > 0)
+        return delay_s + FAILED_PENALTY_S * tracked.failed_part
+
+    def _choose_plain(self, candidates: list[TrackedServer], now: float) -> Placement:
+        def cost(tracked: TrackedServer) -> float:
+            far = tracked.server.failure_domain != self._failure_domain
+            jitter = self._rng.random() * FAR_OCCUPANCY
+            return (
+                tracked.occupancy(now)
+                + FAR_OCCUPANCY * far
+                + jitter
+                + tracked.failed_part
+                + (tracked.server.slow_s > 0)
+            )
+
+        best = min(candidates, key=cost)
+        return Placement(best.server, "least-loaded", 0.0)
+
+    def _rate(self, service: str) -> PrefillRate:
+        return self._rates.setdefault(service, PrefillRate())
+
+
+def _score(session: str, id: str) -> bytes:
+    """Rank of a backend server for a session by rendezvous hashing."""
+    return blake2b(f"{session}\n{id}".encode(), digest_size=8).digest()
--- /dev/null
+++ b/hickoryloom/platform/__init__.py
@@ -0,0 +1,27 @@
+"""Adapter to the users' platform: translates between its protocol and the product's types."""
+
+from hickoryloom.gateway.ports import Dialect, dialect
+from hickoryloom.platform.backends import PlatformBackends
+from hickoryloom.platform.callers import PlatformCallers
+from hickoryloom.platform.catalog import PlatformCatalog
+from hickoryloom.platform.duties import PlatformScaling, PlatformUsage
+from hickoryloom.platform.objects import PlatformObjects
+from hickoryloom.platform.registrations import PlatformRegistrations
+from hickoryloom.platform.settings import read_settings
+
+__all__ = ["build_dialect"]
+
+
+@dialect("platform")
+def build_dialect() -> Dialect:
+    """Build the dialect of the users' platform."""
+    return Dialect(
+        settings=read_settings,
+        objects=PlatformObjects(),
+        callers=PlatformCallers(),
+        backends=PlatformBackends(),
+        catalog=PlatformCatalog(),
+        registrations=PlatformRegistrations(),
+        usage=PlatformUsage(),
+        scaling=PlatformScaling(),
+    )
--- /dev/null
+++ b/hickoryloom/platform/backends.py
@@ -0,0 +1,78 @@
+"""Spells requests to backend servers and decodes the heads of their answers."""
+
+from __future__ import annotations
+
+from hickoryloom.catalog import Customer
+from hickoryloom.discovery import BackendServer
+from hickoryloom.gateway.messages import AnswerHead, CallerRequest, Headers
+from hickoryloom.placing import ReportedLoad
+
+__all__ = ["PlatformBackends"]
+
+MS_PER_S = 1000
+MISDIRECTED = 421
+SIGNATURE = "replica-signature"
+NOT_PASSED_BACK = frozenset(("not-executed", "replica-load", "replica-id"))
+
+
+class PlatformBackends:
+    """Backend servers echo a request's id and sign what they answer."""
+
+    @property
+    def id_header(self) -> str:
+        """Header, in lower case, in which a backend server sends a request's id back."""
+        return "attempt-id"
+
+    def request_headers(
+        self,
+        request: CallerRequest,
+        server: BackendServer,
+        customer: Customer | None,
+        urgency: int,
+        remaining_s: float,
+        resume_after: int | None,
+    ) -> Headers:
+        """Return all headers but `Host` and the body's length."""
+        headers = [
+            *request.headers,
+            ("deadline-ms", str(max(1, int(remaining_s * MS_PER_S)))),
+            ("expect-replica", server.id),
+        ]
+        if request.prompt_tokens:
+            headers.append(("request-priority", str(urgency)))
+        if customer is not None:
+            headers.append(("tenant", customer.name))
+        if resume_after is not None:
+            headers.append(("last-event-id", str(resume_after)))
+        return tuple(headers)
+
+    def read_head(self, status: int, headers: Headers) -> AnswerHead:
+        """Decode the head of an answer."""
+        found = dict(headers)
+        return AnswerHead(
+            not_run="not-executed" in found,
+            misdirected=status == MISDIRECTED,
+            signed=bool(found.get(SIGNATURE)),
+            load=_read_load(found.get("replica-load", "")),
+            keep_s=_read_keep(found.get("keep-alive", "")),
+        )
+
+    def answer_headers(self, headers: Headers) -> Headers:
+        """Return the headers of an answer that the caller gets."""
+        return tuple(pair for pair in headers if pair[0] not in NOT_PASSED_BACK)
+
+
+def _read_load(value: str) -> ReportedLoad | None:
+    parts = value.split(",")
+    if len(parts) != 3 or not all(part.strip().isdecimal() for part in parts):
+        return None
+    running, waiting, slots = (int(part) for part in parts)
+    return ReportedLoad(running, waiting, slots)
+
+
+def _read_keep(value: str) -> float | None:
+    for part in value.split(","):
+        name, _, seconds = part.strip().partition("=")
+        if name.lower() == "timeout" and seconds.isdecimal():
+            return float(seconds)
+    return None
--- a/hickoryloom/relay/exchange.py
+++ b/hickoryloom/relay/exchange.py
@@ -18,6 +18,7 @@
 MAX_HEADER_BYTES = 64 * 1024
 SEND_TIMEOUT_S = 10.0
 END_TIMEOUT_S = 0.2
+MIN_WAIT_S = 0.001
 
 
 class AttemptError(Exception):
@@ -28,15 +29,53 @@
         self.failed = failed
 
 
+class _Message:
+    """One response on the wire, with the blocks of its body as they come."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.headers: tuple[tuple[str, str], ...] = ()
+        self.blocks: list[bytes] = []
+        self.headers_complete = False
+        self.complete = False
+
+    def header(self, name: str) -> str:
+        """Return the first value of header `name` (lower case), or an empty string."""
+        return next((value for found, value in self.headers if found == name), "")
+
+    @property
+    def framed(self) -> bool:
+        """Whether its end is told by a length or by chunks, not by the connection's end."""
+        if self.header("content-length") or self.status in (204, 304):
+            return True
+        return "chunked" in self.header("transfer-encoding").lower()
+
+
 class _Response(HTTPResponse):
-    """Parses a response and keeps the body's blocks as they come."""
+    """Parses what arrives and keeps apart the responses that follow each other."""
 
     def __init__(self, method: str) -> None:
         super().__init__(method=method)
-        self.blocks: list[bytes] = []
+        self.messages: list[_Message] = []
+
+    def _on_message_begin(self) -> None:
+        super()._on_message_begin()
+        self.messages.append(_Message())
+
+    def _on_headers_complete(self) -> Any:
+        result = super()._on_headers_complete()
+        message = self.messages[-1]
+        message.status = int(self.get_code())
+        message.headers = tuple((name.lower(), value) for name, value in self.items())
+        message.headers_complete = True
+        return result
 
     def _on_body(self, buf: Any) -> None:
-        self.blocks.append(bytes(buf))
+        self.messages[-1].blocks.append(bytes(buf))
+
+    def _on_message_complete(self) -> None:
+        super()._on_message_complete()
+        self.messages[-1].complete = True
 
 
 class Exchange:
@@ -49,6 +88,8 @@
         waited_at: Monotonic time at which it last began to wait for bytes; None before.
         wrote: Whether a byte of the request may have left.
         confirmed: Whether the response was seen to be the attempt's own.
+        read_until: Monotonic time at which reading gives up; None for never.
+        keep_s: Seconds for which the backend server keeps an idle connection; None when unknown.
 
     Args:
         sock: A connected socket, owned from now on.
@@ -56,31 +97,44 @@
         attempt_id: Id of the attempt.
         method: HTTP method.
         clock: Source of time.
+        id_header: Header, in lower case, in which the backend server sends the id back.
     """
 
-    def __init__(self, sock: Any, address: str, attempt_id: str, method: str, clock: Clock) -> None:
+    def __init__(
+        self,
+        sock: Any,
+        address: str,
+        attempt_id: str,
+        method: str,
+        clock: Clock,
+        id_header: str = "x-request-id",
+    ) -> None:
         self.address = address
         self.attempt_id = attempt_id
         self.waiting_since: float | None = None
         self.waited_at: float | None = None
         self.wrote = False
         self.confirmed = False
+        self.read_until: float | None = None
+        self.keep_s: float | None = None
+        self._id_header = id_header
         self._sock = sock
         self._recv = sock.recv
         self._monotonic = clock.monotonic
         self._response = _Response(method)
+        self._message = _Message()
         self._interruption: FailureCause | None = None
         self._closed = False
 
     @property
     def status(self) -> int:
         """Status code of the response."""
-        return int(self._response.get_code())
+        return self._message.status
 
     @property
     def headers(self) -> tuple[tuple[str, str], ...]:
         """Headers of the response, names in lower case."""
-        return tuple((name.lower(), value) for name, value in self._response.items())
+        return self._message.headers
 
     @property
     def closed(self) -> bool:
@@ -90,14 +144,11 @@
     @property
     def ended(self) -> bool:
         """Whether the response was read to its end."""
-        return bool(self._response.message_complete)
+        return self._message.complete
 
     def header(self, name: str) -> str:
         """Return the first value of header `name` (lower case), or an empty string."""
-        for found, value in self.headers:
-            if found == name:
-                return value
-        return ""
+        return self._message.header(name)
 
     def send(self, head: bytes, body: bytes) -> None:
         """Write the request.
@@ -115,25 +166,45 @@
         except OSError as error:
             raise self.error(FailureCause.CUT, f"while sending: {error}")
 
-    def read_head(self) -> None:
+    def read_head(self, skip_foreign: bool = False) -> None:
         """Read until the headers of the final response are complete.
 
+        Args:
+            skip_foreign: Whether a whole response to another request, told by its id, is passed
+                over: a late duplicate may arrive where this one's response is due.
+
         Raises:
             AttemptError: There is no sound head.
         """
         size = 0
-        while not self._response.headers_complete or self.status < 200:
+        while not self._find_message(skip_foreign):
             size += self._receive()
-            if size > MAX_HEADER_BYTES and not self._response.headers_complete:
+            if size > MAX_HEADER_BYTES and not self._message.headers_complete:
                 raise self.error(FailureCause.TOO_LARGE, "headers are too large")
 
+    def _find_message(self, skip_foreign: bool) -> bool:
+        """Take the first final response; return whether its headers are complete."""
+        for message in self._response.messages:
+            if message.headers_complete and 100 <= message.status < 200:
+                continue
+            self._message = message
+            foreign = skip_foreign and self._is_foreign(message)
+            if foreign and message.complete:
+                continue
+            if message.headers_complete:
+                return not foreign
+        return False
+
+    def _is_foreign(self, message: _Message) -> bool:
+        return message.header(self._id_header) not in ("", self.attempt_id)
+
     def check_id(self) -> None:
         """Compare the id that the response's headers carry, if any, with the attempt's own.
 
         Raises:
             AttemptError: It is another request's response.
         """
-        echoed = self.header("x-request-id")
+        echoed = self.header(self._id_header)
         if echoed and echoed != self.attempt_id:
             raise self.error(FailureCause.CROSSED, "response of another request")
         self.confirmed = bool(echoed)
@@ -144,12 +215,12 @@
         Raises:
             AttemptError: The response is cut short or malformed.
         """
-        response = self._response
-        while not response.blocks:
-            if response.message_complete:
+        message = self._message
+        while not message.blocks:
+            if message.complete:
                 return b""
             self._receive()
-        blocks = response.blocks
+        blocks = message.blocks
         block = blocks[0] if len(blocks) == 1 else b"".join(blocks)
         blocks.clear()
         return block
@@ -187,26 +258,41 @@
         return None
 
     def _is_reusable(self) -> bool:
-        if self._interruption is not None or not self._response.message_complete:
+        if self._interruption is not None or not self._message.complete:
+            return False
+        if self._message is not self._response.messages[-1]:
             return False
         return self.confirmed and not self._response.should_close()
 
     def _receive(self) -> int:
         self.waiting_since = self.waited_at = self._monotonic()
         try:
+            if self.read_until is not None:
+                self._sock.settimeout(max(MIN_WAIT_S, self.read_until - self.waited_at))
             data = self._recv(READ_BYTES)
+        except TimeoutError:
+            raise self.error(FailureCause.SILENT, "no bytes in time")
         except OSError as error:
             raise self.error(FailureCause.CUT, f"while receiving: {error}")
         finally:
             self.waiting_since = None
         if not data:
-            raise self.error(FailureCause.CUT, "closed before the end of the response")
+            return self._receive_end()
         try:
             self._response.feed(data)
         except (HTTPParseError, ValueError) as error:
             raise self.error(FailureCause.MALFORMED, f"not a response: {error}")
         return len(data)
 
+    def _receive_end(self) -> int:
+        """Take in that the peer closed; only a response without a length may end so."""
+        message = self._message
+        if not message.headers_complete or message.complete or message.framed:
+            raise self.error(FailureCause.CUT, "closed before the end of the response")
+        message.complete = True
+        self.confirmed = False
+        return 0
+
 
 def _shut_down(sock: Any) -> None:
     try:
--- a/hickoryloom/relay/headers.py
+++ b/hickoryloom/relay/headers.py
@@ -9,7 +9,14 @@
 from hickoryloom.admission.messages import Request
 from hickoryloom.http import Call
 
-__all__ = ["answer_headers", "call_headers", "call_target", "is_engine_call", "request_head"]
+__all__ = [
+    "answer_headers",
+    "call_headers",
+    "call_target",
+    "end_to_end_headers",
+    "is_engine_call",
+    "request_head",
+]
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -44,6 +51,7 @@
     )
 )
 BACKEND_ONLY = frozenset(("content-length", "x-not-run", "x-request-id", "date", "server"))
+FRAMING = frozenset(("content-length", "expect", "host"))
 VALID_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 VALID_VALUE = re.compile(r"[\t\x20-\x7e\x80-\xff]*")
 
@@ -91,6 +99,15 @@
     )
 
 
+def end_to_end_headers(headers: Iterable[tuple[str, str]]) -> Headers:
+    """Return the headers that concern more than one connection, but for `Host` and the length."""
+    found = [(name.lower(), value) for name, value in headers]
+    dropped = HOP_BY_HOP | FRAMING | _listed_in_connection(found)
+    return tuple(
+        (name, value) for name, value in found if name not in dropped and _is_valid(name, value)
+    )
+
+
 def request_head(method: str, target: str, host: str, headers: Headers, length: int) -> bytes:
     """Return the request line and headers as they go on the wire.
 
--- /dev/null
+++ b/hickoryloom/scaling/__init__.py
@@ -0,0 +1,9 @@
+"""How many backend servers run, of which kind and where."""
+
+from hickoryloom.scaling import messages, orders, sizing, task
+from hickoryloom.scaling.messages import *  # noqa: F403
+from hickoryloom.scaling.orders import *  # noqa: F403
+from hickoryloom.scaling.sizing import *  # noqa: F403
+from hickoryloom.scaling.task import *  # noqa: F403
+
+__all__ = [*messages.__all__, *orders.__all__, *sizing.__all__, *task.__all__]
--- /dev/null
+++ b/hickoryloom/scaling/orders.py
@@ -0,0 +1,103 @@
+"""Which orders are due: what was planned against what stands and what was ordered; pure."""
+
+from __future__ import annotations
+
+import attrs
+
+from hickoryloom.duties import DutyOutcome
+from hickoryloom.scaling.messages import Group
+from hickoryloom.scaling.sizing import Plan
+
+__all__ = ["OrderBook"]
+
+REPEAT_S = 4.0
+"""An order that shows no effect is repeated after this: a late one may have undone it."""
+
+NONE_TO_BE_HAD_S = 3.0
+"""Pause after an answer that there are no backend servers of a kind to be had."""
+
+
+@attrs.define
+class _Order:
+    number: int
+    at: float
+    confirmed: bool
+
+
+@attrs.define
+class OrderBook:
+    """Orders given under one term.
+
+    Args:
+        service: The service.
+    """
+
+    service: str
+    _orders: dict[Group, _Order] = attrs.field(factory=dict)
+    _none_until: dict[Group, float] = attrs.field(factory=dict)
+
+    def forget(self) -> None:
+        """Forget all orders, since another holder may have given others meanwhile."""
+        self._orders.clear()
+
+    def wanted(self, plan: Plan, standing: dict[Group, int], now: float) -> dict[Group, int]:
+        """Return the number of each group to be ordered now.
+
+        Firm backend servers are given up only as others stand in their place, and stand in where
+        reclaimable ones can't be had.
+
+        Args:
+            plan: What the load needs.
+            standing: Backend servers that serve, by group.
+            now: Monotonic time in seconds.
+        """
+        wanted: dict[Group, int] = {}
+        total = sum(standing.values())
+        missing = 0
+        for domain, number in plan.reclaimable.items():
+            group = Group(self.service, domain, True)
+            if self._none_until.get(group, 0.0) > now:
+                kept = standing.get(group, 0)
+                missing += max(0, number - kept)
+                wanted[group] = kept
+            else:
+                wanted[group] = number
+        surplus = max(0, total - plan.total)
+        for domain, number in plan.firm.items():
+            group = Group(self.service, domain, False)
+            have = standing.get(group, 0)
+            if have > number:
+                give_up = min(have - number, surplus)
+                surplus -= give_up
+                number = have - give_up
+            wanted[group] = number
+        return wanted
+
+    def due(
+        self, wanted: dict[Group, int], standing: dict[Group, int], now: float
+    ) -> list[tuple[Group, int]]:
+        """Return the orders to give now, those that add backend servers first."""
+        orders = [
+            (group, number)
+            for group, number in wanted.items()
+            if self._is_due(group, number, standing.get(group, 0), now)
+        ]
+        return sorted(orders, key=lambda order: standing.get(order[0], 0) - order[1])
+
+    def note(self, group: Group, number: int, outcome: DutyOutcome, now: float) -> None:
+        """Take in how an order ended."""
+        if outcome is DutyOutcome.NONE_TO_BE_HAD:
+            self._none_until[group] = now + NONE_TO_BE_HAD_S
+            self._orders.pop(group, None)
+            return
+        self._orders[group] = _Order(number, now, outcome is DutyOutcome.DONE)
+
+    def _is_due(self, group: Group, number: int, have: int, now: float) -> bool:
+        if self._none_until.get(group, 0.0) > now:
+            return False
+        order = self._orders.get(group)
+        if order is None:
+            return number != have or not group.reclaimable
+        if order.number != number or not order.confirmed:
+            return True
+        return have != number and now - order.at >= REPEAT_S
--- /dev/null
+++ b/hickoryloom/scaling/task.py
@@ -0,0 +1,139 @@
+"""Orders backend servers while its process holds the lease."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import logbook
+from result import Err
+
+from hickoryloom.catalog import CatalogFollower, Service
+from hickoryloom.clock import Clock
+from hickoryloom.discovery import Discovery
+from hickoryloom.duties import DutyCaller, DutyOutcome
+from hickoryloom.leases import Right
+from hickoryloom.logs import log_event
+from hickoryloom.loops import TaskLoop
+from hickoryloom.metering import ServiceDemand, live_instances, read_all_counts, sum_demand
+from hickoryloom.scaling.messages import Group, ScalingCodec
+from hickoryloom.scaling.orders import OrderBook
+from hickoryloom.scaling.sizing import REQUEST_BUSY_S, DemandPeak, plan_servers
+from hickoryloom.store import PlatformClient
+
+__all__ = ["Scaler"]
+
+LOOK_EVERY_S = 1.0
+"""Instances write their demand once a second."""
+
+log = logbook.Logger("hickoryloom.scaling")
+
+
+class Scaler:
+    """Keeps the number of backend servers fit for the demand of all instances.
+
+    Args:
+        client: Client of the store, with the instances' counts.
+        clock: Source of time.
+        wall: Returns the Unix time that counts are written with, in seconds.
+        catalog: Tells services and their bounds.
+        discovery: Tells the backend servers that stand.
+        caller: Makes the calls under the lease.
+        codec: Spells orders.
+        instance: Name of the holder in its calls.
+        prefill_s: Returns the seconds that an engine of a service takes for so many tokens.
+    """
+
+    def __init__(
+        self,
+        client: PlatformClient,
+        clock: Clock,
+        wall: Callable[[], float],
+        catalog: CatalogFollower,
+        discovery: Discovery,
+        caller: DutyCaller,
+        codec: ScalingCodec,
+        instance: str,
+        prefill_s: Callable[[str, float], float],
+    ) -> None:
+        self._client = client
+        self._clock = clock
+        self._wall = wall
+        self._catalog = catalog
+        self._discovery = discovery
+        self._caller = caller
+        self._codec = codec
+        self._instance = instance
+        self._prefill_s = prefill_s
+        self._term = 0
+        self._books: dict[str, OrderBook] = {}
+        self._peaks: dict[str, DemandPeak] = {}
+        self._loop = TaskLoop(self._step, "scaling", log)
+
+    def start(self) -> None:
+        """Begin to order."""
+        self._loop.start()
+
+    def stop(self) -> None:
+        """End."""
+        self._loop.stop()
+
+    def _step(self) -> float:
+        right = self._caller.right()
+        if right is None:
+            return LOOK_EVERY_S
+        if right.term != self._term:
+            self._term = right.term
+            for book in self._books.values():
+                book.forget()
+        found = read_all_counts(self._client)
+        if isinstance(found, Err):
+            return LOOK_EVERY_S
+        live = live_instances(found.ok_value.values(), self._wall())
+        demand = sum_demand(live)
+        for service in self._catalog.catalog.services.values():
+            if service.scaling is not None:
+                self._scale(service, demand.get(service.name, ServiceDemand()), right)
+        return LOOK_EVERY_S
+
+    def _scale(self, service: Service, demand: ServiceDemand, right: Right) -> None:
+        assert service.scaling is not None
+        now = self._clock.monotonic()
+        busy = self._prefill_s(service.name, demand.prompt_tokens_per_s)
+        busy += REQUEST_BUSY_S * demand.requests_per_s
+        peak = self._peaks.setdefault(service.name, DemandPeak()).add(busy, now)
+        domains = tuple(sorted(service.scaling.prices))
+        if not domains:
+            return
+        plan = plan_servers(peak, service.scaling, domains)
+        standing = self._standing(service.name)
+        book = self._books.setdefault(service.name, OrderBook(service.name))
+        for group, number in book.due(book.wanted(plan, standing, now), standing, now):
+            if self._order(book, group, number, busy, right) is DutyOutcome.FENCED:
+                return
+
+    def _order(
+        self, book: OrderBook, group: Group, number: int, busy: float, right: Right
+    ) -> DutyOutcome:
+        call = self._codec.order(group, number, self._instance, right.term)
+        outcome = self._caller.call(call, right, self._codec.read)
+        book.note(group, number, outcome, self._clock.monotonic())
+        log_event(
+            log,
+            "servers-ordered",
+            service=group.service,
+            failure_domain=group.failure_domain,
+            reclaimable=group.reclaimable,
+            number=number,
+            busy=busy,
+            term=right.term,
+            outcome=outcome.value,
+        )
+        return outcome
+
+    def _standing(self, service: str) -> dict[Group, int]:
+        standing: dict[Group, int] = {}
+        for server in self._discovery.servers:
+            if server.service == service and not server.leaving:
+                group = Group(service, server.failure_domain, server.reclaimable)
+                standing[group] = standing.get(group, 0) + 1
+        return standing
--- a/hickoryloom/store/__init__.py
+++ b/hickoryloom/store/__init__.py
@@ -1,9 +1,10 @@
 """Client of the platform's services: objects, ordering, usage reports, live list, weights."""
 
-from hickoryloom.store import breaker, budget, client, messages, settle
+from hickoryloom.store import breaker, budget, client, codec, messages, settle
 from hickoryloom.store.breaker import *  # noqa: F403
 from hickoryloom.store.budget import *  # noqa: F403
 from hickoryloom.store.client import *  # noqa: F403
+from hickoryloom.store.codec import *  # noqa: F403
 from hickoryloom.store.messages import *  # noqa: F403
 from hickoryloom.store.settle import *  # noqa: F403
 
@@ -11,6 +12,7 @@
     *breaker.__all__,
     *budget.__all__,
     *client.__all__,
+    *codec.__all__,
     *messages.__all__,
     *settle.__all__,
 ]
--- a/hickoryloom/store/breaker.py
+++ b/hickoryloom/store/breaker.py
@@ -56,10 +56,11 @@
 
     Args:
         random: Source of the jitter.
+        max_delay_s: Longest pause between probes, in seconds.
     """
 
-    def __init__(self, random: Random) -> None:
-        self._backoff = Backoff(random)
+    def __init__(self, random: Random, max_delay_s: float = MAX_DELAY_S) -> None:
+        self._backoff = Backoff(random, max_s=max_delay_s)
         self._failures = 0
         self._retry_at = 0.0
         self._probe_began = 0.0
--- a/hickoryloom/store/client.py
+++ b/hickoryloom/store/client.py
@@ -5,19 +5,20 @@
 from collections.abc import Callable
 from random import Random
 from typing import Any
-from urllib.parse import quote, urlencode
+from urllib.parse import quote
 
 import attrs
 import gevent
 import logbook
-from result import Err, Result
+from result import Err, Ok, Result
 
 from hickoryloom.clock import Clock
 from hickoryloom.http import CallFailed, JsonAnswer, JsonClient
 from hickoryloom.logs import log_event
 from hickoryloom.store import answers
-from hickoryloom.store.breaker import BreakerState, CircuitBreaker
+from hickoryloom.store.breaker import MAX_DELAY_S, BreakerState, CircuitBreaker
 from hickoryloom.store.budget import CallBudget, CallKind, CallPriority
+from hickoryloom.store.codec import ObjectCall, ObjectCodec, OwnCodec
 from hickoryloom.store.messages import (
     ErrorKind,
     Listing,
@@ -35,7 +36,6 @@
 __all__ = ["PlatformClient"]
 
 CALL_TIMEOUT_S = 2.0
-WATCH_MARGIN_S = 2.0
 CONNECTIONS = 16
 PROCESS_PREFIX = "presence/"
 URGENT_PREFIXES = ("leases/", "intents/")
@@ -72,6 +72,10 @@
         clock: Source of time.
         budget: The process's call budget; None for one of an equal share.
         random: Source of jitter; None for one seeded by the system.
+        codec: How calls on objects are spelled; None for the project's own protocol.
+        call_timeout_s: Seconds for one call on an object; a watch may take as much longer than
+            it was asked to wait.
+        retry_max_s: Longest pause between probes during an outage, in seconds.
     """
 
     def __init__(
@@ -80,7 +84,14 @@
         clock: Clock,
         budget: CallBudget | None = None,
         random: Random | None = None,
+        codec: ObjectCodec | None = None,
+        call_timeout_s: float = CALL_TIMEOUT_S,
+        retry_max_s: float = MAX_DELAY_S,
     ) -> None:
+        self._codec: ObjectCodec = codec or OwnCodec()
+        self._call_timeout_s = call_timeout_s
+        self._watch_margin_s = call_timeout_s
+        self._retry_max_s = retry_max_s
         self._clock = clock
         self._budget = budget or CallBudget(clock.monotonic())
         self._random = random or Random()
@@ -106,23 +117,40 @@
         self, key: str, priority: CallPriority | None = None
     ) -> Result[Versioned[Any], PlatformError]:
         """Read one object; `ABSENT` when there is none."""
-        call = _Call("GET", f"/objects/{quote(key)}", CallKind.READ, priority or _priority(key))
-        return self._call(call).and_then(answers.read_object)
+        call = self._object_call(self._codec.get(key), CallKind.READ, priority or _priority(key))
+        return self._call(call).and_then(lambda answer: self._codec.read_object(key, answer))
 
     def list(
         self, prefix: str, priority: CallPriority | None = None
     ) -> Result[Listing, PlatformError]:
         """Read all objects whose key begins with `prefix`.
 
-        A listing of all presence objects, one for each process, also sets the budget's share.
+        A listing of all presence objects, one for each process, also sets the budget's share. One
+        that comes in parts has the revision of its first part, so that a watch misses nothing.
         """
-        path = f"/objects?{urlencode({'prefix': prefix})}"
-        call = _Call("GET", path, CallKind.READ, priority or _priority(prefix))
-        listing = self._call(call).and_then(answers.read_listing)
+        listing = self._list_parts(prefix, priority or _priority(prefix))
         if listing.is_ok() and prefix == PROCESS_PREFIX:
             self._budget.set_processes(len(listing.unwrap().items), self._clock.monotonic())
         return listing
 
+    def _list_parts(self, prefix: str, priority: CallPriority) -> Result[Listing, PlatformError]:
+        items: tuple[Versioned[Any], ...] = ()
+        revision: int | None = None
+        begin = ""
+        while True:
+            call = self._object_call(self._codec.list(prefix, begin), CallKind.READ, priority)
+            answer = self._call(call).and_then(
+                lambda answer: self._codec.read_listing(prefix, answer)
+            )
+            if isinstance(answer, Err):
+                return answer
+            page = answer.ok_value
+            items += page.listing.items
+            revision = page.listing.revision if revision is None else revision
+            if not page.next or page.next == begin:
+                return Ok(Listing(revision, items))
+            begin = page.next
+
     def create(
         self, key: str, value: Any, guard: Guard | None = None
     ) -> Result[Versioned[Any], PlatformError]:
@@ -138,18 +166,17 @@
         priority: CallPriority | None = None,
     ) -> Result[Versioned[Any], PlatformError]:
         """Replace an object's value; `CONFLICT` when its version is not `if_version`."""
-        path = f"/objects/{quote(key)}?if_version={if_version}"
-        chosen = priority or _priority(key)
-        call = _Call("POST", path, CallKind.WRITE, chosen, {"value": value}, guard)
-        stored = self._call(call).and_then(answers.read_version)
+        spelled = self._codec.update(key, value, if_version)
+        call = self._object_call(spelled, CallKind.WRITE, priority or _priority(key), guard)
+        stored = self._call(call).and_then(self._codec.read_version)
         return stored.map(lambda version: Versioned(key, version, value))
 
     def delete(
         self, key: str, if_version: int, priority: CallPriority | None = None
     ) -> Result[None, PlatformError]:
         """Delete an object; `CONFLICT` when its version is not `if_version`."""
-        path = f"/delete/{quote(key)}?if_version={if_version}"
-        call = _Call("POST", path, CallKind.WRITE, priority or _priority(key), {})
+        spelled = self._codec.delete(key, if_version)
+        call = self._object_call(spelled, CallKind.WRITE, priority or _priority(key))
         return self._call(call).map(lambda _: None)
 
     def watch(self, prefix: str, since: int, timeout_s: float) -> Result[WatchBatch, PlatformError]:
@@ -157,15 +184,29 @@
         if self._breaker("objects").state is not BreakerState.CLOSED:
             # The call may become the breaker's probe, and a probe must end soon.
             timeout_s = 0.0
-        query = urlencode({"prefix": prefix, "since": since, "timeout": timeout_s})
-        call = _Call(
-            "GET",
-            f"/watch?{query}",
-            CallKind.WATCH,
-            _priority(prefix),
-            timeout_s=timeout_s + WATCH_MARGIN_S,
+        spelled = self._codec.watch(prefix, since, timeout_s)
+        call = attrs.evolve(
+            self._object_call(spelled, CallKind.WATCH, _priority(prefix)),
+            timeout_s=timeout_s + self._watch_margin_s,
+        )
+        return self._call(call).and_then(lambda answer: self._codec.read_batch(prefix, answer))
+
+    def _object_call(
+        self,
+        spelled: ObjectCall,
+        kind: CallKind,
+        priority: CallPriority,
+        guard: Guard | None = None,
+    ) -> _Call:
+        return _Call(
+            spelled.method,
+            spelled.path,
+            kind,
+            priority,
+            spelled.body,
+            guard,
+            timeout_s=self._call_timeout_s,
         )
-        return self._call(call).and_then(answers.read_batch)
 
     def live(self) -> Result[tuple[LiveBackend, ...], PlatformError]:
         """Read the lagging list of backend servers."""
@@ -211,7 +252,7 @@
 
     def _breaker(self, interface: str) -> CircuitBreaker:
         if interface not in self._breakers:
-            self._breakers[interface] = CircuitBreaker(self._random)
+            self._breakers[interface] = CircuitBreaker(self._random, self._retry_max_s)
         return self._breakers[interface]
 
     def _take(self, call: _Call, breaker: CircuitBreaker) -> PlatformError | None:
@@ -244,11 +285,11 @@
         if answer.is_err():
             return Err(self._note_failure(call, breaker, answer.unwrap_err()))
         found = answer.unwrap()
-        if answers.is_outage(found):
+        if self._codec.is_outage(found):
             detail = f"status {found.status}"
             return Err(self._note_failure(call, breaker, CallFailed(Applied.UNKNOWN, detail)))
         self._note_answer(call, breaker)
-        return answers.judge(found)
+        return self._codec.judge(found)
 
     def _note_answer(self, call: _Call, breaker: CircuitBreaker) -> None:
         now = self._clock.monotonic()
