Keep engines for a burst, ask the store less, don't leave a busy engine early

Cause: the fleet was sized to the calm start (three engines), and no reclaimable ones were to be had when the burst came; resumable streams left queued engines after 0.75 s, which made the queue longer.

--- a/hickoryloom/catalog/follower.py
+++ b/hickoryloom/catalog/follower.py
@@ -21,7 +21,7 @@
 
 log = logbook.Logger("hickoryloom.catalog")
 
-READ_EVERY_S = 0.6
+READ_EVERY_S = 1.0
 """A change is in force after this and one answer, within the 2 s that operators are promised."""
 
 RETRY_S = 0.2
--- a/hickoryloom/discovery/task.py
+++ b/hickoryloom/discovery/task.py
@@ -19,10 +19,10 @@
 
 log = logbook.Logger("hickoryloom.discovery")
 
-WATCH_S = 1.0
+WATCH_S = 1.6
 """A watch that hears nothing for so long is renewed; bounds how long a silent link goes unseen."""
 
-LIST_EVERY_S = 3.0
+LIST_EVERY_S = 15.0
 """All registrations are listed anew this often, in case a watch missed one."""
 
 RETRY_S = 0.2
--- a/hickoryloom/gateway/app.py
+++ b/hickoryloom/gateway/app.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from http import HTTPStatus
 from typing import Any
 
@@ -144,7 +144,7 @@
         start_response(_status_line(answer.status), headers)
         return self
 
-    def __iter__(self) -> Iterable[bytes]:
+    def __iter__(self) -> Iterator[bytes]:
         assert self._reply is not None
         return self._reply.body
 
--- a/hickoryloom/gateway/forwarding.py
+++ b/hickoryloom/gateway/forwarding.py
@@ -40,7 +40,10 @@
 
 SERVER_ERROR = 500
 RETRY_TARGETS = 2.5
-"""A repeatable request without an answer is sent to another backend server after so many targets."""
+"""A repeatable request unanswered for so many targets is sent to another backend server."""
+
+ENGINE_RETRY_TARGETS = 8.0
+"""The same for model engines, where a late first token mostly means a queue, not a fault."""
 
 SILENCE_GAPS = 6.0
 SILENCE_MIN_S = 1.2
@@ -285,7 +288,8 @@
         """Return until when the head of an answer is waited for."""
         if not self._route.repeatable or not self._may_try_other():
             return self._deadline
-        patience_s = RETRY_TARGETS * self._route.target_s
+        targets = ENGINE_RETRY_TARGETS if self._work.prompt_tokens else RETRY_TARGETS
+        patience_s = targets * self._route.target_s
         return min(self._deadline, attempt.sent + patience_s)
 
     def _may_try_other(self) -> bool:
--- a/hickoryloom/gateway/process.py
+++ b/hickoryloom/gateway/process.py
@@ -51,6 +51,9 @@
 """Time kept free at the end of a stop for the last writes."""
 
 DUTIES_LEASE = "duties"
+CANDIDATE_READ_PART = 1.2
+"""Candidates read the lease as often as a dead holder's can be taken, parts of its duration."""
+
 SWEEP_EVERY_S = 1.0
 
 
@@ -194,7 +197,12 @@
     def _build_duties(self) -> _Duties:
         settings = self._settings
         keeper = LeaseKeeper(
-            DUTIES_LEASE, self._client, self._clock, self._incarnation, settings.lease_s
+            DUTIES_LEASE,
+            self._client,
+            self._clock,
+            self._incarnation,
+            settings.lease_s,
+            read_s=settings.lease_s * CANDIDATE_READ_PART,
         )
         caller = DutyCaller(settings.duties, keeper)
         tasks: list[UsageReporter | Scaler] = []
--- a/hickoryloom/leases/keeper.py
+++ b/hickoryloom/leases/keeper.py
@@ -38,6 +38,7 @@
         incarnation: This process.
         duration_s: Seconds for which a renewal lasts.
         source: Random source for the spread of candidates' reads.
+        read_s: Seconds between a candidate's reads; None for what goes with the duration.
     """
 
     def __init__(
@@ -48,12 +49,16 @@
         incarnation: str,
         duration_s: float = DEFAULT_DURATION_S,
         source: random.Random | None = None,
+        read_s: float | None = None,
     ) -> None:
         self._duty = duty
         self._key = f"leases/{duty}"
         self._client = client
         self._clock = clock
-        self._state = LeaseState(incarnation, LeaseTimes.of(duration_s))
+        times = LeaseTimes.of(duration_s)
+        if read_s is not None:
+            times = attrs.evolve(times, read_s=read_s)
+        self._state = LeaseState(incarnation, times)
         self._random = source or random.Random()
         self._loop = TaskLoop(self._step, f"lease-{duty}", log)
         self._term_held = 0
--- a/hickoryloom/metering/reporter.py
+++ b/hickoryloom/metering/reporter.py
@@ -21,7 +21,7 @@
 __all__ = ["UsageReporter"]
 
 SEALED_PREFIX = "sealed/"
-SETTLE_S = 2.6
+SETTLE_S = 3.2
 """Time after a window's end for instances to write its last counts, two writes at the least."""
 
 LOOK_EVERY_S = 0.5
--- a/hickoryloom/metering/task.py
+++ b/hickoryloom/metering/task.py
@@ -20,8 +20,8 @@
 __all__ = ["COUNTS_PREFIX", "MeterTask", "read_all_counts"]
 
 COUNTS_PREFIX = "counts/"
-WRITE_EVERY_S = 1.0
-"""What a crash may lose: a fifth of a window's counts of one instance."""
+WRITE_EVERY_S = 1.4
+"""What a crash may lose: a quarter of a window's counts of one instance."""
 
 COUNT_INSTANCES_EVERY_S = 8.0
 """Instances come and go within tens of seconds."""
--- a/hickoryloom/placing/prefill.py
+++ b/hickoryloom/placing/prefill.py
@@ -35,7 +35,7 @@
         return tokens / self._tokens_per_s
 
     def observe(self, tokens: int, seconds: float) -> None:
-        """Take in that an engine without other work of ours gave its first token after `seconds`."""
+        """Take in that an otherwise idle engine gave its first token after `seconds`."""
         if tokens < MIN_OBSERVED_TOKENS or seconds <= 0:
             return
         rate = min(max(tokens / seconds, LOWEST_TOKENS_PER_S), HIGHEST_TOKENS_PER_S)
--- a/hickoryloom/placing/tracked.py
+++ b/hickoryloom/placing/tracked.py
@@ -110,7 +110,7 @@
         return float(self._load.running * 0.5 ** ((now - self._load_at) / REPORT_HALF_LIFE_S))
 
     def occupancy(self, now: float) -> float:
-        """Return the part of its slots that is taken or waited for, by own and reported requests."""
+        """Return the part of its slots that is taken or waited for."""
         reported = self.reported_running(now) + self.reported_waiting(now)
         return max(float(self.in_flight), reported) / max(1, self.server.slots)
 
--- a/hickoryloom/platform/duties.py
+++ b/hickoryloom/platform/duties.py
@@ -39,7 +39,7 @@
         return DutyCall("/scale", body, _fence(holder, term))
 
     def read(self, answer: JsonAnswer) -> DutyOutcome:
-        """Decode the answer; a conflict says that none can be had, or that a higher token was seen."""
+        """Decode the answer; a conflict may also say that none can be had."""
         if answer.status != CONFLICT:
             return _outcome(answer)
         told = str(answer.body).lower()
--- a/hickoryloom/scaling/sizing.py
+++ b/hickoryloom/scaling/sizing.py
@@ -17,9 +17,12 @@
 
 __all__ = ["DemandPeak", "Plan", "plan_servers"]
 
-TARGET_BUSY = 0.3
+TARGET_BUSY = 0.2
 """Share of its time that an engine reads prompts: a burst of three times still fits."""
 
+STANDBY_PART = 0.6
+"""Least part of the bound that runs: a burst is over before a new backend server has started."""
+
 REQUEST_BUSY_S = 0.015
 """Engine time that a request takes besides reading its prompt."""
 
@@ -68,7 +71,7 @@
         domains: Failure domains in which the service may run.
     """
     most = bounds.max_servers * len(domains)
-    fewest = max(1, bounds.min_servers * len(domains))
+    fewest = max(1, bounds.min_servers * len(domains), math.ceil(STANDBY_PART * most))
     size = min(most, max(fewest, math.ceil(busy / TARGET_BUSY) + 1))
     by_price = sorted(domains, key=lambda domain: (bounds.prices.get(domain, 1.0), domain))
     if bounds.reclaimable_price is None:
--- a/hickoryloom/scaling/task.py
+++ b/hickoryloom/scaling/task.py
@@ -23,7 +23,10 @@
 __all__ = ["Scaler"]
 
 LOOK_EVERY_S = 1.0
-"""Instances write their demand once a second."""
+"""Backend servers that are taken away have seconds left."""
+
+READ_DEMAND_EVERY_S = 3.0
+"""The size goes by the peak of the last half minute, which moves slowly."""
 
 log = logbook.Logger("hickoryloom.scaling")
 
@@ -65,6 +68,8 @@
         self._instance = instance
         self._prefill_s = prefill_s
         self._term = 0
+        self._read_at = -READ_DEMAND_EVERY_S
+        self._demand: dict[str, ServiceDemand] = {}
         self._books: dict[str, OrderBook] = {}
         self._peaks: dict[str, DemandPeak] = {}
         self._loop = TaskLoop(self._step, "scaling", log)
@@ -85,16 +90,23 @@
             self._term = right.term
             for book in self._books.values():
                 book.forget()
-        found = read_all_counts(self._client)
-        if isinstance(found, Err):
+        now = self._clock.monotonic()
+        if now - self._read_at >= READ_DEMAND_EVERY_S and not self._read_demand(now):
             return LOOK_EVERY_S
-        live = live_instances(found.ok_value.values(), self._wall())
-        demand = sum_demand(live)
         for service in self._catalog.catalog.services.values():
             if service.scaling is not None:
-                self._scale(service, demand.get(service.name, ServiceDemand()), right)
+                self._scale(service, self._demand.get(service.name, ServiceDemand()), right)
         return LOOK_EVERY_S
 
+    def _read_demand(self, now: float) -> bool:
+        found = read_all_counts(self._client)
+        if isinstance(found, Err):
+            return False
+        live = live_instances(found.ok_value.values(), self._wall())
+        self._demand = sum_demand(live)
+        self._read_at = now
+        return True
+
     def _scale(self, service: Service, demand: ServiceDemand, right: Right) -> None:
         assert service.scaling is not None
         now = self._clock.monotonic()
