--- a/conftest.py
+++ b/conftest.py
@@ -4,6 +4,7 @@
 
 monkey.patch_all()
 
+import hashlib
 import os
 from pathlib import Path
 
@@ -36,11 +37,22 @@
     if red and not config.getoption("--run-known-red"):
         items[:] = [item for item in items if item.nodeid not in known]
         config.hook.pytest_deselected(items=red)
+    part = config.getoption("--part")
+    if part:
+        items[:] = [item for item in items if is_in_part(item.nodeid.partition("::")[0], part)]
 
 
 def pytest_addoption(parser):
-    """Add the option that runs known red tests too."""
+    """Add the options that run known red tests too, and one part of all test files."""
     parser.addoption("--run-known-red", action="store_true", help="run tests of KNOWN-RED.txt too")
+    parser.addoption("--part", metavar="K/N", help="run only part K of N, counted from 1")
+
+
+def is_in_part(path, part):
+    """Return whether a test file belongs to a part such as `2/8`."""
+    number, parts = (int(text) for text in part.split("/"))
+    digest = hashlib.sha256(path.encode()).digest()
+    return int.from_bytes(digest[:4], "big") % parts == number - 1
 
 
 def pytest_terminal_summary(terminalreporter):
--- a/hickoryloom/discovery/state.py
+++ b/hickoryloom/discovery/state.py
@@ -20,8 +20,8 @@
 
     A registration that vanishes while the store serves is of a backend server that has left. One
     that vanishes during an outage, or is missing right after it, may belong to a backend server
-    that lives: it is kept until `RETURN_GRACE_S` after the store's return. A backend server that was
-    seen leaving stays so until it starts anew.
+    that lives: it is kept until `RETURN_GRACE_S` after the store's return. A backend server that
+    was seen leaving stays so until it starts anew.
     """
 
     _servers: dict[str, BackendServer] = attrs.field(factory=dict)
--- /dev/null
+++ b/hickoryloom/discovery/tests/test_live_list.py
@@ -0,0 +1,106 @@
+import attrs
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from hickoryloom.discovery import BackendServer, LiveList
+from hickoryloom.discovery.state import RETURN_GRACE_S
+
+SERVER = BackendServer("a", "s", "10.0.0.1:80", "zone", 4, started_ms=1)
+
+
+def test_a_registration_that_vanishes_while_the_store_serves_is_gone():
+    live = LiveList()
+    live.replace([SERVER], 0.0)
+    live.replace([], 1.0)
+    assert live.servers == ()
+
+
+def test_a_registration_that_lapsed_in_an_outage_has_two_seconds_to_return():
+    live = LiveList()
+    live.replace([SERVER], 0.0)
+    live.on_store_lost()
+    live.remove("a", 1.0)
+    live.on_store_answer(5.0)
+    live.replace([], 5.0)
+    live.expire(5.0 + RETURN_GRACE_S - 0.1)
+    assert live.servers == (SERVER,)
+    live.expire(5.0 + RETURN_GRACE_S)
+    assert live.servers == ()
+
+
+def test_one_that_returned_in_time_stays():
+    live = LiveList()
+    live.replace([SERVER], 0.0)
+    live.on_store_lost()
+    live.on_store_answer(5.0)
+    live.replace([], 5.0)
+    live.put(SERVER)
+    live.expire(8.0)
+    assert live.servers == (SERVER,)
+
+
+def test_leaving_once_seen_stays_until_a_new_start():
+    live = LiveList()
+    live.put(attrs.evolve(SERVER, leaving=True))
+    live.put(SERVER)
+    assert live.get("a").leaving
+    live.put(attrs.evolve(SERVER, started_ms=2))
+    assert not live.get("a").leaving
+
+
+class Lapses(RuleBasedStateMachine):
+    """A registration may be dropped only after the store served for the whole time to return."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.away = False
+        self.back_at = -RETURN_GRACE_S
+        self.registered = set()
+        self.live = LiveList()
+
+    @rule(id=st.sampled_from("abc"))
+    @precondition(lambda self: not self.away)
+    def register(self, id):
+        self.registered.add(id)
+        self.live.put(attrs.evolve(SERVER, id=id))
+
+    @rule(id=st.sampled_from("abc"))
+    def vanish(self, id):
+        known = self.live.get(id) is not None
+        self.live.remove(id, self.now)
+        if known and (self.away or self.now < self.back_at + RETURN_GRACE_S):
+            assert self.live.get(id) is not None
+        self.registered.discard(id)
+
+    @rule()
+    def lose_store(self):
+        self.away = True
+        self.live.on_store_lost()
+
+    @rule()
+    def regain_store(self):
+        if self.away:
+            self.back_at = self.now
+        self.away = False
+        self.live.on_store_answer(self.now)
+
+    @rule(seconds=st.floats(min_value=0.1, max_value=3.0))
+    def wait(self, seconds):
+        self.now += seconds
+        self.live.expire(self.now)
+
+    @invariant()
+    def registered_servers_are_kept(self):
+        assert self.registered <= {server.id for server in self.live.servers}
+
+    @invariant()
+    def nothing_missing_outlives_the_grace(self):
+        if not self.away and self.now >= self.back_at + RETURN_GRACE_S:
+            self.live.expire(self.now)
+            assert {server.id for server in self.live.servers} == self.registered
+
+
+TestLapses = Lapses.TestCase
+TestLapses.settings = settings(max_examples=60, stateful_step_count=30, deadline=None)
--- a/hickoryloom/gateway/app.py
+++ b/hickoryloom/gateway/app.py
@@ -47,6 +47,11 @@
     def __init__(self, parts: GatewayParts, callers: CallerCodec) -> None:
         self._parts = parts
         self._callers = callers
+        self._admitting = True
+
+    def stop_admitting(self) -> None:
+        """Refuse what is read from now on, since too little time is left to answer it."""
+        self._admitting = False
 
     def __call__(self, environ: dict[str, Any], start_response: StartResponse) -> Iterable[bytes]:
         """Serve one request."""
@@ -77,6 +82,8 @@
         """Find the request's route and customer, or say why it gets no further."""
         parts = self._parts
         follower = parts.catalog
+        if not self._admitting:
+            return self._refuse(503, "stopping", request)
         if not follower.catalog.version:
             return self._refuse(503, "no-configuration", request)
         sure = follower.view.age(arrived) <= SURE_VIEW_S
--- a/hickoryloom/gateway/process.py
+++ b/hickoryloom/gateway/process.py
@@ -107,7 +107,8 @@
             metrics=self._metrics,
             retries=self._retries,
         )
-        self._caller_server = Server(CallerApp(parts, dialect.callers), settings.listen)
+        self._app = CallerApp(parts, dialect.callers)
+        self._caller_server = Server(self._app, settings.listen)
         admin = build_admin_app(self.why_not_ready, self.status, self._render_metrics)
         self._readiness_server = Server(admin, settings.readiness)
         self._operators_server = Server(admin, settings.operators) if settings.operators else None
@@ -172,6 +173,8 @@
             self._duties.stop()
         gevent.sleep(BALANCER_NOTICES_S)
         self._caller_server.stop_accepting()
+        self._app.stop_admitting()
+        self._caller_server.close_idle()
         end = began + self._settings.stop_s - STOP_MARGIN_S
         self._caller_server.wait_idle(max(0.0, end - self._clock.monotonic()))
         self._meter_task.stop()
--- /dev/null
+++ b/hickoryloom/gateway/tests/test_budget_and_refusals.py
@@ -0,0 +1,45 @@
+from random import Random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hickoryloom.gateway.budget import RetryWindow
+from hickoryloom.gateway.refusals import refuse
+from hickoryloom.verdict import Verdict
+
+RATIO, SLACK, WINDOW_S, INSTANCES = 0.2, 54.0, 10.0, 7
+STEPS = st.lists(
+    st.tuples(st.floats(0, 3), st.integers(0, INSTANCES - 1), st.booleans()), max_size=200
+)
+
+
+@given(STEPS)
+def test_all_instances_together_stay_within_the_budget_in_any_window(steps):
+    budgets = [RetryWindow(RATIO, SLACK, WINDOW_S, INSTANCES) for _ in range(INSTANCES)]
+    now = 0.0
+    first, again = [], []
+    for seconds, instance, retry in steps:
+        now += seconds
+        if not retry:
+            budgets[instance].note_first(now)
+            first.append(now)
+        elif budgets[instance].take(now):
+            again.append(now)
+        recent = [at for at in again if at > now - WINDOW_S]
+        sent = [at for at in first if at > now - WINDOW_S]
+        assert len(recent) <= RATIO * len(sent) + SLACK
+
+
+def test_a_refusal_promises_not_run_only_if_that_is_true():
+    for reason in ("timeout", "no-backend-server", "cut", "retry-budget"):
+        assert refuse(0, reason, Verdict.NOT_RUN).status == 503
+        for verdict in (Verdict.MAY_HAVE_RUN, Verdict.RAN):
+            refusal = refuse(0, reason, verdict, 5.0, Random(1))
+            assert refusal.status in (502, 504)
+            assert refusal.retry_after_s is None
+
+
+@given(st.floats(0, 12), st.integers())
+def test_callers_are_told_a_return_that_they_can_keep(left_s, seed):
+    refusal = refuse(0, "no-backend-server", Verdict.NOT_RUN, left_s, Random(seed))
+    assert 0 <= refusal.retry_after_s <= left_s / 3
--- a/hickoryloom/http/server.py
+++ b/hickoryloom/http/server.py
@@ -6,13 +6,17 @@
 from typing import Any
 
 import gevent
+import logbook
 from gevent import socket
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
 from hickoryloom.http.strict import StrictFraming
+from hickoryloom.logs import log_event
 
 __all__ = ["SOCKET_KEY", "Server"]
 
+log = logbook.Logger("hickoryloom.http")
+
 CLOSE_POLL_S = 0.02
 IO_TIMEOUT_S = 60.0
 MAX_CONNECTIONS = 8192
@@ -48,6 +52,7 @@
             environ={"SERVER_NAME": host},
         )
         self._server.owner = self
+        self._idle: set[Any] = set()
 
     @property
     def address(self) -> str:
@@ -84,6 +89,21 @@
         self._stopping = True
         self._server.stop_accepting()
 
+    def close_idle(self) -> None:
+        """Close the connections on which no byte of a request has been read."""
+        for handler in list(self._idle):
+            try:
+                handler.socket.shutdown(socket.SHUT_RDWR)
+            except OSError as error:
+                log_event(log, "idle-connection-gone", error=str(error))
+
+    def note_idle(self, handler: Any, idle: bool) -> None:
+        """Take in whether a connection waits for its next request."""
+        if idle:
+            self._idle.add(handler)
+        else:
+            self._idle.discard(handler)
+
     def wait_idle(self, timeout_s: float | None = None) -> bool:
         """Wait until no request is being served; return whether that came about in time."""
         with gevent.Timeout(timeout_s, False):
@@ -125,6 +145,14 @@
         self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         super().handle()
 
+    def read_requestline(self) -> Any:
+        """Read a request's first line; until it comes the connection counts as idle."""
+        self.server.owner.note_idle(self, True)
+        try:
+            return super().read_requestline()
+        finally:
+            self.server.owner.note_idle(self, False)
+
     def get_environ(self) -> dict[str, Any]:
         """Add the connection's socket, so that an application can tell when its caller left."""
         environ: dict[str, Any] = super().get_environ()
--- /dev/null
+++ b/hickoryloom/platform/tests/site.py
@@ -0,0 +1,213 @@
+"""A gateway process of its own before the stand-in, as tests drive it."""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import gevent
+import yaml
+from geventhttpclient import HTTPClient
+
+from hickoryloom.platform.tests.standin import Duties, Store
+
+HOST = "s.example"
+KEY = "key-of-one"
+START_S = 20.0
+
+
+def free_port():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def route(name, kind, service, **changed):
+    return {
+        "name": name,
+        "host": HOST,
+        "path_prefix": f"/{name}/",
+        "type": kind,
+        "timeout_ms": 4000,
+        "target_latency_ms": 300,
+        "priority": 1,
+        "service": service,
+        "max_attempts": 2,
+        "public": False,
+        "session_affinity": False,
+        "stream_resume": False,
+        "itl_target_ms": 250,
+        **changed,
+    }
+
+
+def configuration(version=1, keys=(KEY,), **changed):
+    return {
+        "version": version,
+        "routes": [
+            route("once", "non_idempotent", "app", max_attempts=1),
+            route("read", "idempotent", "app"),
+            route("draft", "streaming", "llm", stream_resume=True),
+            route("answer", "streaming", "llm", max_attempts=1),
+            route("open", "idempotent", "app", public=True),
+        ],
+        "services": [
+            {"name": "app", "health_path": "/healthz", "max_connections": 100},
+            {"name": "llm", "health_path": "/healthz", "max_connections": 100},
+        ],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 100_000,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        },
+        "tenants": [{"name": "one", "api_keys": list(keys), "priority": 1}],
+        **changed,
+    }
+
+
+class Site:
+    """Store, duties, backend servers, and gateway processes."""
+
+    def __init__(self, folder):
+        self.folder = folder
+        self.store = Store()
+        self.duties = Duties()
+        self.backends = []
+        self.processes = []
+
+    def stop(self):
+        for gateway in self.processes:
+            gateway.kill()
+        for part in (self.store, self.duties, *self.backends):
+            part.stop()
+
+    def configure(self, **changed):
+        self.store.put("config", "main", configuration(**changed))
+
+    def add(self, backend, **changed):
+        self.backends.append(backend)
+        self.store.put("servers", backend.id, backend.registration(**changed))
+        return backend
+
+    def start(self, name="edge-1", **bounds):
+        gateway = Gateway(self, name, bounds)
+        self.processes.append(gateway)
+        gateway.wait_ready()
+        return gateway
+
+
+class Gateway:
+    """One gateway process."""
+
+    def __init__(self, site, name, bounds):
+        self.port, self.readiness, self.operators = free_port(), free_port(), free_port()
+        self.log_path = site.folder / f"{name}.log"
+        path = site.folder / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(self._settings(site, name, bounds)))
+        self._log = self.log_path.open("wb")
+        self._process = subprocess.Popen(
+            [sys.executable, "-m", "hickoryloom", "gateway"],
+            env={**os.environ, "HICKORYLOOM_NODE_FILE": str(path)},
+            stdout=self._log,
+            stderr=subprocess.STDOUT,
+        )
+
+    def _settings(self, site, name, bounds):
+        return {
+            "node_name": name,
+            "ip": "127.0.0.1",
+            "zone": "zone-a",
+            "listen": {
+                "frontend": f"127.0.0.1:{self.port}",
+                "readiness": f"127.0.0.1:{self.readiness}",
+            },
+            "internal_port_range": [self.operators, self.operators],
+            "bounds": {
+                "revoke_ms": 5000,
+                "grace_period_s": 8,
+                "retry_budget_ratio": 0.2,
+                "budget_slack": 54,
+                "retry_window_s": 10,
+                "lease_ms": 3000,
+                "usage_window_s": 1,
+                "usage_late_s": 10,
+                **bounds,
+            },
+            "platform": {
+                "address": site.store.address,
+                "writes_per_s": 400,
+                "reads_per_s": 2000,
+            },
+            "cloud_api": {
+                "address": site.duties.address,
+                "duties": ["usage_report", "autoscale"],
+            },
+        }
+
+    def wait_ready(self):
+        deadline = time.monotonic() + START_S
+        while self.ready_status() != 200:
+            assert time.monotonic() < deadline, self.log()
+            gevent.sleep(0.05)
+
+    def ready_status(self):
+        try:
+            client = HTTPClient("127.0.0.1", self.readiness, network_timeout=2.0)
+            return client.get("/readyz").status_code
+        except OSError:
+            return 0
+
+    def log(self):
+        return self.log_path.read_text()
+
+    def events(self, name):
+        return [line for line in self.log().splitlines() if f"event={name} " in line]
+
+    def signal(self, number):
+        self._process.send_signal(number)
+
+    def wait(self, timeout_s):
+        deadline = time.monotonic() + timeout_s
+        while self._process.poll() is None and time.monotonic() < deadline:
+            gevent.sleep(0.02)
+        return self._process.poll()
+
+    def kill(self):
+        if self._process.poll() is None:
+            self._process.send_signal(signal.SIGKILL)
+        self._process.wait()
+        self._log.close()
+
+    def call(self, path, id="a1", key=KEY, body=b"", method="POST", **headers):
+        """Send a request and return status, headers and body; a cut body raises."""
+        sent = {"Host": HOST, "Attempt-Id": id, "Deadline-Ms": "4000"}
+        if key:
+            sent["X-Api-Key"] = key
+        sent.update({name.replace("_", "-"): value for name, value in headers.items()})
+        client = HTTPClient("127.0.0.1", self.port, network_timeout=8.0, connection_timeout=2.0)
+        try:
+            response = client.request(method, path, body, sent)
+            return response.status_code, dict(response.headers), bytes(response.read())
+        finally:
+            client.close()
+
+    def raw(self, data, timeout_s=5.0):
+        """Send bytes and return all that comes back until the connection ends or falls silent."""
+        with socket.create_connection(("127.0.0.1", self.port), timeout=timeout_s) as sock:
+            sock.sendall(data)
+            got = b""
+            try:
+                while block := sock.recv(65536):
+                    got += block
+            except TimeoutError:
+                pass
+            return got
+
+    def metrics(self):
+        client = HTTPClient("127.0.0.1", self.operators, network_timeout=2.0)
+        return bytes(client.get("/metrics").read()).decode()
--- /dev/null
+++ b/hickoryloom/platform/tests/test_gateway_processes.py
@@ -0,0 +1,365 @@
+"""Real gateway processes before the stand-in: what callers and backend servers see."""
+
+import signal
+import socket
+import time
+
+import gevent
+import pytest
+
+from hickoryloom.platform.tests.site import HOST, KEY, Site
+from hickoryloom.platform.tests.standin import END, Backend, answer, event, stream_head
+
+pytestmark = pytest.mark.processes
+
+ENGINE_HEADERS = {"Token_Count": "100,50", "Prompt_Prefix": "aa:40,bb:30,cc:30", "Model": "m"}
+
+
+@pytest.fixture
+def site(tmp_path):
+    made = Site(tmp_path)
+    made.configure()
+    yield made
+    made.stop()
+
+
+def whole(request):
+    yield answer(request)
+
+
+def not_run(request):
+    yield answer(request, b"", 503, signed=False, Not_Executed="1")
+
+
+def stream(count, first=1):
+    def script(request):
+        begin = int(request["headers"].get("last-event-id", first - 1)) + 1
+        yield stream_head(request)
+        for id in range(begin, count + 1):
+            yield event(id)
+            yield 0.02
+        yield END
+
+    return script
+
+
+def cut_after(count):
+    def script(request):
+        yield stream_head(request)
+        for id in range(1, count + 1):
+            yield event(id)
+        yield event(count + 1)[:-6]
+        yield Backend.CUT
+
+    return script
+
+
+def ids_of(body):
+    return [int(line[4:]) for line in body.decode().splitlines() if line.startswith("id: ")]
+
+
+def test_a_request_is_passed_on_unchanged_and_without_its_key(site):
+    backend = site.add(Backend("i-1", "app", whole))
+    gateway = site.start()
+    status, headers, body = gateway.call(
+        "/once/a%20b?q=1",
+        body=b"\x00raw",
+        Tenant="forged",
+        Kv_Pin_Ms="5",
+        Expect_Replica="i-9",
+        X_Other="kept",
+    )
+    assert (status, body) == (200, b"done")
+    assert {name.lower(): value for name, value in headers.items()}["replica-signature"]
+    (seen,) = backend.seen
+    assert (seen["method"], seen["target"], seen["body"]) == ("POST", "/once/a%20b?q=1", b"\x00raw")
+    found = seen["headers"]
+    assert found["tenant"] == "one"
+    assert found["expect-replica"] == "i-1"
+    assert found["x-other"] == "kept"
+    assert found["host"] == HOST
+    assert 3000 <= int(found["deadline-ms"]) <= 4000
+    assert "x-api-key" not in found and "kv-pin-ms" not in found
+    assert KEY not in gateway.log()
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "status"),
+    [
+        ("/none/x", KEY, 404),
+        ("/once/x", "wrong", 401),
+        ("/once/x", "", 401),
+        ("/open/x", "", 200),
+    ],
+)
+def test_routes_and_keys(site, path, key, status):
+    site.add(Backend("i-1", "app", whole))
+    gateway = site.start()
+    assert gateway.call(path, key=key)[0] == status
+
+
+def test_a_once_only_request_that_may_have_run_is_neither_repeated_nor_called_not_run(site):
+    def lost(request):
+        yield Backend.CUT
+
+    backends = [site.add(Backend(f"i-{n}", "app", lost)) for n in (1, 2)]
+    gateway = site.start()
+    status, headers, _ = gateway.call("/once/x")
+    assert status == 502
+    assert "retry-after" not in {name.lower() for name in headers}
+    assert sum(len(backend.seen) for backend in backends) == 1
+
+
+def test_a_request_that_no_backend_server_ran_is_refused_with_when_to_come_back(site):
+    site.add(Backend("i-1", "app", not_run))
+    gateway = site.start()
+    status, headers, _ = gateway.call("/once/x")
+    assert status == 503
+    found = {name.lower(): value for name, value in headers.items()}
+    assert 0 < float(found["retry-after"]) <= 4.0 / 3
+    assert any("outcome=refused status=503 verdict=not-run" in e for e in gateway.events("request"))
+
+
+def test_a_promise_of_the_backend_server_without_its_ground_is_not_passed_on(site):
+    site.add(Backend("i-1", "app", lambda request: [answer(request, b"", 503)]))
+    gateway = site.start()
+    status, headers, _ = gateway.call("/once/x")
+    assert status == 502
+    assert "replica-signature" not in {name.lower() for name in headers}
+
+
+def test_a_repeatable_request_goes_on_at_another_backend_server(site):
+    site.add(Backend("i-1", "app", lambda request: [answer(request, b"", 500)]))
+    good = site.add(Backend("i-2", "app", whole))
+    gateway = site.start()
+    for number in range(6):
+        assert gateway.call("/read/x", id=f"r{number}")[0] == 200
+    assert len(good.seen) == 6
+
+
+def test_a_late_answer_to_another_request_is_passed_over(site):
+    def doubled(request):
+        late = {"headers": {"attempt-id": "other"}}
+        yield answer(request, b"mine")
+        yield answer(late, b"not mine")
+
+    site.add(Backend("i-1", "app", doubled))
+    gateway = site.start()
+    for number in range(5):
+        status, _, body = gateway.call("/once/x", id=f"r{number}")
+        assert (status, body) == (200, b"mine")
+
+
+@pytest.mark.parametrize("status", [200, 201])
+def test_an_unsigned_success_is_no_success(site, status):
+    site.add(Backend("i-1", "app", lambda request: [answer(request, b"x", status, signed=False)]))
+    gateway = site.start()
+    assert gateway.call("/once/x")[0] == 502
+
+
+def test_an_answer_that_is_cut_short_is_not_passed_on(site):
+    def short(request):
+        yield answer(request, b"0123456789")[:-3]
+        yield Backend.CUT
+
+    site.add(Backend("i-1", "app", short))
+    gateway = site.start()
+    assert gateway.call("/once/x")[0] == 502
+
+
+def test_a_resumable_stream_goes_on_without_a_gap(site):
+    site.add(Backend("i-1", "llm", cut_after(3)))
+    site.add(Backend("i-2", "llm", stream(8)))
+    gateway = site.start()
+    for number in range(8):
+        session = {**ENGINE_HEADERS, "Prompt_Prefix": f"aa:40,b{number}:30,cc:30"}
+        status, _, body = gateway.call("/draft/x", id=f"r{number}", **session)
+        assert status == 200
+        assert ids_of(body) == list(range(1, 9))
+    assert all(backend.seen for backend in site.backends)
+
+
+def test_a_stream_that_may_not_be_resumed_does_not_look_complete(site):
+    site.add(Backend("i-1", "llm", cut_after(3)))
+    other = site.add(Backend("i-2", "llm", cut_after(3)))
+    gateway = site.start()
+    request = (
+        f"POST /answer/x HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: a\r\nDeadline-Ms: 4000\r\n"
+        f"X-Api-Key: {KEY}\r\nToken-Count: 100,50\r\nContent-Length: 0\r\n\r\n"
+    ).encode()
+    got = gateway.raw(request)
+    assert b"id: 3\n" in got and b"id: 4\n" not in got
+    assert not got.endswith(b"0\r\n\r\n")
+    assert len(site.backends[0].seen) + len(other.seen) == 1
+
+
+def test_the_backend_server_is_told_when_the_caller_leaves(site):
+    backend = site.add(Backend("i-1", "llm", stream(200)))
+    gateway = site.start()
+    with socket.create_connection(("127.0.0.1", gateway.port)) as sock:
+        sock.sendall(
+            f"POST /answer/x HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: a\r\nDeadline-Ms: 4000\r\n"
+            f"X-Api-Key: {KEY}\r\nToken-Count: 100,50\r\nContent-Length: 0\r\n\r\n".encode()
+        )
+        assert sock.recv(100)
+    deadline = time.monotonic() + 0.5
+    while backend.open and time.monotonic() < deadline:
+        gevent.sleep(0.01)
+    assert backend.open == 0
+
+
+def test_a_leaving_backend_server_gets_nothing_once_it_is_seen(site):
+    first = site.add(Backend("i-1", "app", whole))
+    second = site.add(Backend("i-2", "app", whole))
+    gateway = site.start()
+    site.store.put("servers", "i-1", first.registration(state="draining"))
+    gevent.sleep(0.5)
+    before = len(first.seen)
+    for number in range(20):
+        assert gateway.call("/once/x", id=f"r{number}")[0] == 200
+    assert len(first.seen) == before
+    assert len(second.seen) >= 20
+
+
+def test_a_change_of_which_the_history_is_gone_is_found_by_a_new_listing(site):
+    site.add(Backend("i-1", "app", whole))
+    gateway = site.start()
+    gevent.sleep(0.3)
+    late = Backend("i-2", "app", whole)
+    site.backends.append(late)
+    site.store.put("servers", "i-2", late.registration())
+    site.store.remove("servers", "i-1")
+    site.store.forget_history()
+    gevent.sleep(1.0)
+    assert gateway.call("/once/x")[0] == 200
+    assert late.seen
+
+
+def test_a_withdrawn_key_stops_working_and_a_new_one_begins(site):
+    site.add(Backend("i-1", "app", whole))
+    gateway = site.start()
+    assert gateway.call("/once/x")[0] == 200
+    site.configure(version=5, keys=("another",))
+    gevent.sleep(1.5)
+    assert gateway.call("/once/x", id="a2")[0] == 401
+    assert gateway.call("/once/x", id="a3", key="another")[0] == 200
+
+
+def test_keyed_work_stops_when_the_store_is_away_and_comes_back_with_it(site):
+    backend = site.add(Backend("i-1", "app", whole))
+    gateway = site.start()
+    site.store.down = True
+    gevent.sleep(5.2)
+    status, headers, _ = gateway.call("/once/x")
+    assert status == 503
+    assert not backend.seen
+    assert gateway.ready_status() == 503
+    assert gateway.call("/open/x", key="")[0] == 200
+    site.store.down = False
+    gevent.sleep(1.5)
+    assert gateway.call("/once/x", id="a2")[0] == 200
+    assert gateway.ready_status() == 200
+
+
+def test_a_paused_gateway_does_not_serve_a_key_withdrawn_meanwhile(site):
+    backend = site.add(Backend("i-1", "app", whole))
+    gateway = site.start()
+    gateway.signal(signal.SIGSTOP)
+    site.configure(version=5, keys=("another",))
+    gevent.sleep(5.2)
+    task = gevent.spawn(gateway.call, "/once/x")
+    gevent.sleep(0.1)
+    gateway.signal(signal.SIGCONT)
+    assert task.get(timeout=8)[0] in (401, 503)
+    assert not backend.seen
+
+
+def test_an_older_configuration_is_never_taken(site):
+    site.add(Backend("i-1", "app", whole))
+    site.configure(version=7)
+    gateway = site.start()
+    site.configure(version=6, keys=("another",))
+    gevent.sleep(1.5)
+    assert gateway.call("/once/x")[0] == 200
+    assert gateway.events("catalog-older")
+
+
+def test_usage_is_reported_once_for_each_window_with_all_requests(site):
+    site.add(Backend("i-1", "app", whole))
+    first, second = site.start("edge-1"), site.start("edge-2")
+    for number in range(10):
+        (first, second)[number % 2].call("/once/x", id=f"r{number}")
+    deadline = time.monotonic() + 15
+    while _reported(site) < 10 and time.monotonic() < deadline:
+        gevent.sleep(0.2)
+    assert _reported(site) == 10
+    windows = [body["window_id"] for _, _, body in site.duties.usage]
+    assert len(windows) == len(set(windows))
+
+
+def _reported(site):
+    return sum(body["counts"].get("one", 0) for _, _, body in site.duties.usage)
+
+
+def test_a_successor_takes_the_duties_with_a_higher_token_and_no_window_differs(site):
+    site.add(Backend("i-1", "app", whole))
+    first = site.start("edge-1")
+    while not site.duties.usage:
+        gevent.sleep(0.1)
+    second = site.start("edge-2")
+    first.kill()
+    site.processes.remove(first)
+    count = len(site.duties.usage)
+    deadline = time.monotonic() + 15
+    while len(site.duties.usage) < count + 3 and time.monotonic() < deadline:
+        gevent.sleep(0.1)
+    later = site.duties.usage[count:]
+    assert later and {holder for holder, _, _ in later} == {"edge-2"}
+    assert min(token for _, token, _ in later) > site.duties.usage[0][1]
+    figures = {}
+    for _, _, body in site.duties.usage:
+        assert figures.setdefault(body["window_id"], body["counts"]) == body["counts"]
+    assert second.events("lease-taken")
+
+
+def test_a_planned_stop_finishes_what_was_read_and_ends_in_time(site):
+    def slow(request):
+        yield 1.5
+        yield answer(request)
+
+    site.add(Backend("i-1", "app", slow))
+    gateway = site.start()
+    task = gevent.spawn(gateway.call, "/once/x")
+    gevent.sleep(0.3)
+    began = time.monotonic()
+    gateway.signal(signal.SIGTERM)
+    gevent.sleep(0.2)
+    assert gateway.ready_status() == 503
+    late = gevent.spawn(gateway.call, "/once/x", id="a2")
+    assert task.get(timeout=5)[0] == 200
+    status, headers, _ = late.get(timeout=5)
+    assert status == 200
+    assert {name.lower(): value for name, value in headers.items()}["connection"] == "close"
+    assert gateway.wait(8.0) == 0
+    assert time.monotonic() - began < 8.0
+
+
+def test_a_stop_closes_idle_connections_so_that_no_long_answer_begins_at_its_end(site):
+    site.add(Backend("i-1", "app", whole))
+    gateway = site.start()
+    with socket.create_connection(("127.0.0.1", gateway.port)) as idle:
+        gateway.signal(signal.SIGTERM)
+        idle.settimeout(4.0)
+        began = time.monotonic()
+        assert idle.recv(1) == b""
+        assert 2.0 < time.monotonic() - began < 3.5
+
+
+def test_metrics_and_logs_tell_of_a_request(site):
+    site.add(Backend("i-1", "app", whole))
+    gateway = site.start()
+    gateway.call("/once/x", id="told")
+    (line,) = [line for line in gateway.events("request") if "request=told" in line]
+    for field in ("customer=one", "version=1", "view_age_ms=", "status=200", "verdict=ran"):
+        assert field in line
+    assert "hickoryloom_version 1" in gateway.metrics()
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
 # Format, lint, types and tests, in a virtual environment of the project's own.
+# Test files are spread over several pytest processes; with arguments, one pytest runs with these.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 python=.venv/bin/python
@@ -8,4 +9,27 @@
 "$python" -m black --check --quiet . || { echo "black: run black ."; exit 1; }
 "$python" -m ruff check .
 "$python" -m mypy
-"$python" -m pytest "$@"
+if [ $# -gt 0 ]; then
+    exec "$python" -m pytest "$@"
+fi
+
+parts=${TEST_PARTS:-6}
+logs=$(mktemp -d)
+trap 'rm -rf "$logs"' EXIT
+pids=()
+for part in $(seq "$parts"); do
+    "$python" -m pytest --part "$part/$parts" >"$logs/$part" 2>&1 &
+    pids+=($!)
+done
+failed=0
+for part in $(seq "$parts"); do
+    wait "${pids[$((part - 1))]}" || failed=1
+done
+for part in $(seq "$parts"); do
+    echo "== part $part of $parts"
+    cat "$logs/$part"
+done
+passed_count=$(sed -nE 's/^.*[^0-9]?([0-9]+) passed.*$/\1/p' "$logs"/* | paste -sd+ | bc)
+failed_count=$(cat "$logs"/* | grep -cE '^(FAILED|ERROR) ' || true)
+echo "${passed_count:-0} passed, ${failed_count} failed"
+exit "$failed"
