--- a/hickoryloom/entry/app.py
+++ b/hickoryloom/entry/app.py
@@ -14,10 +14,10 @@
 from hickoryloom.entry.errors import answer_for_caller_error, answer_for_refusal
 from hickoryloom.entry.exchange import Exchange, Slices, reply_with_error
 from hickoryloom.entry.identify import identify, is_open, parse_request
-from hickoryloom.entry.intake import CallerWatch, read_call
+from hickoryloom.entry.intake import read_call
 from hickoryloom.entry.messages import CallerError, Reply
 from hickoryloom.entry.requests import allowed_models
-from hickoryloom.http import Call
+from hickoryloom.http import Call, CallerWatch
 from hickoryloom.keys import Identity, anonymous, scrub
 from hickoryloom.verdict import Verdict
 
--- a/hickoryloom/entry/intake.py
+++ b/hickoryloom/entry/intake.py
@@ -5,19 +5,17 @@
 from typing import Any
 
 import gevent
-from gevent.socket import wait_read
 from result import Err, Ok, Result
 
 from hickoryloom.entry.messages import CallerError
-from hickoryloom.http import SOCKET_KEY, Call
+from hickoryloom.http import Call
 
-__all__ = ["CallerWatch", "read_call"]
+__all__ = ["read_call"]
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
 MAX_QUERY_CHARACTERS = 8 * 1024
 BODY_TIMEOUT_S = 15.0
 READ_CHUNK_BYTES = 64 * 1024
-MSG_PEEK = 2
 HEADER_PREFIX = "HTTP_"
 
 
@@ -85,31 +83,3 @@
     if environ.get("CONTENT_TYPE"):
         headers.append(("content-type", environ["CONTENT_TYPE"]))
     return tuple(headers)
-
-
-class CallerWatch:
-    """Calls back once when the caller closes its connection before the answer has ended.
-
-    Args:
-        environ: WSGI environment of gevent's server.
-        left: Called from another greenlet.
-    """
-
-    def __init__(self, environ: dict[str, Any], left: Any) -> None:
-        self._left = left
-        socket = environ.get(SOCKET_KEY)
-        self._task = None if socket is None else gevent.spawn(self._watch, socket)
-
-    def stop(self) -> None:
-        """Stop watching."""
-        if self._task is not None:
-            self._task.kill(block=False)
-
-    def _watch(self, socket: Any) -> None:
-        try:
-            wait_read(socket.fileno())
-            closed = not socket.recv(1, MSG_PEEK)
-        except OSError:
-            closed = True
-        if closed:
-            self._left()
--- a/hickoryloom/gateway/app.py
+++ b/hickoryloom/gateway/app.py
@@ -15,15 +15,14 @@
 from result import Err
 
 from hickoryloom.catalog import Customer, Route, choose_service
-from hickoryloom.entry.intake import CallerWatch
 from hickoryloom.gateway.forwarding import Forwarding, GatewayParts
 from hickoryloom.gateway.intake import read_body
 from hickoryloom.gateway.messages import CallerRequest, Refusal, Reply
 from hickoryloom.gateway.ports import CallerCodec
 from hickoryloom.gateway.refusals import refuse
-from hickoryloom.http import RAW_HEADERS_KEY, RAW_TARGET_KEY
+from hickoryloom.http import RAW_HEADERS_KEY, RAW_TARGET_KEY, CallerWatch
 from hickoryloom.logs import log_event
-from hickoryloom.relay.headers import end_to_end_headers
+from hickoryloom.upstream import end_to_end_headers
 from hickoryloom.verdict import Verdict
 
 __all__ = ["CallerApp"]
--- a/hickoryloom/gateway/forwarding.py
+++ b/hickoryloom/gateway/forwarding.py
@@ -21,8 +21,14 @@
 from hickoryloom.metering import UsageMeter
 from hickoryloom.metrics import Measure, MetricsRecorder
 from hickoryloom.placing import Ending, Placement, Placer, Work
-from hickoryloom.relay import AttemptError, AttemptFailed, Connections, Exchange, FailureCause
-from hickoryloom.relay.headers import request_head
+from hickoryloom.upstream import (
+    AttemptError,
+    AttemptFailed,
+    Connections,
+    Exchange,
+    FailureCause,
+    request_head,
+)
 from hickoryloom.verdict import Verdict
 
 __all__ = ["Forwarding", "GatewayParts"]
--- a/hickoryloom/gateway/process.py
+++ b/hickoryloom/gateway/process.py
@@ -24,9 +24,9 @@
 from hickoryloom.metering import MeterTask, UsageMeter, UsageReporter
 from hickoryloom.metrics import MetricsRecorder
 from hickoryloom.placing import Placer
-from hickoryloom.relay import Connections
 from hickoryloom.scaling import Scaler
 from hickoryloom.store import CallBudget, PlatformClient
+from hickoryloom.upstream import Connections
 
 __all__ = ["Gateway", "build_gateway"]
 
--- a/hickoryloom/relay/attempt.py
+++ b/hickoryloom/relay/attempt.py
@@ -4,9 +4,9 @@
 
 import attrs
 
-from hickoryloom.relay.exchange import Exchange
 from hickoryloom.relay.silence import SilenceJudge
 from hickoryloom.routing.messages import Choice
+from hickoryloom.upstream import Exchange
 
 __all__ = ["Attempt", "attempt_id"]
 
--- a/hickoryloom/relay/attempts.py
+++ b/hickoryloom/relay/attempts.py
@@ -15,12 +15,17 @@
 from hickoryloom.http import Call
 from hickoryloom.logs import log_event
 from hickoryloom.relay.attempt import Attempt, attempt_id
-from hickoryloom.relay.connections import Connections
 from hickoryloom.relay.engine import EngineControl
-from hickoryloom.relay.exchange import AttemptError
-from hickoryloom.relay.headers import call_headers, call_target, is_engine_call, request_head
-from hickoryloom.relay.messages import AttemptFailed, FailureCause, Outcome
+from hickoryloom.relay.headers import call_headers, call_target, is_engine_call
+from hickoryloom.relay.messages import Outcome
 from hickoryloom.routing.messages import AttemptEnd, AttemptOutcome
+from hickoryloom.upstream import (
+    AttemptError,
+    AttemptFailed,
+    Connections,
+    FailureCause,
+    request_head,
+)
 from hickoryloom.verdict import Verdict
 
 if TYPE_CHECKING:
--- a/hickoryloom/relay/headers.py
+++ b/hickoryloom/relay/headers.py
@@ -2,38 +2,19 @@
 
 from __future__ import annotations
 
-import re
 from collections.abc import Iterable
 from urllib.parse import quote
 
 from hickoryloom.admission.messages import Request
 from hickoryloom.http import Call
+from hickoryloom.upstream import HOP_BY_HOP, is_valid_header, listed_in_connection
 
-__all__ = [
-    "answer_headers",
-    "call_headers",
-    "call_target",
-    "end_to_end_headers",
-    "is_engine_call",
-    "request_head",
-]
+__all__ = ["answer_headers", "call_headers", "call_target", "is_engine_call"]
 
 Headers = tuple[tuple[str, str], ...]
 
 ENGINE_PATHS = ("/v1/chat/completions", "/v1/completions")
 PATH_SAFE = "/:@!$&'()*+,;=~-._"
-HOP_BY_HOP = frozenset(
-    (
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    )
-)
 CALLER_ONLY = frozenset(
     (
         "accept-encoding",
@@ -51,9 +32,6 @@
     )
 )
 BACKEND_ONLY = frozenset(("content-length", "x-not-run", "x-request-id", "date", "server"))
-FRAMING = frozenset(("content-length", "expect", "host"))
-VALID_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
-VALID_VALUE = re.compile(r"[\t\x20-\x7e\x80-\xff]*")
 
 
 def is_engine_call(call: Call) -> bool:
@@ -73,15 +51,17 @@
 
 def call_headers(request: Request, call: Call, attempt_id: str, credential: str) -> Headers:
     """Return the headers of a call as the backend server gets them."""
-    listed = _listed_in_connection(call.headers)
+    listed = listed_in_connection(call.headers)
     kept = [
         (name, value)
         for name, value in call.headers
-        if name not in HOP_BY_HOP | CALLER_ONLY and name not in listed and _is_valid(name, value)
+        if name not in HOP_BY_HOP | CALLER_ONLY
+        and name not in listed
+        and is_valid_header(name, value)
     ]
     kept.append(("x-request-id", attempt_id))
     kept.append(("x-priority", str(request.tier)))
-    if request.idempotency_key and _is_valid("idempotency-key", request.idempotency_key):
+    if request.idempotency_key and is_valid_header("idempotency-key", request.idempotency_key):
         kept.append(("idempotency-key", request.idempotency_key))
     if credential:
         kept.append(("authorization", f"Bearer {credential}"))
@@ -91,44 +71,11 @@
 def answer_headers(headers: Iterable[tuple[str, str]]) -> Headers:
     """Return the headers of a backend server's answer as the caller gets them."""
     found = [(name.lower(), value) for name, value in headers]
-    listed = _listed_in_connection(found)
+    listed = listed_in_connection(found)
     return tuple(
         (name, value)
         for name, value in found
-        if name not in HOP_BY_HOP | BACKEND_ONLY and name not in listed and _is_valid(name, value)
+        if name not in HOP_BY_HOP | BACKEND_ONLY
+        and name not in listed
+        and is_valid_header(name, value)
     )
-
-
-def end_to_end_headers(headers: Iterable[tuple[str, str]]) -> Headers:
-    """Return the headers that concern more than one connection, but for `Host` and the length."""
-    found = [(name.lower(), value) for name, value in headers]
-    dropped = HOP_BY_HOP | FRAMING | _listed_in_connection(found)
-    return tuple(
-        (name, value) for name, value in found if name not in dropped and _is_valid(name, value)
-    )
-
-
-def request_head(method: str, target: str, host: str, headers: Headers, length: int) -> bytes:
-    """Return the request line and headers as they go on the wire.
-
-    Raises:
-        ValueError: The method or target can't be sent.
-    """
-    if not VALID_NAME.fullmatch(method) or not target.startswith("/") or _has_space(target):
-        raise ValueError(f"can't send {method!r} {target!r}")
-    lines = [f"{method} {target} HTTP/1.1", f"host: {host}", f"content-length: {length}"]
-    lines += [f"{name}: {value}" for name, value in headers]
-    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
-
-
-def _has_space(target: str) -> bool:
-    return any(character <= " " or character >= "\x7f" for character in target)
-
-
-def _listed_in_connection(headers: Iterable[tuple[str, str]]) -> frozenset[str]:
-    values = [value for name, value in headers if name == "connection"]
-    return frozenset(part.strip().lower() for value in values for part in value.split(","))
-
-
-def _is_valid(name: str, value: str) -> bool:
-    return VALID_NAME.fullmatch(name) is not None and VALID_VALUE.fullmatch(value) is not None
--- a/hickoryloom/relay/stream.py
+++ b/hickoryloom/relay/stream.py
@@ -15,8 +15,7 @@
 from hickoryloom.relay.assembly import AnswerAssembly, StreamFault
 from hickoryloom.relay.attempt import Attempt
 from hickoryloom.relay.attempts import Attempts
-from hickoryloom.relay.exchange import AttemptError, Exchange
-from hickoryloom.relay.messages import AttemptFailed, FailureCause
+from hickoryloom.upstream import AttemptError, AttemptFailed, Exchange, FailureCause
 from hickoryloom.verdict import Verdict
 
 if TYPE_CHECKING:
--- a/hickoryloom/relay/task.py
+++ b/hickoryloom/relay/task.py
@@ -14,12 +14,12 @@
 from hickoryloom.relay.assembly import AnswerAssembly
 from hickoryloom.relay.attempt import Attempt
 from hickoryloom.relay.attempts import Attempts, Readmit, RelayParts
-from hickoryloom.relay.connections import Connections
 from hickoryloom.relay.engine import EngineControl
 from hickoryloom.relay.headers import answer_headers
 from hickoryloom.relay.stream import StreamAnswer
 from hickoryloom.relay.watchdog import Watchdog
 from hickoryloom.relay.whole import WholeAnswer
+from hickoryloom.upstream import Connections
 
 if TYPE_CHECKING:
     from hickoryloom.routing import Router
--- a/hickoryloom/relay/tests/test_headers.py
+++ b/hickoryloom/relay/tests/test_headers.py
@@ -5,8 +5,9 @@
 from hypothesis import strategies as st
 
 from hickoryloom.http import Call
-from hickoryloom.relay.headers import answer_headers, call_headers, call_target, request_head
+from hickoryloom.relay.headers import answer_headers, call_headers, call_target
 from hickoryloom.relay.tests.support import admitted
+from hickoryloom.upstream import request_head
 
 NAMES = st.sampled_from(
     ["authorization", "cookie", "x-api-key", "connection", "te", "x-own", "accept", "host", "x y"]
--- a/hickoryloom/relay/watchdog.py
+++ b/hickoryloom/relay/watchdog.py
@@ -8,7 +8,7 @@
 from hickoryloom.admission.messages import RefusalReason
 from hickoryloom.relay.attempt import Attempt
 from hickoryloom.relay.attempts import Attempts, RelayParts
-from hickoryloom.relay.messages import FailureCause
+from hickoryloom.upstream import FailureCause
 
 __all__ = ["Watchdog"]
 
--- a/hickoryloom/relay/whole.py
+++ b/hickoryloom/relay/whole.py
@@ -14,9 +14,8 @@
 from hickoryloom.relay.answer import Answer, read_count
 from hickoryloom.relay.attempt import Attempt
 from hickoryloom.relay.attempts import Attempts
-from hickoryloom.relay.exchange import AttemptError, Exchange
 from hickoryloom.relay.headers import answer_headers
-from hickoryloom.relay.messages import FailureCause
+from hickoryloom.upstream import AttemptError, Exchange, FailureCause
 
 __all__ = ["WholeAnswer"]
 
--- /dev/null
+++ b/hickoryloom/upstream/__init__.py
@@ -0,0 +1,14 @@
+"""One attempt at one backend server: connections, framing, and how it may fail."""
+
+from hickoryloom.upstream import connections, exchange, headers, messages
+from hickoryloom.upstream.connections import *  # noqa: F403
+from hickoryloom.upstream.exchange import *  # noqa: F403
+from hickoryloom.upstream.headers import *  # noqa: F403
+from hickoryloom.upstream.messages import *  # noqa: F403
+
+__all__ = [
+    *connections.__all__,
+    *exchange.__all__,
+    *headers.__all__,
+    *messages.__all__,
+]
--- a/hickoryloom/relay/connections.py
+++ b/hickoryloom/upstream/connections.py
@@ -8,8 +8,8 @@
 from gevent import socket
 
 from hickoryloom.clock import Clock
-from hickoryloom.relay.exchange import AttemptError, Exchange
-from hickoryloom.relay.messages import AttemptFailed, FailureCause
+from hickoryloom.upstream.exchange import AttemptError, Exchange
+from hickoryloom.upstream.messages import AttemptFailed, FailureCause
 from hickoryloom.verdict import Verdict
 
 __all__ = ["Connections"]
--- a/hickoryloom/relay/exchange.py
+++ b/hickoryloom/upstream/exchange.py
@@ -9,7 +9,7 @@
 from geventhttpclient.response import HTTPParseError, HTTPResponse
 
 from hickoryloom.clock import Clock
-from hickoryloom.relay.messages import AttemptFailed, FailureCause
+from hickoryloom.upstream.messages import AttemptFailed, FailureCause
 from hickoryloom.verdict import Verdict
 
 __all__ = ["AttemptError", "Exchange"]
--- /dev/null
+++ b/hickoryloom/upstream/headers.py
@@ -0,0 +1,71 @@
+"""Headers on the way to a backend server and back."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterable
+
+__all__ = [
+    "HOP_BY_HOP",
+    "end_to_end_headers",
+    "is_valid_header",
+    "listed_in_connection",
+    "request_head",
+]
+
+Headers = tuple[tuple[str, str], ...]
+
+HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+FRAMING = frozenset(("content-length", "expect", "host"))
+VALID_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+VALID_VALUE = re.compile(r"[\t\x20-\x7e\x80-\xff]*")
+
+
+def end_to_end_headers(headers: Iterable[tuple[str, str]]) -> Headers:
+    """Return the headers that concern more than one connection, but for `Host` and the length."""
+    found = [(name.lower(), value) for name, value in headers]
+    dropped = HOP_BY_HOP | FRAMING | listed_in_connection(found)
+    return tuple(
+        (name, value)
+        for name, value in found
+        if name not in dropped and is_valid_header(name, value)
+    )
+
+
+def request_head(method: str, target: str, host: str, headers: Headers, length: int) -> bytes:
+    """Return the request line and headers as they go on the wire.
+
+    Raises:
+        ValueError: The method or target can't be sent.
+    """
+    if not VALID_NAME.fullmatch(method) or not target.startswith("/") or _has_space(target):
+        raise ValueError(f"can't send {method!r} {target!r}")
+    lines = [f"{method} {target} HTTP/1.1", f"host: {host}", f"content-length: {length}"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+
+
+def _has_space(target: str) -> bool:
+    return any(character <= " " or character >= "\x7f" for character in target)
+
+
+def listed_in_connection(headers: Iterable[tuple[str, str]]) -> frozenset[str]:
+    """Return the headers, in lower case, that `Connection` names as its own."""
+    values = [value for name, value in headers if name == "connection"]
+    return frozenset(part.strip().lower() for value in values for part in value.split(","))
+
+
+def is_valid_header(name: str, value: str) -> bool:
+    """Return whether a header can be sent as it is."""
+    return VALID_NAME.fullmatch(name) is not None and VALID_VALUE.fullmatch(value) is not None
