--- a/hickoryloom/control/process.py
+++ b/hickoryloom/control/process.py
@@ -12,7 +12,8 @@
 from hickoryloom.configuration import ConfigurationFollower
 from hickoryloom.control.presence import ROLE, ControlPresence
 from hickoryloom.fleet import DemandSurvey, FleetPlan, FleetTask
-from hickoryloom.http import Server, build_admin_app
+from hickoryloom.http import Server
+from hickoryloom.http.admin import build_admin_app
 from hickoryloom.leases import LeaseKeeper
 from hickoryloom.membership import Presence
 from hickoryloom.store import PlatformClient
--- a/hickoryloom/entry/process.py
+++ b/hickoryloom/entry/process.py
@@ -22,7 +22,8 @@
 from hickoryloom.entry.exchange import Slices
 from hickoryloom.entry.messages import ClassSummary
 from hickoryloom.fleet import DemandMeter, add_demand_routes
-from hickoryloom.http import Server, build_admin_app
+from hickoryloom.http import Server
+from hickoryloom.http.admin import build_admin_app
 from hickoryloom.keys import OpenCalls, ViewGuard, WithdrawalTask
 from hickoryloom.logs import log_event
 from hickoryloom.membership import Heartbeat, Membership, Peer
--- a/hickoryloom/gateway/process.py
+++ b/hickoryloom/gateway/process.py
@@ -4,6 +4,7 @@
 
 import random
 import uuid
+from typing import Any
 
 import gevent
 import logbook
@@ -17,7 +18,7 @@
 from hickoryloom.gateway.forwarding import GatewayParts
 from hickoryloom.gateway.ports import Dialect
 from hickoryloom.gateway.settings import GatewaySettings
-from hickoryloom.http import Server, build_admin_app
+from hickoryloom.http import Server
 from hickoryloom.leases import LeaseKeeper
 from hickoryloom.logs import log_event
 from hickoryloom.loops import TaskLoop
@@ -109,9 +110,11 @@
         )
         self._app = CallerApp(parts, dialect.callers)
         self._caller_server = Server(self._app, settings.listen)
-        admin = build_admin_app(self.why_not_ready, self.status, self._render_metrics)
-        self._readiness_server = Server(admin, settings.readiness)
-        self._operators_server = Server(admin, settings.operators) if settings.operators else None
+        self._readiness_server = Server(self._serve_operators, settings.readiness)
+        self._operators_server = (
+            Server(self._serve_operators, settings.operators) if settings.operators else None
+        )
+        self._operators_app: Any = None
         self._sweeper = TaskLoop(self._sweep, "sweep", log)
         self._duties = self._build_duties() if settings.duties else None
 
@@ -153,12 +156,12 @@
 
     def start(self) -> None:
         """Bind, follow the store, and serve."""
-        self._readiness_server.start()
-        if self._operators_server is not None:
-            self._operators_server.start()
         self._caller_server.start()
         self._catalog.start()
         self._discovery.start()
+        self._readiness_server.start()
+        if self._operators_server is not None:
+            self._operators_server.start()
         self._meter_task.start()
         self._sweeper.start()
         if self._duties is not None:
@@ -180,6 +183,16 @@
         self._meter_task.stop()
         log_event(log, "stopped", open_requests=self._caller_server.active)
 
+    def _serve_operators(self, environ: dict[str, Any], start_response: Any) -> Any:
+        """Serve the balancer and operators; their framework is loaded after callers are served."""
+        if self._operators_app is None:
+            from hickoryloom.http.admin import build_admin_app
+
+            self._operators_app = build_admin_app(
+                self.why_not_ready, self.status, self._render_metrics
+            )
+        return self._operators_app(environ, start_response)
+
     def _build_client(self, rng: random.Random) -> PlatformClient:
         settings = self._settings
         budget = CallBudget(
--- a/hickoryloom/http/__init__.py
+++ b/hickoryloom/http/__init__.py
@@ -1,7 +1,6 @@
 """HTTP with JSON between processes, on geventhttpclient, gevent's server and falcon."""
 
-from hickoryloom.http import admin, caller_watch, client, credential, messages, server, strict
-from hickoryloom.http.admin import *  # noqa: F403
+from hickoryloom.http import caller_watch, client, credential, messages, server, strict
 from hickoryloom.http.caller_watch import *  # noqa: F403
 from hickoryloom.http.client import *  # noqa: F403
 from hickoryloom.http.credential import *  # noqa: F403
@@ -10,7 +9,6 @@
 from hickoryloom.http.strict import *  # noqa: F403
 
 __all__ = [
-    *admin.__all__,
     *caller_watch.__all__,
     *client.__all__,
     *credential.__all__,
