--- a/hickoryloom/catalog/follower.py
+++ b/hickoryloom/catalog/follower.py
@@ -21,8 +21,8 @@
 
 log = logbook.Logger("hickoryloom.catalog")
 
-READ_EVERY_S = 1.0
-"""A change is in force after this and one answer, within the 2 s that operators are promised."""
+READ_PART = 0.5
+"""Part of the time in which a change must be in force after which the catalog is read again."""
 
 RETRY_S = 0.2
 """Pause after a read without an answer; the view ages meanwhile."""
@@ -42,11 +42,19 @@
         decode: Turns the stored value into a catalog.
         clock: Source of time.
         revoke_s: Seconds after its withdrawal within which a key must stop working.
+        apply_s: Seconds within which a change must be in force.
     """
 
     def __init__(
-        self, client: PlatformClient, key: str, decode: Decode, clock: Clock, revoke_s: float
+        self,
+        client: PlatformClient,
+        key: str,
+        decode: Decode,
+        clock: Clock,
+        revoke_s: float,
+        apply_s: float,
     ) -> None:
+        self._read_every_s = READ_PART * apply_s
         self._client = client
         self._key = key
         self._decode = decode
@@ -99,10 +107,10 @@
         if found.version < self._stored_version:
             return RETRY_S
         if found.version > self._stored_version and not self._apply(found.value):
-            return READ_EVERY_S
+            return self._read_every_s
         self._stored_version = found.version
         self._view.confirm(sent)
-        return READ_EVERY_S
+        return self._read_every_s
 
     def _note_failure(self, kind: ErrorKind, detail: str) -> float:
         if kind is ErrorKind.ABSENT:
--- a/hickoryloom/discovery/task.py
+++ b/hickoryloom/discovery/task.py
@@ -25,6 +25,9 @@
 LIST_EVERY_S = 15.0
 """All registrations are listed anew this often, in case a watch missed one."""
 
+GATHER_S = 0.25
+"""Pause after a change, so that changes that come together are told by one answer."""
+
 RETRY_S = 0.2
 """Pause after a call without an answer."""
 
@@ -76,13 +79,16 @@
 
     def _step(self) -> float:
         before = self._state.servers
+        revision = self._revision
         ok = self._list() if self._list_due() else self._watch()
         if not ok:
             self._state.on_store_lost()
             self._listed = None
         self._state.expire(self._clock.monotonic())
         self._tell(before)
-        return 0.0 if ok else RETRY_S
+        if not ok:
+            return RETRY_S
+        return GATHER_S if self._revision != revision and before != self._state.servers else 0.0
 
     def _list_due(self) -> bool:
         return self._listed is None or self._clock.monotonic() - self._listed >= LIST_EVERY_S
--- a/hickoryloom/gateway/forwarding.py
+++ b/hickoryloom/gateway/forwarding.py
@@ -171,8 +171,8 @@
             except AttemptError as error:
                 self._tried.add(server.id)
                 self._connects += 1
-                parts.placer.started(placement, self._work)
-                parts.placer.finished(placement, Ending.UNREACHABLE, False, now)
+                parts.placer.started(placement, self._work, now)
+                parts.placer.finished(placement, self._work, Ending.UNREACHABLE, False, now)
                 self._log_attempt(placement, "unreachable", error.failed.detail)
                 continue
             if not parts.discovery.is_usable(server):
@@ -205,7 +205,7 @@
         self._sends += 1
         self._attempt = attempt
         parts.meter.note_demand(self._work.service, placement.prefill_tokens)
-        parts.placer.started(placement, self._work)
+        parts.placer.started(placement, self._work, now)
         headers = parts.backends.request_headers(
             self._request,
             placement.server,
@@ -458,7 +458,7 @@
         self._attempt = None
         now = self._parts.clock.monotonic()
         self._parts.connections.close(attempt.exchange)
-        self._parts.placer.finished(attempt.placement, ending, attempt.prompt_read, now)
+        self._parts.placer.finished(attempt.placement, self._work, ending, attempt.prompt_read, now)
 
     def _meter(self, began: float) -> None:
         if self._metered:
--- a/hickoryloom/gateway/process.py
+++ b/hickoryloom/gateway/process.py
@@ -52,6 +52,9 @@
 """Time kept free at the end of a stop for the last writes."""
 
 DUTIES_LEASE = "duties"
+CANDIDATES = 6
+"""Instances that stand for the lease: more of them only read it more often."""
+
 CANDIDATE_READ_PART = 1.2
 """Candidates read the lease as often as a dead holder's can be taken, parts of its duration."""
 
@@ -81,7 +84,12 @@
         self._metrics = MetricsRecorder()
         self._client = self._build_client(rng)
         self._catalog = CatalogFollower(
-            self._client, dialect.catalog.key, dialect.catalog.read, clock, settings.revoke_s
+            self._client,
+            dialect.catalog.key,
+            dialect.catalog.read,
+            clock,
+            settings.revoke_s,
+            settings.apply_s,
         )
         self._discovery = Discovery(
             self._client, dialect.registrations.prefix, dialect.registrations.read, clock
@@ -219,6 +227,7 @@
             self._incarnation,
             settings.lease_s,
             read_s=settings.lease_s * CANDIDATE_READ_PART,
+            stands=lambda: self._meter_task.rank < CANDIDATES,
         )
         caller = DutyCaller(settings.duties, keeper)
         tasks: list[UsageReporter | Scaler] = []
@@ -255,6 +264,7 @@
 
     def _set_instances(self, number: int) -> None:
         self._instances = number
+        self._placer.set_instances(number)
         for budget in self._budgets.values():
             budget.instances = number
 
--- a/hickoryloom/gateway/settings.py
+++ b/hickoryloom/gateway/settings.py
@@ -23,6 +23,7 @@
         duties: `host:port` that takes usage reports and orders; empty for none.
         reports_usage: Whether usage is reported.
         orders_servers: Whether backend servers are ordered.
+        apply_s: Seconds within which a change of the configuration must be in force.
         revoke_s: Seconds after its withdrawal within which a key must stop working.
         stop_s: Seconds from the request to stop until the process is killed.
         retry_ratio: Retries allowed for each request of a service, over all instances.
@@ -44,6 +45,7 @@
     duties: str = ""
     reports_usage: bool = False
     orders_servers: bool = False
+    apply_s: float = 2.0
     revoke_s: float = 5.0
     stop_s: float = 8.0
     retry_ratio: float = 0.1
--- a/hickoryloom/leases/keeper.py
+++ b/hickoryloom/leases/keeper.py
@@ -39,6 +39,7 @@
         duration_s: Seconds for which a renewal lasts.
         source: Random source for the spread of candidates' reads.
         read_s: Seconds between a candidate's reads; None for what goes with the duration.
+        stands: Asked whether this process should try to take the lease; None for always.
     """
 
     def __init__(
@@ -50,6 +51,7 @@
         duration_s: float = DEFAULT_DURATION_S,
         source: random.Random | None = None,
         read_s: float | None = None,
+        stands: Callable[[], bool] | None = None,
     ) -> None:
         self._duty = duty
         self._key = f"leases/{duty}"
@@ -62,6 +64,7 @@
         self._random = source or random.Random()
         self._loop = TaskLoop(self._step, f"lease-{duty}", log)
         self._term_held = 0
+        self._stands = stands
 
     @property
     def duty(self) -> str:
@@ -107,6 +110,8 @@
     def _step(self) -> float:
         now = self._clock.monotonic()
         self._log_change(now)
+        if self._stands is not None and not self._stands() and self.right() is None:
+            return LONGEST_WAIT_S
         return self._take(self._state.next_step(now))
 
     def _take(self, step: Step) -> float:
--- a/hickoryloom/metering/reporter.py
+++ b/hickoryloom/metering/reporter.py
@@ -14,15 +14,15 @@
 from hickoryloom.loops import TaskLoop
 from hickoryloom.metering.messages import UsageCodec
 from hickoryloom.metering.meter import KEPT_WINDOWS, UsageMeter
-from hickoryloom.metering.task import COUNTS_PREFIX, read_all_counts
+from hickoryloom.metering.task import COUNTS_PREFIX, WRITE_AT_MOST_EVERY_S, read_all_counts
 from hickoryloom.metering.totals import sum_window
 from hickoryloom.store import CallPriority, ErrorKind, PlatformClient
 
 __all__ = ["UsageReporter"]
 
 SEALED_PREFIX = "sealed/"
-SETTLE_S = 3.2
-"""Time after a window's end for instances to write its last counts, two writes at the least."""
+SETTLE_MARGIN_S = 1.0
+"""Time beyond the longest pause between an instance's writes: slow answers, clocks that differ."""
 
 LOOK_EVERY_S = 0.5
 """Pause between looks for a window that is due."""
@@ -88,7 +88,7 @@
                 return LOOK_EVERY_S
             self._term = right.term
         assert self._next is not None
-        due = (self._next + 1) * self._window_s + SETTLE_S
+        due = (self._next + 1) * self._window_s + WRITE_AT_MOST_EVERY_S + SETTLE_MARGIN_S
         if self._meter.wall() < due:
             return LOOK_EVERY_S
         if self._report(self._next, right):
--- a/hickoryloom/metering/task.py
+++ b/hickoryloom/metering/task.py
@@ -23,9 +23,18 @@
 WRITE_EVERY_S = 1.4
 """What a crash may lose: a quarter of a window's counts of one instance."""
 
+WRITE_EVERY_PER_INSTANCE_S = 0.05
+"""With many instances one loses a smaller part of all counts, and may write less often."""
+
+WRITE_AT_MOST_EVERY_S = 3.5
+"""Reports wait for each instance's last write and still come in time."""
+
 COUNT_INSTANCES_EVERY_S = 8.0
 """Instances come and go within tens of seconds."""
 
+COUNT_INSTANCES_PER_INSTANCE_S = 0.25
+"""With many instances their number changes less in proportion."""
+
 log = logbook.Logger("hickoryloom.metering")
 
 
@@ -71,8 +80,15 @@
         self._version = 0
         self._version_known = True
         self._counted_at: float | None = None
+        self._instances = 1
+        self._rank = 0
         self._loop = TaskLoop(self._step, "meter", log)
 
+    @property
+    def rank(self) -> int:
+        """Position of this process among the live ones, 0 until they are counted."""
+        return self._rank
+
     def start(self) -> None:
         """Begin to write."""
         self._loop.start()
@@ -85,9 +101,11 @@
     def _step(self) -> float:
         self._write()
         now = self._clock.monotonic()
-        if self._counted_at is None or now - self._counted_at >= COUNT_INSTANCES_EVERY_S:
+        pause_s = COUNT_INSTANCES_EVERY_S + COUNT_INSTANCES_PER_INSTANCE_S * self._instances
+        if self._counted_at is None or now - self._counted_at >= pause_s:
             self._count_instances(now)
-        return WRITE_EVERY_S
+        pause_s = WRITE_EVERY_PER_INSTANCE_S * self._instances
+        return min(max(WRITE_EVERY_S, pause_s), WRITE_AT_MOST_EVERY_S)
 
     def _write(self) -> None:
         if not self._version_known and not self._learn_version():
@@ -118,5 +136,11 @@
         if isinstance(found, Err):
             return
         self._counted_at = now
-        live = live_instances(found.ok_value.values(), self._meter.wall())
-        self._on_instances(max(1, len(live)))
+        all_counts = found.ok_value
+        live = live_instances(all_counts.values(), self._meter.wall())
+        living = sorted(
+            key for key, counts in all_counts.items() if counts in live and key != self._key
+        )
+        self._rank = sum(1 for key in living if key < self._key)
+        self._instances = max(1, len(live))
+        self._on_instances(self._instances)
--- a/hickoryloom/placing/placer.py
+++ b/hickoryloom/placing/placer.py
@@ -11,11 +11,11 @@
 
 import random
 from collections.abc import Iterable
-from hashlib import blake2b
 
 from hickoryloom.discovery import BackendServer
 from hickoryloom.placing.messages import Ending, Placement, ReportedLoad, Work
 from hickoryloom.placing.prefill import PrefillRate
+from hickoryloom.placing.quiet import LONG_PROMPT_TOKENS, QuietEngines, rank
 from hickoryloom.placing.tracked import TrackedServer
 
 __all__ = ["Placer"]
@@ -35,6 +35,10 @@
 RUNNING_PENALTY_S = 0.002
 """Expected delay that each own request in flight adds at an engine."""
 
+WRONG_SIDE_S = 0.3
+"""Expected delay by which another engine must be better for a long prompt to be read among short
+streams, or a short stream to run among long prompts: the shortest pause that counts as late."""
+
 FAR_OCCUPANCY = 0.05
 """Occupancy that another failure domain must have less to be preferred."""
 
@@ -53,6 +57,8 @@
         self._tracked: dict[str, TrackedServer] = {}
         self._by_service: dict[str, list[TrackedServer]] = {}
         self._rates: dict[str, PrefillRate] = {}
+        self._quiet: dict[str, QuietEngines] = {}
+        self._instances = 1
 
     @property
     def in_flight(self) -> int:
@@ -73,6 +79,12 @@
         self._tracked = current
         self._by_service = by_service
 
+    def set_instances(self, instances: int) -> None:
+        """Take in the number of instances that place requests as this one does."""
+        self._instances = instances
+        for quiet in self._quiet.values():
+            quiet.instances = instances
+
     def usable(self, service: str) -> int:
         """Return how many backend servers of a service may get work."""
         return sum(1 for one in self._by_service.get(service, ()) if not one.server.leaving)
@@ -112,8 +124,10 @@
         placement = self.choose(work, frozenset(), now)
         return None if placement is None else placement.expected_s
 
-    def started(self, placement: Placement, work: Work) -> None:
+    def started(self, placement: Placement, work: Work, now: float) -> None:
         """Take in that a request is sent as chosen."""
+        if work.prompt_tokens:
+            self._quiet_engines(work.service).started(_is_short(work), now)
         tracked = self._tracked.get(placement.server.id)
         if tracked is not None:
             tracked.on_start(work, placement.prefill_tokens)
@@ -127,8 +141,12 @@
         if tracked.unread_tokens == 0:
             self._rate(placement.server.service).observe(placement.prefill_tokens, took_s)
 
-    def finished(self, placement: Placement, ending: Ending, prompt_read: bool, now: float) -> None:
+    def finished(
+        self, placement: Placement, work: Work, ending: Ending, prompt_read: bool, now: float
+    ) -> None:
         """Take in the end of an attempt; `prompt_read` tells whether `first_token` was called."""
+        if work.prompt_tokens:
+            self._quiet_engines(work.service).finished(_is_short(work), now)
         tracked = self._tracked.get(placement.server.id)
         if tracked is None:
             return
@@ -143,17 +161,27 @@
             tracked.on_report(load, now)
 
     def _choose_engine(self, work: Work, candidates: list[TrackedServer], now: float) -> Placement:
-        home = max(candidates, key=lambda one: _score(work.session, one.server.id))
+        short = _is_short(work)
+        engines = [(one.server.id, one.server.slots) for one in candidates]
+        quiet = self._quiet_engines(work.service).names(engines, now)
+        at_home = [one for one in candidates if (one.server.id in quiet) == short] or candidates
+        home = max(at_home, key=lambda one: rank(work.session, one.server.id))
         best, best_s, best_tokens = home, float("inf"), 0
         for tracked in candidates:
-            at_home = tracked is home and work.session != ""
-            tokens = tracked.uncached_tokens(work, at_home)
+            known = tracked is home and work.session != ""
+            tokens = tracked.uncached_tokens(work, known)
             expected_s = self._engine_delay_s(tracked, tokens, now)
+            expected_s += WRONG_SIDE_S * (quiet != frozenset() and tracked not in at_home)
             if expected_s < best_s or (expected_s == best_s and self._rng.random() < 0.5):
                 best, best_s, best_tokens = tracked, expected_s, tokens
         reason = "least-loaded" if not work.session else "affinity" if best is home else "spilled"
         return Placement(best.server, reason, best_s, best_tokens)
 
+    def _quiet_engines(self, service: str) -> QuietEngines:
+        if service not in self._quiet:
+            self._quiet[service] = QuietEngines(self._instances)
+        return self._quiet[service]
+
     def _engine_delay_s(self, tracked: TrackedServer, tokens: int, now: float) -> float:
         rate = self._rate(tracked.server.service)
         own_s = rate.seconds(tracked.unread_tokens)
@@ -183,6 +211,5 @@
         return self._rates.setdefault(service, PrefillRate())
 
 
-def _score(session: str, id: str) -> bytes:
-    """Rank of a backend server for a session by rendezvous hashing."""
-    return blake2b(f"{session}\n{id}".encode(), digest_size=8).digest()
+def _is_short(work: Work) -> bool:
+    return work.prompt_tokens <= LONG_PROMPT_TOKENS
--- a/hickoryloom/platform/settings.py
+++ b/hickoryloom/platform/settings.py
@@ -57,6 +57,7 @@
         duties=text(duties, "address", ""),
         reports_usage="usage_report" in names,
         orders_servers="autoscale" in names,
+        apply_s=number(bounds, "config_apply_ms", 2000.0) / MS_PER_S,
         revoke_s=number(bounds, "revoke_ms", 5000.0) / MS_PER_S,
         stop_s=number(bounds, "grace_period_s", 8.0),
         retry_ratio=number(bounds, "retry_budget_ratio", 0.1),
