--- a/hickoryloom/gateway/process.py
+++ b/hickoryloom/gateway/process.py
@@ -241,6 +241,7 @@
                     self._dialect.usage,
                     settings.instance,
                     settings.usage_window_s,
+                    lambda: self._meter_task.write_every_s,
                 )
             )
         if settings.orders_servers:
--- a/hickoryloom/metering/reporter.py
+++ b/hickoryloom/metering/reporter.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 import logbook
@@ -14,7 +15,7 @@
 from hickoryloom.loops import TaskLoop
 from hickoryloom.metering.messages import UsageCodec
 from hickoryloom.metering.meter import KEPT_WINDOWS, UsageMeter
-from hickoryloom.metering.task import COUNTS_PREFIX, WRITE_AT_MOST_EVERY_S, read_all_counts
+from hickoryloom.metering.task import COUNTS_PREFIX, read_all_counts
 from hickoryloom.metering.totals import sum_window
 from hickoryloom.store import CallPriority, ErrorKind, PlatformClient
 
@@ -47,6 +48,7 @@
         codec: Spells reports.
         instance: Name of the holder in its calls.
         window_s: Seconds of one window.
+        write_every_s: Returns the seconds between an instance's writes of its counts.
     """
 
     def __init__(
@@ -58,7 +60,9 @@
         codec: UsageCodec,
         instance: str,
         window_s: float,
+        write_every_s: Callable[[], float],
     ) -> None:
+        self._write_every_s = write_every_s
         self._client = client
         self._clock = clock
         self._meter = meter
@@ -88,7 +92,7 @@
                 return LOOK_EVERY_S
             self._term = right.term
         assert self._next is not None
-        due = (self._next + 1) * self._window_s + WRITE_AT_MOST_EVERY_S + SETTLE_MARGIN_S
+        due = (self._next + 1) * self._window_s + self._write_every_s() + SETTLE_MARGIN_S
         if self._meter.wall() < due:
             return LOOK_EVERY_S
         if self._report(self._next, right):
--- a/hickoryloom/metering/task.py
+++ b/hickoryloom/metering/task.py
@@ -89,6 +89,12 @@
         """Position of this process among the live ones, 0 until they are counted."""
         return self._rank
 
+    @property
+    def write_every_s(self) -> float:
+        """Seconds between writes, the same at every instance that has counted the others."""
+        pause_s = WRITE_EVERY_PER_INSTANCE_S * self._instances
+        return min(max(WRITE_EVERY_S, pause_s), WRITE_AT_MOST_EVERY_S)
+
     def start(self) -> None:
         """Begin to write."""
         self._loop.start()
@@ -104,8 +110,7 @@
         pause_s = COUNT_INSTANCES_EVERY_S + COUNT_INSTANCES_PER_INSTANCE_S * self._instances
         if self._counted_at is None or now - self._counted_at >= pause_s:
             self._count_instances(now)
-        pause_s = WRITE_EVERY_PER_INSTANCE_S * self._instances
-        return min(max(WRITE_EVERY_S, pause_s), WRITE_AT_MOST_EVERY_S)
+        return self.write_every_s
 
     def _write(self) -> None:
         if not self._version_known and not self._learn_version():
