--- a/hickoryloom/scaling/orders.py
+++ b/hickoryloom/scaling/orders.py
@@ -51,28 +51,29 @@
             standing: Backend servers that serve, by group.
             now: Monotonic time in seconds.
         """
-        wanted: dict[Group, int] = {}
-        total = sum(standing.values())
-        missing = 0
-        for domain, number in plan.reclaimable.items():
-            group = Group(self.service, domain, True)
-            if self._none_until.get(group, 0.0) > now:
-                kept = standing.get(group, 0)
-                missing += max(0, number - kept)
-                wanted[group] = kept
-            else:
-                wanted[group] = number
-        surplus = max(0, total - plan.total)
+        wanted = {
+            Group(self.service, domain, True): self._to_be_had(domain, number, standing, now)
+            for domain, number in plan.reclaimable.items()
+        }
+        surplus = max(0, sum(standing.values()) - plan.total)
+        missing = max(0, plan.least - sum(wanted.values()) - sum(plan.firm.values()))
         for domain, number in plan.firm.items():
             group = Group(self.service, domain, False)
             have = standing.get(group, 0)
-            if have > number:
-                give_up = min(have - number, surplus)
-                surplus -= give_up
-                number = have - give_up
-            wanted[group] = number
+            kept = max(number, have - surplus)
+            surplus -= max(0, have - kept)
+            stand_in = min(missing, max(0, number + plan.reclaimable[domain] - kept))
+            missing -= stand_in
+            wanted[group] = kept + stand_in
         return wanted
 
+    def _to_be_had(self, domain: str, number: int, standing: dict[Group, int], now: float) -> int:
+        """Return how many reclaimable backend servers can be counted on in a failure domain."""
+        group = Group(self.service, domain, True)
+        if self._none_until.get(group, 0.0) > now:
+            return min(number, standing.get(group, 0))
+        return number
+
     def due(
         self, wanted: dict[Group, int], standing: dict[Group, int], now: float
     ) -> list[tuple[Group, int]]:
--- a/hickoryloom/scaling/sizing.py
+++ b/hickoryloom/scaling/sizing.py
@@ -20,6 +20,9 @@
 TARGET_BUSY = 0.2
 """Share of its time that an engine reads prompts: a burst of three times still fits."""
 
+MOST_BUSY = 0.45
+"""Share of its time above which an engine's queue makes most prompts late."""
+
 STANDBY_PART = 0.6
 """Least part of the bound that runs: a burst is over before a new backend server has started."""
 
@@ -35,10 +38,17 @@
 
 @attrs.frozen
 class Plan:
-    """Backend servers wanted in each failure domain."""
+    """Backend servers wanted in each failure domain.
+
+    Attributes:
+        firm: Those that can't be reclaimed.
+        reclaimable: Those that can.
+        least: Backend servers without which the load of now is late, of any kind.
+    """
 
     firm: dict[str, int]
     reclaimable: dict[str, int]
+    least: int = 0
 
     @property
     def total(self) -> int:
@@ -73,16 +83,17 @@
     most = bounds.max_servers * len(domains)
     fewest = max(1, bounds.min_servers * len(domains), math.ceil(STANDBY_PART * most))
     size = min(most, max(fewest, math.ceil(busy / TARGET_BUSY) + 1))
+    least = min(size, math.ceil(busy / MOST_BUSY))
     by_price = sorted(domains, key=lambda domain: (bounds.prices.get(domain, 1.0), domain))
     if bounds.reclaimable_price is None:
-        return Plan(_spread(size, by_price, bounds.max_servers), dict.fromkeys(domains, 0))
+        return Plan(_spread(size, by_price, bounds.max_servers), dict.fromkeys(domains, 0), least)
     firm_size = max(1, round(FIRM_PART * size))
     firm = _spread(firm_size, by_price, bounds.max_servers)
     room = {domain: bounds.max_servers - firm[domain] for domain in domains}
     reclaimable = _spread(size - firm_size, by_price, bounds.max_servers, room)
     for domain in domains:
         reclaimable[domain] = max(reclaimable[domain], bounds.min_servers - firm[domain])
-    return Plan(firm, reclaimable)
+    return Plan(firm, reclaimable, least)
 
 
 def _spread(
