--- a/hickoryloom/placing/quiet.py
+++ b/hickoryloom/placing/quiet.py
@@ -19,7 +19,7 @@
 LONG_PROMPT_TOKENS = 2_048
 """Engines read about so many tokens in a step; a longer prompt holds up streams for several."""
 
-FILL = 0.4
+FILL = 0.8
 """Part of an engine's slots that streams may take before another engine is kept for them."""
 
 MEMORY_S = 4.0
--- a/hickoryloom/scaling/sizing.py
+++ b/hickoryloom/scaling/sizing.py
@@ -20,10 +20,10 @@
 TARGET_BUSY = 0.2
 """Share of its time that an engine reads prompts: a burst of three times still fits."""
 
-MOST_BUSY = 0.45
-"""Share of its time above which an engine's queue makes most prompts late."""
+MOST_BUSY = 0.9
+"""Share of its time above which an engine's queue grows as long as the load lasts."""
 
-STANDBY_PART = 0.6
+STANDBY_PART = 0.8
 """Least part of the bound that runs: a burst is over before a new backend server has started."""
 
 REQUEST_BUSY_S = 0.015
@@ -43,7 +43,7 @@
     Attributes:
         firm: Those that can't be reclaimed.
         reclaimable: Those that can.
-        least: Backend servers without which the load of now is late, of any kind.
+        least: Backend servers of any kind without which the queue of now would only grow.
     """
 
     firm: dict[str, int]
@@ -72,18 +72,21 @@
         return self._seen[0][1]
 
 
-def plan_servers(busy: float, bounds: ScalingBounds, domains: tuple[str, ...]) -> Plan:
+def plan_servers(
+    busy: float, bounds: ScalingBounds, domains: tuple[str, ...], busy_now: float = 0.0
+) -> Plan:
     """Return the backend servers for a load.
 
     Args:
-        busy: Engines that the load would keep busy all the time.
+        busy: Engines that the peak load would keep busy all the time.
         bounds: Bounds and prices.
         domains: Failure domains in which the service may run.
+        busy_now: Engines that the load of now keeps busy all the time.
     """
     most = bounds.max_servers * len(domains)
     fewest = max(1, bounds.min_servers * len(domains), math.ceil(STANDBY_PART * most))
     size = min(most, max(fewest, math.ceil(busy / TARGET_BUSY) + 1))
-    least = min(size, math.ceil(busy / MOST_BUSY))
+    least = min(size, math.ceil(busy_now / MOST_BUSY))
     by_price = sorted(domains, key=lambda domain: (bounds.prices.get(domain, 1.0), domain))
     if bounds.reclaimable_price is None:
         return Plan(_spread(size, by_price, bounds.max_servers), dict.fromkeys(domains, 0), least)
--- a/hickoryloom/scaling/task.py
+++ b/hickoryloom/scaling/task.py
@@ -116,7 +116,7 @@
         domains = tuple(sorted(service.scaling.prices))
         if not domains:
             return
-        plan = plan_servers(peak, service.scaling, domains)
+        plan = plan_servers(peak, service.scaling, domains, busy)
         standing = self._standing(service.name)
         book = self._books.setdefault(service.name, OrderBook(service.name))
         for group, number in book.due(book.wanted(plan, standing, now), standing, now):
