--- /dev/null
+++ b/hickoryloom/platform/tests/test_codecs.py
@@ -0,0 +1,174 @@
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from result import Err, Ok
+
+from hickoryloom.catalog import RequestKind, hash_key
+from hickoryloom.duties import DutyOutcome
+from hickoryloom.http import JsonAnswer
+from hickoryloom.platform.backends import PlatformBackends
+from hickoryloom.platform.callers import PlatformCallers
+from hickoryloom.platform.catalog import PlatformCatalog
+from hickoryloom.platform.duties import PlatformScaling, PlatformUsage
+from hickoryloom.platform.objects import PlatformObjects
+from hickoryloom.platform.registrations import PlatformRegistrations
+from hickoryloom.platform.tests.site import KEY, configuration
+from hickoryloom.scaling import Group
+from hickoryloom.store import ErrorKind
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: st.lists(inner, max_size=3)
+    | st.dictionaries(
+        st.sampled_from(
+            ["service", "address", "zone", "capacity", "state", "born", "metadata", "items", "at"]
+        ),
+        inner,
+        max_size=6,
+    ),
+    max_leaves=12,
+)
+REGISTERED = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "z",
+    "capacity": 4,
+    "state": "ready",
+    "born": 5,
+}
+
+
+@given(JSON)
+def test_no_registration_of_another_writer_raises(value):
+    PlatformRegistrations().read("id", value)
+
+
+@pytest.mark.parametrize(
+    "changed",
+    [
+        {"state": "thinking"},
+        {"state": None},
+        {"address": "nowhere"},
+        {"address": "host:port"},
+        {"capacity": "4"},
+        {"capacity": True},
+        {"service": 7},
+        {"born": 1.5},
+    ],
+)
+def test_a_registration_with_a_bad_field_names_no_server(changed):
+    assert PlatformRegistrations().read("id", {**REGISTERED, **changed}) is None
+
+
+def test_a_registration_is_decoded():
+    found = PlatformRegistrations().read("id", {**REGISTERED, "spot_instances": True})
+    assert (found.id, found.leaving, found.reclaimable, found.started_ms) == ("id", False, True, 5)
+    assert PlatformRegistrations().read("id", {**REGISTERED, "state": "draining"}).leaving
+
+
+def test_a_catalog_is_decoded_and_holds_no_key():
+    catalog = PlatformCatalog().read(configuration(version=3)).ok_value
+    assert catalog.version == 3
+    kinds = {route.name: route.kind for route in catalog.routes}
+    assert kinds["once"] is RequestKind.ONCE
+    assert kinds["draft"] is RequestKind.STREAM
+    assert catalog.customers[hash_key(KEY)].name == "one"
+    assert KEY not in repr(catalog)
+
+
+@given(JSON)
+def test_no_catalog_raises(value):
+    PlatformCatalog().read(value)
+
+
+def test_a_route_of_an_unknown_kind_is_named():
+    found = configuration()
+    found["routes"][0]["type"] = "sometimes"
+    told = PlatformCatalog().read(found)
+    assert isinstance(told, Err)
+    assert "'once'" in told.err_value and "'sometimes'" in told.err_value
+
+
+@given(JSON, st.sampled_from([200, 404, 409, 410, 429, 503]))
+def test_no_answer_of_the_store_raises(body, status):
+    codec = PlatformObjects()
+    answer = JsonAnswer(status, body)
+    judged = codec.judge(answer)
+    if isinstance(judged, Ok):
+        codec.read_object("kind/name", answer)
+        codec.read_listing("kind/", answer)
+        codec.read_version(answer)
+        codec.read_batch("kind/", answer)
+
+
+def test_forgotten_history_asks_for_a_new_listing():
+    codec = PlatformObjects()
+    answer = codec.judge(JsonAnswer(410, {})).ok_value
+    assert codec.read_batch("servers/", answer).ok_value.reset
+
+
+def test_a_conflict_tells_the_version_that_stands():
+    error = PlatformObjects().judge(JsonAnswer(409, {"metadata": {"revision": 9}})).err_value
+    assert (error.kind, error.version) == (ErrorKind.CONFLICT, 9)
+
+
+def test_names_are_quoted_in_paths():
+    codec = PlatformObjects()
+    assert codec.get("counts/a/b c").path == "/objects/counts/a%2Fb%20c"
+
+
+@pytest.mark.parametrize("name", ["attempt-id", "deadline-ms", "x-api-key", "host"])
+def test_a_header_that_could_mean_two_things_is_refused(name):
+    headers = (("host", "h"), (name, "1"), (name, "2"))
+    assert isinstance(PlatformCallers().read_request("GET", "/", headers, b""), Err)
+
+
+def test_a_request_is_decoded():
+    headers = (
+        ("host", "h"),
+        ("attempt-id", "a1"),
+        ("deadline-ms", "2500"),
+        ("token-count", "900,50"),
+        ("prompt-prefix", "Aa:500,bb:300,cc:100"),
+        ("x-api-key", KEY),
+        ("tenant", "forged"),
+        ("length-hint", "40"),
+    )
+    found = PlatformCallers().read_request("POST", "/x", headers, b"b").ok_value
+    assert (found.id, found.wait_s, found.prompt_tokens, found.output_tokens) == (
+        "a1",
+        2.5,
+        900,
+        50,
+    )
+    assert [part.id for part in found.prompt_parts] == ["aa", "bb", "cc"]
+    assert found.key_hash == hash_key(KEY)
+    names = {name for name, _ in found.headers}
+    assert "length-hint" in names and "attempt-id" in names
+    assert not names & {"tenant", "x-api-key", "deadline-ms"}
+
+
+@pytest.mark.parametrize("value", ["-5", "soon", "1e3", ""])
+def test_a_time_that_is_no_number_is_refused(value):
+    headers = (("host", "h"), ("deadline-ms", value))
+    assert isinstance(PlatformCallers().read_request("GET", "/", headers, b""), Err)
+
+
+def test_the_head_of_an_answer_is_decoded():
+    codec = PlatformBackends()
+    head = codec.read_head(503, (("not-executed", "1"), ("replica-load", "3,1,8")))
+    assert head.not_run and not head.signed and head.load.waiting == 1
+    assert codec.read_head(421, ()).misdirected
+    assert codec.read_head(200, (("keep-alive", "timeout=5, max=9"),)).keep_s == 5.0
+    assert codec.read_head(200, (("replica-load", "many"),)).load is None
+
+
+def test_duty_calls_carry_their_fence():
+    call = PlatformScaling().order(Group("s", "z", True), 3, "me", 12)
+    assert call.headers == {"Duty-Holder": "me", "Fencing-Token": "12"}
+    assert json.loads(json.dumps(call.body))["desired_count"] == 3
+    assert PlatformUsage().read(JsonAnswer(409, {})) is DutyOutcome.FENCED
+    assert PlatformScaling().read(JsonAnswer(409, {})) is DutyOutcome.NONE_TO_BE_HAD
+    assert PlatformScaling().read(JsonAnswer(503, {})) is DutyOutcome.UNKNOWN
--- /dev/null
+++ b/hickoryloom/platform/tests/test_settings.py
@@ -0,0 +1,63 @@
+import pytest
+import yaml
+
+from hickoryloom.exceptions import ConfigurationError
+from hickoryloom.platform.settings import FILE_VARIABLE, read_settings
+
+GOOD = {
+    "node_name": "edge-1",
+    "ip": "10.0.0.1",
+    "zone": "zone-a",
+    "listen": {"frontend": "10.0.0.1:80", "readiness": "10.0.0.1:81"},
+    "internal_port_range": [7200, 7215],
+    "bounds": {"revoke_ms": 4000, "lease_ms": 3000, "config_apply_ms": 3000, "new_field": 1},
+    "platform": {"address": "10.0.0.9:82", "writes_per_s": 1200, "reads_per_s": 6000},
+    "cloud_api": {"address": "10.0.0.8:83", "duties": ["usage_report"]},
+    "unknown": {"ignored": True},
+}
+
+
+def read(folder, found):
+    path = folder / "node.yaml"
+    path.write_text(found if isinstance(found, str) else yaml.safe_dump(found))
+    return read_settings({FILE_VARIABLE: str(path)})
+
+
+def test_fields_are_decoded_with_their_units(tmp_path):
+    settings = read(tmp_path, GOOD)
+    assert settings.instance == "edge-1"
+    assert settings.operators == "10.0.0.1:7200"
+    assert (settings.revoke_s, settings.lease_s, settings.apply_s) == (4.0, 3.0, 3.0)
+    assert settings.store_writes_per_s == 1200
+    assert settings.reports_usage and not settings.orders_servers
+
+
+@pytest.mark.parametrize(
+    ("changed", "told"),
+    [
+        ({"node_name": 7}, "'node_name' is 7"),
+        ({"zone": None}, "'zone' is None"),
+        ({"listen": {"frontend": "a:1"}}, "'readiness'"),
+        ({"listen": "a:1"}, "'listen'"),
+        ({"bounds": {"revoke_ms": "soon"}}, "'revoke_ms' is 'soon'"),
+        ({"platform": {}}, "'address'"),
+    ],
+)
+def test_a_field_that_can_not_be_used_is_named_with_its_file(tmp_path, changed, told):
+    with pytest.raises(ConfigurationError) as caught:
+        read(tmp_path, {**GOOD, **changed})
+    assert told in str(caught.value)
+    assert "node.yaml" in str(caught.value)
+
+
+@pytest.mark.parametrize("found", ["a: [", "just text", "", "- 1"])
+def test_a_file_that_is_no_table_is_refused(tmp_path, found):
+    with pytest.raises(ConfigurationError):
+        read(tmp_path, found)
+
+
+def test_a_missing_file_or_variable_is_told(tmp_path):
+    with pytest.raises(ConfigurationError, match=FILE_VARIABLE):
+        read_settings({})
+    with pytest.raises(ConfigurationError, match="nowhere"):
+        read_settings({FILE_VARIABLE: str(tmp_path / "nowhere")})
