--- a/hickoryloom/scaling/orders.py
+++ b/hickoryloom/scaling/orders.py
@@ -22,6 +22,7 @@
     number: int
     at: float
     confirmed: bool
+    reached: bool = False
 
 
 @attrs.define
@@ -101,4 +102,7 @@
             return number != have or not group.reclaimable
         if order.number != number or not order.confirmed:
             return True
-        return have != number and now - order.at >= REPEAT_S
+        if have == number:
+            order.reached = True
+            return False
+        return order.reached or now - order.at >= REPEAT_S
--- a/hickoryloom/scaling/tests/test_sizing.py
+++ b/hickoryloom/scaling/tests/test_sizing.py
@@ -98,3 +98,13 @@
     calm = plan_servers(6.0, bounds(), DOMAINS, 0.2)
     wanted = book.wanted(calm, standing, 1.0)
     assert sum(number for one, number in wanted.items() if not one.reclaimable) <= 2
+
+
+def test_a_reclaimed_server_is_ordered_anew_at_once():
+    book = OrderBook("s")
+    one = group("a", True)
+    book.note(one, 3, DutyOutcome.DONE, 0.0)
+    assert book.due({one: 3}, {one: 3}, 0.5) == []
+    assert book.due({one: 3}, {one: 1}, 1.0) == [(one, 3)]
+    book.note(one, 3, DutyOutcome.DONE, 1.0)
+    assert book.due({one: 3}, {one: 1}, 2.0) == []
