--- a/conftest.py
+++ b/conftest.py
@@ -4,8 +4,8 @@
 
 monkey.patch_all()
 
-import hashlib
 import os
+from collections import Counter
 from pathlib import Path
 
 from hypothesis import HealthCheck, settings
@@ -20,6 +20,9 @@
 settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "ci"))
 
 
+PROCESS_WEIGHT = 20
+"""A test with real processes takes about as long as so many others."""
+
 KNOWN_RED_FILE = Path(__file__).parent / "KNOWN-RED.txt"
 
 
@@ -39,7 +42,8 @@
         config.hook.pytest_deselected(items=red)
     part = config.getoption("--part")
     if part:
-        items[:] = [item for item in items if is_in_part(item.nodeid.partition("::")[0], part)]
+        chosen = files_of_part(items, part)
+        items[:] = [item for item in items if file_of(item) in chosen]
 
 
 def pytest_addoption(parser):
@@ -48,11 +52,26 @@
     parser.addoption("--part", metavar="K/N", help="run only part K of N, counted from 1")
 
 
-def is_in_part(path, part):
-    """Return whether a test file belongs to a part such as `2/8`."""
+def file_of(item):
+    """Return the file of a test."""
+    return item.nodeid.partition("::")[0]
+
+
+def files_of_part(items, part):
+    """Return the files of a part such as `2/8`; all files go into parts of about equal weight."""
     number, parts = (int(text) for text in part.split("/"))
-    digest = hashlib.sha256(path.encode()).digest()
-    return int.from_bytes(digest[:4], "big") % parts == number - 1
+    weights = Counter()
+    for item in items:
+        slow = item.get_closest_marker("processes") or item.get_closest_marker("bench")
+        weights[file_of(item)] += PROCESS_WEIGHT if slow else 1
+    loads = [0] * parts
+    chosen = set()
+    for file, weight in sorted(weights.items(), key=lambda entry: (-entry[1], entry[0])):
+        lightest = loads.index(min(loads))
+        loads[lightest] += weight
+        if lightest == number - 1:
+            chosen.add(file)
+    return chosen
 
 
 def pytest_terminal_summary(terminalreporter):
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -13,7 +13,7 @@
     exec "$python" -m pytest "$@"
 fi
 
-parts=${TEST_PARTS:-6}
+parts=${TEST_PARTS:-8}
 logs=$(mktemp -d)
 trap 'rm -rf "$logs"' EXIT
 pids=()
@@ -29,7 +29,7 @@
     echo "== part $part of $parts"
     cat "$logs/$part"
 done
-passed_count=$(sed -nE 's/^.*[^0-9]?([0-9]+) passed.*$/\1/p' "$logs"/* | paste -sd+ | bc)
-failed_count=$(cat "$logs"/* | grep -cE '^(FAILED|ERROR) ' || true)
-echo "${passed_count:-0} passed, ${failed_count} failed"
+passed=$(grep -hoE '[0-9]+ passed' "$logs"/* | awk '{ sum += $1 } END { print sum + 0 }')
+red=$(grep -hcE '^(FAILED|ERROR) ' "$logs"/* | awk '{ sum += $1 } END { print sum + 0 }')
+echo "$passed passed, $red failed"
 exit "$failed"
