--- a/hickoryloom/gateway/forwarding.py
+++ b/hickoryloom/gateway/forwarding.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable, Iterator
 
 import attrs
-import logbook
 from result import Err, Ok, Result
 
 from hickoryloom.catalog import CatalogFollower, Customer, RequestKind, Route
@@ -17,9 +16,9 @@
 from hickoryloom.gateway.messages import AnswerHead, CallerRequest, Refusal, Reply
 from hickoryloom.gateway.ports import BackendCodec
 from hickoryloom.gateway.refusals import refuse
-from hickoryloom.logs import log_event
+from hickoryloom.gateway.request_log import RequestLog
 from hickoryloom.metering import UsageMeter
-from hickoryloom.metrics import Measure, MetricsRecorder
+from hickoryloom.metrics import MetricsRecorder
 from hickoryloom.placing import Ending, Placement, Placer, Work
 from hickoryloom.upstream import (
     AttemptError,
@@ -33,8 +32,6 @@
 
 __all__ = ["Forwarding", "GatewayParts"]
 
-log = logbook.Logger("hickoryloom.gateway")
-
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 """Bound of an answer that is read whole before it is passed on."""
 
@@ -120,10 +117,17 @@
         self._tried: set[str] = set()
         self._attempt: _Attempt | None = None
         self._left = False
-        self._metered = False
         self._cause = ""
-        self._events = 0
-        self._worst_gap_s = 0.0
+        self._log = RequestLog(
+            parts.clock,
+            parts.catalog,
+            parts.metrics,
+            parts.meter,
+            request.id,
+            route,
+            customer,
+            arrived,
+        )
 
     @property
     def verdict(self) -> Verdict:
@@ -173,7 +177,7 @@
                 self._connects += 1
                 parts.placer.started(placement, self._work, now)
                 parts.placer.finished(placement, self._work, Ending.UNREACHABLE, False, now)
-                self._log_attempt(placement, "unreachable", error.failed.detail)
+                self._log.attempt(placement, self._sends, "unreachable", error.failed.detail)
                 continue
             if not parts.discovery.is_usable(server):
                 parts.connections.close(exchange)
@@ -186,9 +190,11 @@
             return self._send(placement, exchange, resume_after)
 
     def _open(self, placement: Placement) -> Exchange:
-        fresh = False
+        """Return a connection; a kept one only while the backend server surely keeps it too."""
         address = placement.server.address
-        return self._parts.connections.open(address, self._request.id, self._request.method, fresh)
+        return self._parts.connections.open(
+            address, self._request.id, self._request.method, fresh=False
+        )
 
     def _send(
         self, placement: Placement, exchange: Exchange, resume_after: int | None
@@ -232,7 +238,7 @@
             if self._may_go_on(error.failed):
                 return self._begin(resume_after)
             return Err(self._refuse(self._failure_reason(error.failed)))
-        self._log_attempt(placement, "sent", placement.reason)
+        self._log.attempt(placement, self._sends, "sent", placement.reason)
         return Ok(attempt)
 
     def _urgency(self) -> int:
@@ -319,7 +325,7 @@
             if size > MAX_ANSWER_BYTES:
                 raise exchange.error(FailureCause.TOO_LARGE, "answer is too large")
         self._verdict = Verdict.RAN
-        self._meter(attempt.sent)
+        self._log.began(attempt.sent)
         failed = status >= SERVER_ERROR
         self._end(attempt, Ending.FAILED if failed else Ending.DONE)
         self._log_end("answered", status)
@@ -342,11 +348,7 @@
         if not attempt.prompt_read:
             attempt.prompt_read = True
             self._parts.placer.first_token(attempt.placement, now - attempt.sent)
-        if not self._metered:
-            self._parts.metrics.record(
-                self._route.name, self._customer_name(), Measure.FIRST_TOKEN, now - self._arrived
-            )
-        self._meter(now)
+        self._log.first_event(now)
 
     def _stream(self, attempt: _Attempt, cutter: EventCutter, first: bytes) -> Iterator[bytes]:
         """Yield events to the end, going on at another backend server where that is allowed."""
@@ -354,7 +356,6 @@
         events = first
         try:
             while events:
-                self._events += 1
                 yield events
                 try:
                     events = self._read_events(current, cutter)
@@ -391,8 +392,7 @@
             except EventGapError as error:
                 raise exchange.error(FailureCause.MALFORMED, str(error))
             if events:
-                gap_s = self._parts.clock.monotonic() - began
-                self._worst_gap_s = max(self._worst_gap_s, gap_s)
+                self._log.gap(self._parts.clock.monotonic() - began)
                 return events
         return b""
 
@@ -418,7 +418,7 @@
                 continue
             self._note_first_event(attempt)
             return attempt, events
-        self._log_end("broken-off", 200, failed.detail)
+        self._log_end("abandoned" if self._left else "broken-off", 200, failed.detail)
         raise ConnectionAbortedError("the answer is not whole")
 
     def _check_resumed(self, attempt: _Attempt) -> None:
@@ -438,10 +438,10 @@
         if failed.verdict is not Verdict.NOT_RUN:
             self._verdict = Verdict.MAY_HAVE_RUN
             if failed.cause is not FailureCause.CANCELLED:
-                self._meter(attempt.sent)
+                self._log.began(attempt.sent)
         self._tried.add(attempt.placement.server.id)
         self._end(attempt, _ending_of(failed))
-        self._log_attempt(attempt.placement, failed.cause.value, failed.detail)
+        self._log.attempt(attempt.placement, self._sends, failed.cause.value, failed.detail)
 
     def _may_go_on(self, failed: AttemptFailed) -> bool:
         if self._left:
@@ -460,12 +460,8 @@
         self._parts.connections.close(attempt.exchange)
         self._parts.placer.finished(attempt.placement, self._work, ending, attempt.prompt_read, now)
 
-    def _meter(self, began: float) -> None:
-        if self._metered:
-            return
-        self._metered = True
-        if self._customer is not None:
-            self._parts.meter.count(self._customer.name, began)
+    def _log_end(self, outcome: str, status: int, detail: str = "") -> None:
+        self._log.end(outcome, status, self._verdict, self._sends, detail)
 
     def _refuse(self, reason: str) -> Refusal:
         left_s = self._caller_deadline - self._parts.clock.monotonic()
@@ -475,44 +471,6 @@
         self._log_end("refused", refusal.status, refusal.reason)
         return refusal
 
-    def _customer_name(self) -> str:
-        return self._customer.name if self._customer is not None else ""
-
-    def _log_attempt(self, placement: Placement, outcome: str, detail: str) -> None:
-        log_event(
-            log,
-            "attempt",
-            request=self._request.id,
-            backend_server=placement.server.id,
-            address=placement.server.address,
-            expected_ms=round(placement.expected_s * 1000),
-            attempt=self._sends,
-            outcome=outcome,
-            detail=detail,
-        )
-
-    def _log_end(self, outcome: str, status: int, detail: str = "") -> None:
-        now = self._parts.clock.monotonic()
-        took_s = now - self._arrived
-        metrics = self._parts.metrics
-        metrics.record(self._route.name, self._customer_name(), Measure.ANSWER, took_s)
-        log_event(
-            log,
-            "request",
-            request=self._request.id,
-            route=self._route.name,
-            customer=self._customer_name() or None,
-            version=self._parts.catalog.catalog.version,
-            view_age_ms=round(self._parts.catalog.view.age(now) * 1000),
-            outcome=outcome,
-            status=status,
-            verdict=self._verdict.value,
-            attempts=self._sends,
-            took_ms=round(took_s * 1000),
-            worst_gap_ms=round(self._worst_gap_s * 1000),
-            detail=detail or None,
-        )
-
 
 def _ending_of(failed: AttemptFailed) -> Ending:
     if failed.cause in (FailureCause.CANCELLED, FailureCause.PREEMPTED):
--- a/hickoryloom/scaling/orders.py
+++ b/hickoryloom/scaling/orders.py
@@ -35,7 +35,7 @@
 
     service: str
     _orders: dict[Group, _Order] = attrs.field(factory=dict)
-    _none_until: dict[Group, float] = attrs.field(factory=dict)
+    _ask_again: dict[Group, float] = attrs.field(factory=dict)
 
     def forget(self) -> None:
         """Forget all orders, since another holder may have given others meanwhile."""
@@ -53,11 +53,11 @@
             now: Monotonic time in seconds.
         """
         wanted = {
-            Group(self.service, domain, True): self._to_be_had(domain, number, standing, now)
-            for domain, number in plan.reclaimable.items()
+            Group(self.service, domain, True): number for domain, number in plan.reclaimable.items()
         }
+        counted = sum(self._to_be_had(group, number, standing) for group, number in wanted.items())
         surplus = max(0, sum(standing.values()) - plan.total)
-        missing = max(0, plan.least - sum(wanted.values()) - sum(plan.firm.values()))
+        missing = max(0, plan.least - counted - sum(plan.firm.values()))
         for domain, number in plan.firm.items():
             group = Group(self.service, domain, False)
             have = standing.get(group, 0)
@@ -68,10 +68,9 @@
             wanted[group] = kept + stand_in
         return wanted
 
-    def _to_be_had(self, domain: str, number: int, standing: dict[Group, int], now: float) -> int:
-        """Return how many reclaimable backend servers can be counted on in a failure domain."""
-        group = Group(self.service, domain, True)
-        if self._none_until.get(group, 0.0) > now:
+    def _to_be_had(self, group: Group, number: int, standing: dict[Group, int]) -> int:
+        """Return how many reclaimable backend servers of a group can be counted on."""
+        if group in self._ask_again:
             return min(number, standing.get(group, 0))
         return number
 
@@ -89,14 +88,16 @@
     def note(self, group: Group, number: int, outcome: DutyOutcome, now: float) -> None:
         """Take in how an order ended."""
         if outcome is DutyOutcome.NONE_TO_BE_HAD:
-            self._none_until[group] = now + NONE_TO_BE_HAD_S
+            self._ask_again[group] = now + NONE_TO_BE_HAD_S
             self._orders.pop(group, None)
             return
+        if outcome is DutyOutcome.DONE:
+            self._ask_again.pop(group, None)
         self._orders[group] = _Order(number, now, outcome is DutyOutcome.DONE)
 
     def _is_due(self, group: Group, number: int, have: int, now: float) -> bool:
-        if self._none_until.get(group, 0.0) > now:
-            return False
+        if group in self._ask_again:
+            return now >= self._ask_again[group]
         order = self._orders.get(group)
         if order is None:
             return number != have or not group.reclaimable
--- a/hickoryloom/scaling/tests/test_sizing.py
+++ b/hickoryloom/scaling/tests/test_sizing.py
@@ -108,3 +108,21 @@
     assert book.due({one: 3}, {one: 1}, 1.0) == [(one, 3)]
     book.note(one, 3, DutyOutcome.DONE, 1.0)
     assert book.due({one: 3}, {one: 1}, 2.0) == []
+
+
+def test_stand_ins_stay_ordered_until_reclaimable_servers_can_be_had_again():
+    """Plays ten seconds in which none can be had, asked for again and again."""
+    book = OrderBook("s")
+    plan = Plan({"a": 1}, {"a": 5}, least=5)
+    standing = {group("a", False): 1}
+    ordered = []
+    for second in range(10):
+        for one, number in book.due(book.wanted(plan, standing, second), standing, second):
+            outcome = DutyOutcome.NONE_TO_BE_HAD if one.reclaimable else DutyOutcome.DONE
+            book.note(one, number, outcome, second)
+            if not one.reclaimable:
+                ordered.append(number)
+    assert ordered[-1] == 5
+    assert 1 not in ordered[ordered.index(5) :]
+    book.note(group("a", True), 5, DutyOutcome.DONE, 10.0)
+    assert book.wanted(plan, standing, 10.0)[group("a", False)] == 1
