--- a/hickoryloom/scaling/sizing.py
+++ b/hickoryloom/scaling/sizing.py
@@ -20,8 +20,8 @@
 TARGET_BUSY = 0.2
 """Share of its time that an engine reads prompts: a burst of three times still fits."""
 
-MOST_BUSY = 0.6
-"""Share of its time above which an engine's queue lasts longer than the answers are wanted."""
+MOST_BUSY = 0.9
+"""Share of its time above which an engine's queue grows as long as the load lasts."""
 
 STANDBY_PART = 0.8
 """Least part of the bound that runs: a burst is over before a new backend server has started."""
@@ -43,7 +43,7 @@
     Attributes:
         firm: Those that can't be reclaimed.
         reclaimable: Those that can.
-        least: Backend servers of any kind without which the load of now is late.
+        least: Backend servers of any kind without which the queue of now would only grow.
     """
 
     firm: dict[str, int]
