--- a/hickoryloom/gateway/app.py
+++ b/hickoryloom/gateway/app.py
@@ -15,7 +15,8 @@
 from result import Err
 
 from hickoryloom.catalog import Customer, Route, choose_service
-from hickoryloom.gateway.forwarding import Forwarding, GatewayParts
+from hickoryloom.gateway.attempts import GatewayParts
+from hickoryloom.gateway.forwarding import Forwarding
 from hickoryloom.gateway.intake import read_body
 from hickoryloom.gateway.messages import CallerRequest, Refusal, Reply
 from hickoryloom.gateway.ports import CallerCodec
--- a/hickoryloom/gateway/events.py
+++ b/hickoryloom/gateway/events.py
@@ -7,6 +7,8 @@
 __all__ = ["EventCutter", "EventGapError"]
 
 MAX_EVENT_BYTES = 1024 * 1024
+"""Far above any event of a few tokens; bounds what a broken backend server makes us hold."""
+
 EVENT_ID = re.compile(rb"(?:^|\n)id: ?(\d+)\r?(?=\n)")
 
 
--- a/hickoryloom/gateway/process.py
+++ b/hickoryloom/gateway/process.py
@@ -14,8 +14,8 @@
 from hickoryloom.discovery import Discovery
 from hickoryloom.duties import DutyCaller
 from hickoryloom.gateway.app import CallerApp
+from hickoryloom.gateway.attempts import GatewayParts
 from hickoryloom.gateway.budget import UNKNOWN_INSTANCES, RetryWindow
-from hickoryloom.gateway.forwarding import GatewayParts
 from hickoryloom.gateway.ports import Dialect
 from hickoryloom.gateway.settings import GatewaySettings
 from hickoryloom.http import Server
@@ -59,6 +59,7 @@
 """Candidates read the lease as often as a dead holder's can be taken, parts of its duration."""
 
 SWEEP_EVERY_S = 1.0
+"""Pause between looks for kept connections that their backend servers are about to close."""
 
 
 class Gateway:
--- a/hickoryloom/upstream/connections.py
+++ b/hickoryloom/upstream/connections.py
@@ -21,6 +21,8 @@
 PROBE_IDLE_S = 1
 PROBE_EVERY_S = 1
 PROBES = 2
+"""Keep-alive probes in the shortest times that the system knows, whole seconds."""
+
 KEEP_MARGIN_S = 0.5
 """A kept connection is not used this shortly before the peer closes it, lest they cross."""
 
