--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -29,7 +29,8 @@
     echo "== part $part of $parts"
     cat "$logs/$part"
 done
-passed=$(grep -hoE '[0-9]+ passed' "$logs"/* | awk '{ sum += $1 } END { print sum + 0 }')
-red=$(grep -hcE '^(FAILED|ERROR) ' "$logs"/* | awk '{ sum += $1 } END { print sum + 0 }')
+passed=$(awk '{ for (i = 2; i <= NF; i++) if ($i ~ /^passed/) sum += $(i - 1) }
+    END { print sum + 0 }' "$logs"/*)
+red=$(awk '/^(FAILED|ERROR) / { sum++ } END { print sum + 0 }' "$logs"/*)
 echo "$passed passed, $red failed"
 exit "$failed"
