Split what is known of a request from how it is sent, and hold it under machines

Removed as dead: Placer.usable, occupancy and expected_wait_s, Attempts.verdict, the setting usage_due_s, CallerRequest.output_tokens (its test loses the figure that no longer exists).

--- a/hickoryloom/gateway/attempts.py
+++ b/hickoryloom/gateway/attempts.py
@@ -14,6 +14,7 @@
 from hickoryloom.gateway.budget import RetryWindow
 from hickoryloom.gateway.messages import AnswerHead, CallerRequest, Refusal
 from hickoryloom.gateway.ports import BackendCodec
+from hickoryloom.gateway.progress import Progress
 from hickoryloom.gateway.refusals import refuse
 from hickoryloom.gateway.request_log import RequestLog
 from hickoryloom.metering import UsageMeter
@@ -31,9 +32,6 @@
 
 __all__ = ["Attempt", "Attempts", "GatewayParts"]
 
-MAX_CONNECTS = 4
-"""Connections tried for one request; nothing was sent on those that failed."""
-
 RETRY_TARGETS = 2.5
 """A repeatable request unanswered for so many targets is sent to another backend server."""
 
@@ -110,13 +108,8 @@
         self._deadline = arrived + min(waits_s, route.timeout_s)
         shared = request.prompt_parts[:-1]
         self._work = Work(service, request.prompt_tokens, shared)
-        self._verdict = Verdict.NOT_RUN
-        self._sends = 0
-        self._connects = 0
-        self._tried: set[str] = set()
+        self._progress = Progress(route, self._deadline)
         self._attempt: Attempt | None = None
-        self._left = False
-        self._cause = ""
         self._log = RequestLog(
             parts.clock,
             parts.catalog,
@@ -129,13 +122,28 @@
         )
 
     @property
-    def verdict(self) -> Verdict:
-        """Whether a backend server may have run the request."""
-        return self._verdict
+    def deadline(self) -> float:
+        """Monotonic time at which the request is given up, in seconds."""
+        return self._deadline
+
+    @property
+    def left(self) -> bool:
+        """Whether the caller has closed its connection."""
+        return self._progress.left
+
+    @property
+    def retryable(self) -> bool:
+        """Whether another backend server may get the request, whatever became of it here."""
+        return self._progress.retryable
+
+    @property
+    def log(self) -> RequestLog:
+        """Where the request's events are told."""
+        return self._log
 
     def leave(self) -> None:
         """Take in that the caller has closed its connection; safe from any greenlet."""
-        self._left = True
+        self._progress.left = True
         if self._attempt is not None:
             self._attempt.exchange.interrupt(FailureCause.CANCELLED)
 
@@ -151,7 +159,7 @@
             refusal = self._why_not(now)
             if refusal is not None:
                 return Err(refusal)
-            placement = parts.placer.choose(self._work, frozenset(self._tried), now)
+            placement = parts.placer.choose(self._work, frozenset(self._progress.tried), now)
             if placement is None:
                 parts.meter.note_refused(self._work.service)
                 return Err(self.refuse("no-backend-server"))
@@ -159,15 +167,16 @@
             try:
                 exchange = self._open(placement)
             except AttemptError as error:
-                self._tried.add(server.id)
-                self._connects += 1
+                self._progress.note_unreachable(server.id)
                 parts.placer.started(placement, self._work, now)
                 parts.placer.finished(placement, self._work, Ending.UNREACHABLE, False, now)
-                self._log.attempt(placement, self._sends, "unreachable", error.failed.detail)
+                self._log.attempt(
+                    placement, self._progress.sends, "unreachable", error.failed.detail
+                )
                 continue
             if not parts.discovery.is_usable(server):
                 parts.connections.close(exchange)
-                self._tried.add(server.id)
+                self._progress.tried.add(server.id)
                 continue
             refusal = self._why_not(parts.clock.monotonic())
             if refusal is not None:
@@ -189,12 +198,12 @@
         now = parts.clock.monotonic()
         attempt = Attempt(placement, exchange, now)
         budget = parts.retries(self._work.service)
-        if self._sends == 0:
+        if self._progress.sends == 0:
             budget.note_first(now)
         elif not budget.take(now):
             parts.connections.close(exchange)
             return Err(self.refuse("retry-budget"))
-        self._sends += 1
+        self._progress.note_sent()
         self._attempt = attempt
         parts.meter.note_demand(self._work.service, placement.prefill_tokens)
         parts.placer.started(placement, self._work, now)
@@ -218,13 +227,13 @@
             exchange.send(head, self._request.body)
         except ValueError as error:
             self.end(attempt, Ending.ABANDONED)
-            return Err(refuse(400, str(error), self._verdict))
+            return Err(refuse(400, str(error), self._progress.verdict))
         except AttemptError as error:
             self.fail(attempt, error.failed)
-            if self.may_go_on(error.failed):
+            if self.may_follow(error.failed):
                 return self.begin(resume_after)
-            return Err(self.refuse(self.failure_reason(error.failed)))
-        self._log.attempt(placement, self._sends, "sent", placement.reason)
+            return Err(self.refuse())
+        self._log.attempt(placement, self._progress.sends, "sent", placement.reason)
         return Ok(attempt)
 
     def _urgency(self) -> int:
@@ -235,35 +244,26 @@
 
     def _why_not(self, now: float) -> Refusal | None:
         """Return why the request must not be sent now, None when it may be."""
-        if self._left:
-            return self.refuse("caller-left")
-        if now >= self._deadline:
-            return self.refuse("timeout")
-        if self._sends >= max(1, self._route.max_attempts):
-            return self.refuse(self._cause or "attempts")
-        if self._connects >= MAX_CONNECTS:
-            return self.refuse("unreachable")
+        reason = self._progress.blocked(now)
+        if reason:
+            return self.refuse(reason)
         if self._customer is None:
             return None
         catalog = self._parts.catalog
         if not catalog.view.trusts_keys(now):
             return self.refuse("stale-view")
         if self._request.key_hash not in catalog.catalog.customers:
-            return refuse(401, "key-withdrawn", self._verdict)
+            return refuse(401, "key-withdrawn", self._progress.verdict)
         return None
 
     def head_deadline(self, attempt: Attempt) -> float:
         """Return until when the head of an answer is waited for."""
-        if not self._route.repeatable or not self.may_try_other():
+        if not self._progress.retryable:
             return self._deadline
         targets = ENGINE_RETRY_TARGETS if self._work.prompt_tokens else RETRY_TARGETS
         patience_s = targets * self._route.target_s
         return min(self._deadline, attempt.sent + patience_s)
 
-    def may_try_other(self) -> bool:
-        """Return whether the route allows another backend server, whatever became of this one."""
-        return self._route.repeatable and self._sends < self._route.max_attempts
-
     def note_head(self, attempt: Attempt, head: AnswerHead) -> None:
         """Take in what the head of an answer tells of its backend server."""
         attempt.exchange.keep_s = head.keep_s
@@ -271,26 +271,29 @@
             now = self._parts.clock.monotonic()
             self._parts.placer.report(attempt.placement.server.id, head.load, now)
 
+    def accept(self) -> None:
+        """Take in that a backend server has answered as one that runs the request."""
+        self._progress.note_accepted()
+
+    def complete(self, attempt: Attempt, ending: Ending, status: int) -> None:
+        """End the request with an answer that was read to its end."""
+        self._progress.note_answered()
+        self._log.began(attempt.sent)
+        self.end(attempt, ending)
+        self.log_end("answered", status)
+
     def fail(self, attempt: Attempt, failed: AttemptFailed) -> None:
         """End an attempt that has failed."""
-        self._cause = failed.cause.value
-        if failed.verdict is not Verdict.NOT_RUN:
-            self._verdict = Verdict.MAY_HAVE_RUN
-            if failed.cause is not FailureCause.CANCELLED:
-                self._log.began(attempt.sent)
-        self._tried.add(attempt.placement.server.id)
+        progress = self._progress
+        progress.note_failed(attempt.placement.server.id, failed)
+        if failed.verdict is not Verdict.NOT_RUN and failed.cause is not FailureCause.CANCELLED:
+            self._log.began(attempt.sent)
         self.end(attempt, _ending_of(failed))
-        self._log.attempt(attempt.placement, self._sends, failed.cause.value, failed.detail)
+        self._log.attempt(attempt.placement, progress.sends, failed.cause.value, failed.detail)
 
-    def may_go_on(self, failed: AttemptFailed) -> bool:
+    def may_follow(self, failed: AttemptFailed) -> bool:
         """Return whether another attempt may follow one that failed so."""
-        if self._left:
-            return False
-        return failed.verdict is Verdict.NOT_RUN or self._route.repeatable
-
-    def failure_reason(self, failed: AttemptFailed) -> str:
-        """Return the short name of a failure, for the caller and the log."""
-        return "timeout" if failed.cause is FailureCause.SILENT else failed.cause.value
+        return self._progress.may_follow(failed)
 
     def end(self, attempt: Attempt, ending: Ending) -> None:
         """Give an attempt's connection back, once."""
@@ -304,12 +307,17 @@
 
     def log_end(self, outcome: str, status: int, detail: str = "") -> None:
         """Write the request's end."""
-        self._log.end(outcome, status, self._verdict, self._sends, detail)
+        self._log.end(outcome, status, self._progress.verdict, self._progress.sends, detail)
 
-    def refuse(self, reason: str) -> Refusal:
-        """Return the final answer that is true for all attempts so far."""
+    def refuse(self, reason: str = "") -> Refusal:
+        """Return the final answer that is true for all attempts so far.
+
+        Args:
+            reason: Short name of the cause; that of the last failure when it is empty.
+        """
         left_s = self._caller_deadline - self._parts.clock.monotonic()
-        return refuse(0, reason, self._verdict, left_s, self._parts.rng)
+        progress = self._progress
+        return refuse(0, reason or progress.cause, progress.verdict, left_s, self._parts.rng)
 
 
 def _ending_of(failed: AttemptFailed) -> Ending:
--- a/hickoryloom/gateway/messages.py
+++ b/hickoryloom/gateway/messages.py
@@ -28,7 +28,6 @@
         wait_s: Seconds for which the caller waits; None when it does not say.
         key_hash: Hash of the caller's key; empty without one.
         prompt_tokens: Tokens of the prompt; 0 for a request that is not for a model engine.
-        output_tokens: Most tokens of the answer.
         prompt_parts: Parts of the prompt in order, the last of them its own.
         resume_after: Id of the last event that the caller has; None for a stream from its start.
     """
@@ -42,7 +41,6 @@
     wait_s: float | None = None
     key_hash: str = ""
     prompt_tokens: int = 0
-    output_tokens: int = 0
     prompt_parts: tuple[PromptPart, ...] = ()
     resume_after: int | None = None
 
--- a/hickoryloom/gateway/settings.py
+++ b/hickoryloom/gateway/settings.py
@@ -31,7 +31,6 @@
         retry_window_s: Seconds of the window in which retries are counted.
         lease_s: Seconds for which a renewal of a lease lasts.
         usage_window_s: Seconds of one usage window; 0 where none is reported.
-        usage_due_s: Seconds after a window's end until its report is due.
     """
 
     instance: str
@@ -53,4 +52,3 @@
     retry_window_s: float = 10.0
     lease_s: float = 3.0
     usage_window_s: float = 0.0
-    usage_due_s: float = 10.0
--- a/hickoryloom/placing/placer.py
+++ b/hickoryloom/placing/placer.py
@@ -85,15 +85,6 @@
         for quiet in self._quiet.values():
             quiet.instances = instances
 
-    def usable(self, service: str) -> int:
-        """Return how many backend servers of a service may get work."""
-        return sum(1 for one in self._by_service.get(service, ()) if not one.server.leaving)
-
-    def occupancy(self, service: str, now: float) -> float:
-        """Return the mean occupancy of a service's usable backend servers."""
-        known = [one for one in self._by_service.get(service, ()) if not one.server.leaving]
-        return sum(one.occupancy(now) for one in known) / len(known) if known else 1.0
-
     def choose(self, work: Work, exclude: frozenset[str], now: float) -> Placement | None:
         """Return the best backend server for a request, or None.
 
@@ -119,11 +110,6 @@
         """Return the seconds that an engine of a service takes to read so many tokens."""
         return tokens / self._rate(service).tokens_per_s
 
-    def expected_wait_s(self, work: Work, now: float) -> float | None:
-        """Return the expected delay at the best backend server; None without any."""
-        placement = self.choose(work, frozenset(), now)
-        return None if placement is None else placement.expected_s
-
     def started(self, placement: Placement, work: Work, now: float) -> None:
         """Take in that a request is sent as chosen."""
         if work.prompt_tokens:
--- a/hickoryloom/platform/callers.py
+++ b/hickoryloom/platform/callers.py
@@ -60,7 +60,6 @@
         wait = found.get(DEADLINE)
         if wait is not None and not wait.isdecimal():
             return Err(f"header {DEADLINE!r} is not a whole number")
-        tokens = _read_tokens(found.get(TOKENS))
         resume = found.get(LAST_EVENT)
         key = found.get(KEY)
         return Ok(
@@ -73,8 +72,7 @@
                 body=body,
                 wait_s=None if wait is None else int(wait) / MS_PER_S,
                 key_hash="" if key is None else hash_key(key),
-                prompt_tokens=tokens[0],
-                output_tokens=tokens[1],
+                prompt_tokens=_read_prompt_tokens(found.get(TOKENS)),
                 prompt_parts=_read_parts(found.get(PREFIX, "")),
                 resume_after=int(resume) if resume and resume.isdecimal() else None,
             )
@@ -94,12 +92,12 @@
     return Ok(found)
 
 
-def _read_tokens(value: str | None) -> tuple[int, int]:
-    """Return the tokens of the prompt and the most of the answer."""
+def _read_prompt_tokens(value: str | None) -> int:
+    """Return the tokens of the prompt, the first of two numbers; 0 when the value is unsound."""
     prompt, _, output = (value or "").partition(",")
     if prompt.strip().isdecimal() and output.strip().isdecimal():
-        return int(prompt), int(output)
-    return 0, 0
+        return int(prompt)
+    return 0
 
 
 def _read_parts(value: str) -> tuple[PromptPart, ...]:
--- a/hickoryloom/platform/settings.py
+++ b/hickoryloom/platform/settings.py
@@ -65,7 +65,6 @@
         retry_window_s=number(bounds, "retry_window_s", 10.0),
         lease_s=number(bounds, "lease_ms", 3000.0) / MS_PER_S,
         usage_window_s=number(bounds, "usage_window_s", 0.0),
-        usage_due_s=number(bounds, "usage_late_s", 10.0),
     )
 
 
--- a/hickoryloom/platform/tests/test_codecs.py
+++ b/hickoryloom/platform/tests/test_codecs.py
@@ -137,12 +137,7 @@
         ("length-hint", "40"),
     )
     found = PlatformCallers().read_request("POST", "/x", headers, b"b").ok_value
-    assert (found.id, found.wait_s, found.prompt_tokens, found.output_tokens) == (
-        "a1",
-        2.5,
-        900,
-        50,
-    )
+    assert (found.id, found.wait_s, found.prompt_tokens) == ("a1", 2.5, 900)
     assert [part.id for part in found.prompt_parts] == ["aa", "bb", "cc"]
     assert found.key_hash == hash_key(KEY)
     names = {name for name, _ in found.headers}
