One loop for the tasks that act under a lease

UsageReporter and Scaler had the same start, stop and look at the right. Behaviour stays: the reporter looks for its next window at each gain of the lease, the scaler forgets orders when the term is another. Tests step the task itself now; no expectation changed.

--- a/hickoryloom/metering/reporter.py
+++ b/hickoryloom/metering/reporter.py
@@ -9,10 +9,9 @@
 from result import Err, Ok
 
 from hickoryloom.clock import Clock
-from hickoryloom.duties import DutyCaller, DutyOutcome
+from hickoryloom.duties import DutyCaller, DutyOutcome, LeasedTask
 from hickoryloom.leases import Right
 from hickoryloom.logs import log_event
-from hickoryloom.loops import TaskLoop
 from hickoryloom.metering.messages import UsageCodec
 from hickoryloom.metering.meter import KEPT_WINDOWS, UsageMeter
 from hickoryloom.metering.task import COUNTS_PREFIX, read_all_counts
@@ -70,28 +69,20 @@
         self._codec = codec
         self._instance = instance
         self._window_s = window_s
-        self._term = 0
-        self._next: int | None = None
-        self._loop = TaskLoop(self._step, "usage-report", log)
+        self._next = 0
+        self._task = LeasedTask(
+            caller, self._find_next, self._report_due, LOOK_EVERY_S, "usage-report", log
+        )
 
     def start(self) -> None:
         """Begin to look for windows that are due."""
-        self._loop.start()
+        self._task.start()
 
     def stop(self) -> None:
         """End."""
-        self._loop.stop()
+        self._task.stop()
 
-    def _step(self) -> float:
-        right = self._caller.right()
-        if right is None:
-            self._next = None
-            return LOOK_EVERY_S
-        if self._next is None or right.term != self._term:
-            if not self._find_next():
-                return LOOK_EVERY_S
-            self._term = right.term
-        assert self._next is not None
+    def _report_due(self, right: Right) -> float:
         due = (self._next + 1) * self._window_s + self._write_every_s() + SETTLE_MARGIN_S
         if self._meter.wall() < due:
             return LOOK_EVERY_S
@@ -101,7 +92,7 @@
             return 0.0
         return LOOK_EVERY_S
 
-    def _find_next(self) -> bool:
+    def _find_next(self, _right: Right) -> bool:
         """Begin with the last sealed window, whose report may not have been taken."""
         listing = self._client.list(SEALED_PREFIX)
         if isinstance(listing, Err):
--- a/hickoryloom/metering/tests/test_reporter.py
+++ b/hickoryloom/metering/tests/test_reporter.py
@@ -84,13 +84,13 @@
 def test_a_window_is_reported_soon_after_the_last_write_of_its_counts(bench):
     caller = Caller()
     reporter = bench.reporter(caller)
-    reporter._step()
+    reporter._task.step()
     bench.write("a", w200=3)
     bench.clock.advance(WINDOW_S + WRITE_EVERY_S + SETTLE_MARGIN_S - 0.1)
-    reporter._step()
+    reporter._task.step()
     assert caller.sent == []
     bench.clock.advance(0.1)
-    reporter._step()
+    reporter._task.step()
     assert caller.sent == [(200, {"one": 3}, 1)]
 
 
@@ -98,13 +98,13 @@
     first, second = Caller(1), Caller(2)
     first.outcomes = [DutyOutcome.UNKNOWN]
     old = bench.reporter(first)
-    old._step()
+    old._task.step()
     bench.write("a", w200=3)
     bench.clock.advance(8.0)
-    old._step()
+    old._task.step()
     bench.write("a", w200=4)
     new = bench.reporter(second)
-    new._step()
+    new._task.step()
     assert first.sent == [(200, {"one": 3}, 1)]
     assert second.sent[0] == (200, {"one": 3}, 2)
 
@@ -113,7 +113,7 @@
     caller = Caller(None)
     reporter = bench.reporter(caller)
     bench.clock.advance(20.0)
-    reporter._step()
+    reporter._task.step()
     assert caller.sent == []
     assert bench.store.objects == {}
 
@@ -122,24 +122,24 @@
 def test_what_was_sealed_without_an_answer_is_what_is_sent(bench, lost):
     caller = Caller()
     reporter = bench.reporter(caller)
-    reporter._step()
+    reporter._task.step()
     bench.write("a", w200=3)
     bench.clock.advance(8.0)
     bench.store.lose_answers = lost
-    reporter._step()
+    reporter._task.step()
     bench.write("a", w200=9)
-    reporter._step()
+    reporter._task.step()
     assert caller.sent[0] == (200, {"one": 3}, 1)
 
 
 def test_figures_of_all_instances_are_added_up(bench):
     caller = Caller()
     reporter = bench.reporter(caller)
-    reporter._step()
+    reporter._task.step()
     bench.write("a", w200=3)
     bench.write("b", w200=4, w201=1)
     bench.clock.advance(8.0)
-    reporter._step()
+    reporter._task.step()
     assert caller.sent == [(200, {"one": 7}, 1)]
 
 
--- a/hickoryloom/scaling/task.py
+++ b/hickoryloom/scaling/task.py
@@ -10,10 +10,9 @@
 from hickoryloom.catalog import CatalogFollower, Service
 from hickoryloom.clock import Clock
 from hickoryloom.discovery import Discovery
-from hickoryloom.duties import DutyCaller, DutyOutcome
+from hickoryloom.duties import DutyCaller, DutyOutcome, LeasedTask
 from hickoryloom.leases import Right
 from hickoryloom.logs import log_event
-from hickoryloom.loops import TaskLoop
 from hickoryloom.metering import ServiceDemand, live_instances, read_all_counts, sum_demand
 from hickoryloom.scaling.messages import Group, ScalingCodec
 from hickoryloom.scaling.orders import OrderBook
@@ -72,24 +71,27 @@
         self._demand: dict[str, ServiceDemand] = {}
         self._books: dict[str, OrderBook] = {}
         self._peaks: dict[str, DemandPeak] = {}
-        self._loop = TaskLoop(self._step, "scaling", log)
+        self._task = LeasedTask(
+            caller, self._begin_term, self._order_due, LOOK_EVERY_S, "scaling", log
+        )
 
     def start(self) -> None:
         """Begin to order."""
-        self._loop.start()
+        self._task.start()
 
     def stop(self) -> None:
         """End."""
-        self._loop.stop()
+        self._task.stop()
 
-    def _step(self) -> float:
-        right = self._caller.right()
-        if right is None:
-            return LOOK_EVERY_S
+    def _begin_term(self, right: Right) -> bool:
+        """Forget orders of an earlier term; another holder may have ordered since."""
         if right.term != self._term:
             self._term = right.term
             for book in self._books.values():
                 book.forget()
+        return True
+
+    def _order_due(self, right: Right) -> float:
         now = self._clock.monotonic()
         if now - self._read_at >= READ_DEMAND_EVERY_S and not self._read_demand(now):
             return LOOK_EVERY_S
