Enforce the callers' limits on headers, and give older callers whole streams

A caller with HTTP/1.0 saw a cut stream as a whole one, since both end with the connection. Now: 431 over the limit, 408 when the headers take longer than the limit from their first byte, the connection closed after either; streams for HTTP/1.0 are read whole and sent with their length, or refused with 502. Ruled out: an unused connection and a slow answer are not bound by the time for headers; a limit reached while a whole request is buffered (a paused process) can't fire, as nothing waits then.

--- a/hickoryloom/gateway/app.py
+++ b/hickoryloom/gateway/app.py
@@ -76,7 +76,8 @@
             self._log_refusal(request, admitted, arrived)
             return _send_refusal(admitted, start_response)
         watch = CallerWatch(environ, admitted.leave)
-        return _Answer(admitted, watch).begin(start_response)
+        takes_chunks = environ["SERVER_PROTOCOL"] != "HTTP/1.0"
+        return _Answer(admitted, watch, takes_chunks).begin(start_response)
 
     def _admit(self, request: CallerRequest, arrived: float) -> Forwarding | Refusal:
         """Find the request's route and customer, or say why it gets no further."""
@@ -127,17 +128,26 @@
 
 
 class _Answer:
-    """One answer as WSGI iterates over it; tells the request when its caller leaves."""
+    """One answer as WSGI iterates over it; tells the request when its caller leaves.
 
-    def __init__(self, forwarding: Forwarding, watch: CallerWatch) -> None:
+    Args:
+        forwarding: The request.
+        watch: Tells when its caller leaves.
+        takes_chunks: Whether the caller can tell a whole answer of unknown length from a cut one.
+    """
+
+    def __init__(self, forwarding: Forwarding, watch: CallerWatch, takes_chunks: bool) -> None:
         self._forwarding = forwarding
         self._watch = watch
+        self._takes_chunks = takes_chunks
         self._reply: Reply | None = None
 
     def begin(self, start_response: StartResponse) -> Iterable[bytes]:
         """Run the request up to the head of its answer."""
         try:
             answer = self._forwarding.run()
+            if isinstance(answer, Reply) and answer.length is None and not self._takes_chunks:
+                answer = _gather(answer)
         except BaseException:
             self._watch.stop()
             raise
@@ -164,6 +174,15 @@
             close()
 
 
+def _gather(reply: Reply) -> Reply | Refusal:
+    """Read a stream to its end, so that it can be sent with its length."""
+    try:
+        blocks = list(reply.body)
+    except ConnectionAbortedError:
+        return refuse(0, "broken-off", Verdict.MAY_HAVE_RUN)
+    return Reply(reply.status, reply.headers, iter(blocks), sum(map(len, blocks)))
+
+
 def _send_refusal(refusal: Refusal, start_response: StartResponse) -> Iterable[bytes]:
     body = f'{{"error":{{"type":"{refusal.reason}","verdict":"{refusal.verdict.value}"}}}}'
     headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body.encode())))]
--- a/hickoryloom/gateway/process.py
+++ b/hickoryloom/gateway/process.py
@@ -18,7 +18,7 @@
 from hickoryloom.gateway.budget import UNKNOWN_INSTANCES, RetryWindow
 from hickoryloom.gateway.ports import Dialect
 from hickoryloom.gateway.settings import GatewaySettings
-from hickoryloom.http import Server
+from hickoryloom.http import ConnectionLimits, Server
 from hickoryloom.leases import LeaseKeeper
 from hickoryloom.logs import log_event
 from hickoryloom.loops import TaskLoop
@@ -262,7 +262,10 @@
         return _Duties(keeper, caller, tasks)
 
     def _apply_catalog(self, catalog: Catalog) -> None:
-        self._caller_server.idle_timeout_s = catalog.limits.idle_timeout_s
+        limits = catalog.limits
+        self._caller_server.limits = ConnectionLimits(
+            limits.header_bytes, limits.header_timeout_s, limits.idle_timeout_s
+        )
 
     def _set_instances(self, number: int) -> None:
         self._instances = number
--- a/hickoryloom/http/server.py
+++ b/hickoryloom/http/server.py
@@ -10,6 +10,12 @@
 from gevent import socket
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
+from hickoryloom.http.limits import (
+    BoundedLines,
+    ConnectionLimits,
+    HeadersTooLargeError,
+    HeadersTooSlowError,
+)
 from hickoryloom.http.strict import StrictFraming
 from hickoryloom.logs import log_event
 
@@ -19,9 +25,20 @@
 
 CLOSE_POLL_S = 0.02
 IO_TIMEOUT_S = 60.0
+"""Shortest time after which a read or write that stalls ends its connection."""
+
+IDLE_MARGIN_S = 1.0
+"""Time beyond the idle limit, for a request that is on its way when the limit is reached."""
+
 MAX_CONNECTIONS = 8192
 SOCKET_KEY = "hickoryloom.socket"
 
+REFUSAL = b"HTTP/1.1 %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+"""Answer to a request of which not even the headers could be read."""
+
+TOO_SLOW = "408 Request Timeout"
+TOO_LARGE = "431 Request Header Fields Too Large"
+
 WsgiApp = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
 
 
@@ -29,7 +46,7 @@
     """Serves one WSGI application on one address.
 
     Attributes:
-        idle_timeout_s: Seconds after which a connection that neither sends nor takes is closed.
+        limits: What is accepted on one connection; may be replaced at any time.
 
     Args:
         app: The WSGI application.
@@ -39,7 +56,7 @@
     def __init__(self, app: WsgiApp, address: str) -> None:
         host, _, port = address.rpartition(":")
         self._app = app
-        self.idle_timeout_s = IO_TIMEOUT_S
+        self.limits = ConnectionLimits()
         self._active = 0
         self._stopping = False
         self._server = WSGIServer(
@@ -139,19 +156,59 @@
 class _Handler(StrictFraming, WSGIHandler):
     """Bounds slow callers, sends at once, writes no access log, drops connection errors."""
 
+    _header_timer: gevent.Timeout | None = None
+
     def handle(self) -> None:
         """Serve one connection; a read or write that stalls too long ends it."""
-        self.socket.settimeout(max(IO_TIMEOUT_S, self.server.owner.idle_timeout_s + 1.0))
+        self.socket.settimeout(
+            max(IO_TIMEOUT_S, self.server.owner.limits.idle_timeout_s + IDLE_MARGIN_S)
+        )
         self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         super().handle()
 
+    def handle_one_request(self) -> Any:
+        """Serve one request, or refuse one whose headers don't come in time."""
+        try:
+            return super().handle_one_request()
+        except HeadersTooSlowError as error:
+            return self._handle_client_error(error)
+        finally:
+            self._stop_header_timer()
+
     def read_requestline(self) -> Any:
-        """Read a request's first line; until it comes the connection counts as idle."""
-        self.server.owner.note_idle(self, True)
+        """Read a request's first line; until its first byte the connection counts as idle."""
+        owner = self.server.owner
+        owner.note_idle(self, True)
+        try:
+            self.rfile.peek(1)
+        finally:
+            owner.note_idle(self, False)
+        self._header_timer = gevent.Timeout.start_new(
+            owner.limits.header_timeout_s, HeadersTooSlowError("headers took too long")
+        )
+        return super().read_requestline()
+
+    def MessageClass(self, file: Any, *rest: Any) -> Any:  # noqa: N802
+        """Parse the headers within the limits."""
+        lines = BoundedLines(file, self.server.owner.limits.header_bytes)
         try:
-            return super().read_requestline()
+            return super().MessageClass(lines, *rest)
         finally:
-            self.server.owner.note_idle(self, False)
+            self._stop_header_timer()
+
+    def _handle_client_error(self, ex: Exception) -> tuple[str, bytes]:
+        """Refuse a request that can't be read; gevent's own answer is always 400."""
+        if isinstance(ex, HeadersTooSlowError):
+            return TOO_SLOW, REFUSAL % TOO_SLOW.encode()
+        if isinstance(ex, HeadersTooLargeError):
+            return TOO_LARGE, REFUSAL % TOO_LARGE.encode()
+        answer: tuple[str, bytes] = super()._handle_client_error(ex)
+        return answer
+
+    def _stop_header_timer(self) -> None:
+        if self._header_timer is not None:
+            self._header_timer.close()
+            self._header_timer = None
 
     def get_environ(self) -> dict[str, Any]:
         """Add the connection's socket, so that an application can tell when its caller left."""
--- a/hickoryloom/platform/tests/standin.py
+++ b/hickoryloom/platform/tests/standin.py
@@ -164,12 +164,14 @@
     Attributes:
         seen: Requests that arrived, each with its headers, body and whether it ran.
         script: Called with each request; yields bytes to send, or `CUT` to reset the connection.
+        early: Whether it answers before it has read a request's body.
     """
 
     CUT = object()
 
-    def __init__(self, id, service, script):
+    def __init__(self, id, service, script, early=False):
         self.id = id
+        self.early = early
         self.service = service
         self.script = script
         self.seen = []
@@ -219,9 +221,14 @@
         while (line := reader.readline()) not in (b"\r\n", b""):
             name, _, value = line.decode("latin-1").partition(":")
             headers[name.strip().lower()] = value.strip()
-        body = reader.read(int(headers.get("content-length", 0)))
+        length = int(headers.get("content-length", 0))
+        if self.early:
+            sock.sendall(answer({"headers": headers}, b"early"))
+        body = reader.read(length)
         request = {"method": method, "target": target, "headers": headers, "body": body}
         self.seen.append(request)
+        if self.early:
+            return True
         if headers.get("expect-replica") not in (None, self.id):
             sock.sendall(b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
             return True
