--- a/hickoryloom/commands/check.py
+++ b/hickoryloom/commands/check.py
@@ -4,14 +4,20 @@
 
 import argparse
 import os
+from pathlib import Path
+
+from result import Err
 
 from hickoryloom.commands.registry import command
-from hickoryloom.config import faults_error, load_settings
+from hickoryloom.config import Fault, faults_error, read_settings_file
 from hickoryloom.configuration import Documents, read_documents
 from hickoryloom.exceptions import UsageError
 
 __all__ = ["load_documents", "summarize"]
 
+SETTINGS_FOLDER = "settings"
+"""Folder beside the documents that holds the settings of processes."""
+
 
 def load_documents(directory: str) -> Documents:
     """Return the checked documents below a directory.
@@ -39,15 +45,37 @@
     _add_arguments,
 )
 def run(options: argparse.Namespace) -> None:
-    """Check documents, settings or both."""
+    """Check documents, the settings beside them, and settings named."""
     if not options.directory and not options.settings:
         raise UsageError("name a directory of documents, or settings by --settings FILE")
-    for file in options.settings:
-        load_settings(file, os.environ)
-        print(f"{file}: sound")
+    faults: list[Fault] = []
+    sound: list[str] = []
+    for file in _settings_files(options):
+        settings = read_settings_file(file, os.environ)
+        if isinstance(settings, Err):
+            faults += settings.err_value
+        else:
+            sound.append(f"{file}: sound")
+    if options.directory:
+        documents = read_documents(options.directory)
+        if isinstance(documents, Err):
+            faults += documents.err_value
+        else:
+            sound.append(f"{options.directory}: sound; {summarize(documents.ok_value)}")
+    if faults:
+        raise faults_error(faults)
+    for line in sound:
+        print(line)
+
+
+def _settings_files(options: argparse.Namespace) -> list[Path]:
+    """Return the settings files that were named or lie beside the documents, each once."""
+    named = [Path(file) for file in options.settings]
+    known = {path.resolve() for path in named}
+    beside: list[Path] = []
     if options.directory:
-        documents = load_documents(options.directory)
-        print(f"{options.directory}: sound; {summarize(documents)}")
+        beside = sorted(Path(options.directory, SETTINGS_FOLDER).glob("*.json"))
+    return named + [path for path in beside if path.resolve() not in known]
 
 
 def summarize(documents: Documents) -> str:
--- a/hickoryloom/commands/tests/test_configuration_commands.py
+++ b/hickoryloom/commands/tests/test_configuration_commands.py
@@ -2,6 +2,7 @@
 
 import io
 import json
+import shutil
 from pathlib import Path
 
 import pytest
@@ -61,6 +62,20 @@
     assert run(["check", "--settings", str(tmp_path / "none.json")]) == 2
 
 
+def test_check_finds_broken_settings_beside_the_documents(tmp_path, capsys):
+    example = tmp_path / "studio"
+    shutil.copytree(EXAMPLES / "studio", example)
+    assert run(["check", str(example)]) == 0
+    assert capsys.readouterr().out.count("sound") == 3
+    (example / "settings" / "entry.json").write_text('{"listen": 5, "no-such-setting": 1}')
+    (example / "settings" / "control.json").write_text("{")
+    assert run(["check", str(example)]) == 2
+    caught = capsys.readouterr()
+    assert "no-such-setting" in caught.err and "listen" in caught.err
+    assert "control.json" in caught.err and "Traceback" not in caught.err
+    assert "sound" not in caught.out
+
+
 def test_publish_tells_the_generation_and_faults_publish_nothing(platform, tmp_path, capsys):
     assert run(["publish", str(EXAMPLES / "franchise"), "--platform", platform]) == 0
     assert "generation 1 is in force" in capsys.readouterr().out
--- a/hickoryloom/config/loading.py
+++ b/hickoryloom/config/loading.py
@@ -6,13 +6,15 @@
 from pathlib import Path
 from typing import Any
 
+from result import Err, Ok, Result
+
 from hickoryloom.config.faults import Fault, faults_error
 from hickoryloom.config.json_files import read_json_file
 from hickoryloom.config.options import show
 from hickoryloom.config.records import read_record
 from hickoryloom.config.settings import Settings
 
-__all__ = ["SECRETS", "load_settings"]
+__all__ = ["SECRETS", "load_settings", "read_settings_file"]
 
 SECRETS = ("backend_credential", "peer_secret")
 ENVIRONMENT_PREFIX = "HICKORYLOOM_"
@@ -34,18 +36,26 @@
         ConfigurationError: Something is missing, malformed, unknown or out of range; the message
             lists every fault.
     """
+    found = read_settings_file(path, environ)
+    if isinstance(found, Err):
+        raise faults_error(found.err_value)
+    return found.ok_value
+
+
+def read_settings_file(
+    path: str | Path, environ: Mapping[str, str]
+) -> Result[Settings, list[Fault]]:
+    """Read and check the settings of a process, or return all their faults."""
     path = Path(path)
     loaded = read_json_file(path)
     if loaded.is_err():
-        raise faults_error([loaded.unwrap_err()])
+        return Err([loaded.unwrap_err()])
     faults: list[Fault] = []
     value = loaded.unwrap()
     if isinstance(value, dict):
         value = _with_secrets(dict(value), path, environ, faults)
     settings = read_record(Settings, value, str(path), "", faults)
-    if faults:
-        raise faults_error(faults)
-    return settings
+    return Err(faults) if faults else Ok(settings)
 
 
 def _with_secrets(
