Add a fault soak of real processes

The users ask for a randomized soak of their own kind: real gateway processes, faults from outside (signals, a loopback proxy, a store and backend servers that fail, an operator who changes keys and routes), promises checked from what callers and backend servers see. The stand-in lies with the adapter's tests, as it speaks the platform's words. Not exercised: time of day, lost packets.

--- a/hickoryloom/commands/__init__.py
+++ b/hickoryloom/commands/__init__.py
@@ -25,6 +25,7 @@
     "demo",
     "standin",
     "bench",
+    "soak",
     "explain",
 )
 
--- a/hickoryloom/platform/tests/site.py
+++ b/hickoryloom/platform/tests/site.py
@@ -161,6 +161,10 @@
             },
         }
 
+    @property
+    def exit_code(self):
+        return self._process.poll()
+
     def wait_ready(self):
         deadline = time.monotonic() + START_S
         while self.ready_status() != 200:
--- /dev/null
+++ b/hickoryloom/platform/tests/soaking.py
@@ -0,0 +1,292 @@
+"""The stand-in of the platform as the soak drives it."""
+
+from __future__ import annotations
+
+import random
+import signal
+import time
+from pathlib import Path
+
+import attrs
+
+from hickoryloom.clock import SystemClock
+from hickoryloom.platform.tests.site import HOST, Gateway, configuration, route
+from hickoryloom.platform.tests.standin import (
+    END,
+    Backend,
+    Duties,
+    Store,
+    answer,
+    event,
+    stream_head,
+)
+from hickoryloom.soak import Bounds, Call, CallKind, DutyReport, Link, Run
+
+EVENTS = 12
+EVENT_PACE_S = 0.03
+ANSWER_S = 0.03
+SERVERS = {"app": 4, "llm": 3}
+SERVICE_OF = {"once": "app", "read": "app", "extra": "app", "draft": "llm"}
+LOG_TAIL_BYTES = 4000
+BOUNDS = Bounds(
+    apply_s=2.0,
+    revoke_s=5.0,
+    drain_s=2.0,
+    catch_up_s=3.0,
+    stop_s=8.0,
+    timeout_s=4.0,
+    retry_ratio=0.2,
+    retry_slack=54.0,
+    retry_window_s=10.0,
+)
+
+
+def build_site(folder: Path, names: list[str]) -> PlatformSite:
+    return PlatformSite(folder, names)
+
+
+class SoakBackend(Backend):
+    """A backend server that notes what it runs, and spoils a part of its answers when told to."""
+
+    def __init__(self, id, service, site):
+        super().__init__(id, service, self._script)
+        self._site = site
+        self._rng = random.Random(id)
+        self.how, self.part = "", 0.0
+
+    def _script(self, request):
+        headers = request["headers"]
+        call_id = headers.get("attempt-id", "")
+        how = self.how if self._rng.random() < self.part else ""
+        run = Run(
+            call_id=call_id,
+            server=self.id,
+            service=self.service,
+            wanted_service=SERVICE_OF.get(request["target"].split("/")[1], ""),
+            at=self._site.clock.monotonic(),
+            customer=headers.get("tenant", ""),
+            key_seen="x-api-key" in headers,
+            rejected=how == "reject",
+        )
+        self._site.runs.append(run)
+        if how == "reject":
+            yield answer(request, b"", 503, signed=False, Not_Executed="1")
+            return
+        if how == "fail":
+            yield answer(request, b"failed", 500)
+            return
+        if how == "lose-answer":
+            yield self.CUT
+            return
+        if how == "foreign":
+            other = {"headers": {"attempt-id": "of-another-request"}}
+            yield answer(other, b"of another request")
+        yield from (
+            self._stream(request, how) if self.service == "llm" else self._whole(request, how)
+        )
+
+    def _whole(self, request, how):
+        yield ANSWER_S
+        whole = answer(request, body_of(request["headers"]["attempt-id"]))
+        if how == "spoil":
+            yield whole.replace(b"HTTP/1.1", b"HTTX/7")
+        elif how == "cut":
+            yield whole[:-7]
+            yield self.CUT
+        else:
+            yield whole
+
+    def _stream(self, request, how):
+        last = int(request["headers"].get("last-event-id", 0))
+        yield stream_head(request)
+        for id in range(last + 1, EVENTS + 1):
+            if how in ("cut", "spoil") and id == last + 3:
+                yield event(id)[:-6] if how == "cut" else b"zz\r\n"
+                yield self.CUT
+                return
+            yield event(id)
+            yield EVENT_PACE_S
+        yield END
+
+
+def body_of(call_id):
+    """Return the answer to a request that is not for an engine."""
+    return f"answer to {call_id};".encode() * 8
+
+
+def events_whole():
+    """Return all events of a stream as its caller sees them."""
+    return b"".join(f"id: {id}\ndata: x{id}\n\n".encode() for id in range(1, EVENTS + 1))
+
+
+@attrs.define
+class Surroundings:
+    """What one process is told of: its own links to store and duties."""
+
+    folder: Path
+    store: Link
+    duties: Link
+
+
+class SoakedGateway(Gateway):
+    """A gateway process as the soak drives it."""
+
+    def __init__(self, surroundings, name):
+        super().__init__(surroundings, name, {})
+        self.name = name
+        self.address = f"127.0.0.1:{self.port}"
+
+    def ready(self):
+        return self.ready_status() == 200
+
+    def log_tail(self):
+        return self.log()[-LOG_TAIL_BYTES:]
+
+
+class PlatformSite:
+    """Store, duties and backend servers behind links, and gateway processes."""
+
+    def __init__(self, folder: Path, names: list[str]) -> None:
+        self.clock = SystemClock()
+        self.bounds = BOUNDS
+        self.runs: list[Run] = []
+        self._folder = folder
+        self._store = Store()
+        self._duties = Duties()
+        self._store_links = {name: Link(self._store.address) for name in names}
+        self._duties_links = {name: Link(self._duties.address) for name in names}
+        self._backends: dict[str, SoakBackend] = {}
+        self._links: dict[str, Link] = {}
+        self._leaving: set[str] = set()
+        self._processes: list[SoakedGateway] = []
+        self._version = 0
+        for service, number in SERVERS.items():
+            for _ in range(number):
+                self._add(service)
+
+    @property
+    def reports(self):
+        return [
+            DutyReport(holder, term, body["window_id"], body["counts"])
+            for holder, term, body in self._duties.usage
+        ]
+
+    @property
+    def terms(self):
+        return [(holder, term) for holder, term, _ in self._duties.usage + self._duties.orders]
+
+    @property
+    def servers(self):
+        """Backend servers that a fault may strike: never the last two of a service."""
+        standing = [id for id in self._backends if id not in self._leaving]
+        counts: dict[str, int] = {}
+        for id in standing:
+            service = self._backends[id].service
+            counts[service] = counts.get(service, 0) + 1
+        return [id for id in standing if counts[self._backends[id].service] > 1]
+
+    def start_instance(self, name):
+        folder = self._folder / name / str(len(self._processes))
+        folder.mkdir(parents=True)
+        surroundings = Surroundings(folder, self._store_links[name], self._duties_links[name])
+        process = SoakedGateway(surroundings, name)
+        self._processes.append(process)
+        return process
+
+    def store_link(self, name):
+        return self._store_links[name]
+
+    def duties_link(self, name):
+        return self._duties_links[name]
+
+    def server_link(self, id):
+        return self._links[id]
+
+    def request(self, call: Call):
+        headers = {
+            "Host": HOST,
+            "Attempt-Id": call.id,
+            "Deadline-Ms": str(int(self.bounds.timeout_s * 1000)),
+            "X-Api-Key": call.key,
+        }
+        if call.kind is CallKind.STREAM:
+            headers.update({"Token-Count": "900,60", "Prompt-Prefix": "aa:500,bb:300,cc:100"})
+        body = f"body of {call.id}".encode()
+        return "POST", f"/{call.kind.value}/{call.id}", headers, body
+
+    def is_right(self, call: Call, status: int, body: bytes, whole: bool) -> bool:
+        if status != 200:
+            return True
+        expected = events_whole() if call.kind is CallKind.STREAM else body_of(call.id)
+        return body == expected if whole else expected.startswith(body)
+
+    def configure(self, keys, extra_route):
+        self._version += 1
+        routes = [
+            route("once", "non_idempotent", "app", max_attempts=3),
+            route("read", "idempotent", "app", max_attempts=3),
+            route("draft", "streaming", "llm", max_attempts=4, stream_resume=True),
+        ]
+        if extra_route:
+            routes.append(route("extra", "idempotent", "app", max_attempts=2))
+        tenants = [
+            {"name": customer, "api_keys": list(held), "priority": 1}
+            for customer, held in keys.items()
+        ]
+        found = configuration(version=self._version, routes=routes, tenants=tenants)
+        self._store.put("config", "main", found)
+
+    def add_server(self, like):
+        return self._add(self._backends[like].service)
+
+    def _add(self, service):
+        id = f"{service}-{len(self._links) + 1}"
+        backend = SoakBackend(id, service, self)
+        self._backends[id] = backend
+        self._links[id] = Link(backend.address)
+        self._register(id, "ready")
+        return id
+
+    def _register(self, id, state):
+        registration = self._backends[id].registration(
+            address=self._links[id].address, state=state, born=int(time.time() * 1000)
+        )
+        self._store.put("servers", id, registration)
+
+    def drain_server(self, id):
+        self._leaving.add(id)
+        self._register(id, "draining")
+
+    def remove_server(self, id):
+        backend = self._backends.pop(id, None)
+        if backend is None:
+            return
+        self._store.remove("servers", id)
+        self._links[id].close()
+        backend.stop()
+
+    def misbehave(self, id, how, part):
+        backend = self._backends.get(id)
+        if backend is not None:
+            backend.how, backend.part = how, part
+
+    def set_store_fault(self, how):
+        self._store.fault = how
+
+    def forget_history(self):
+        self._store.forget_history()
+
+    def rewrite_settings(self, name, size):
+        running = [process for process in self._processes if process.name == name]
+        running[-1].write_settings(budget_slack=54 - int(10 * size))
+
+    def stop(self):
+        for process in self._processes:
+            process.signal(signal.SIGCONT)
+            process.kill()
+        for link in [*self._store_links.values(), *self._duties_links.values()]:
+            link.close()
+        for id in list(self._backends):
+            self.remove_server(id)
+        self._store.stop()
+        self._duties.stop()
--- a/hickoryloom/platform/tests/standin.py
+++ b/hickoryloom/platform/tests/standin.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import json
 from urllib.parse import parse_qs, unquote
 
@@ -11,6 +12,7 @@
 from gevent.server import StreamServer
 
 PAGE = 4
+FAULTS_BEFORE = ("busy", "silent", "reset")
 
 
 class Store:
@@ -23,6 +25,7 @@
         self.forgotten = 0
         self.calls = []
         self.down = False
+        self.fault = ""
         self.lose_writes = 0
         self._changed = Event()
         self._server = WSGIServer(("127.0.0.1", 0), self._serve, log=None, error_log=None)
@@ -75,14 +78,26 @@
         self.calls.append((method, environ["PATH_INFO"], query))
         if self.down:
             return _reply(start_response, 503, {})
+        if self.fault in FAULTS_BEFORE:
+            return self._fail(start_response)
         kind, name = path[1], unquote(path[2]) if len(path) > 2 else ""
         body = json.loads(raw) if raw else {}
         status, answer = getattr(self, f"_{method.lower()}")(kind, name, query, body)
         if method != "GET" and self.lose_writes:
             self.lose_writes -= 1
             raise ConnectionAbortedError("the answer is lost")
+        if method != "GET" and self.fault == "lose-writes":
+            raise ConnectionResetError(errno.ECONNRESET, "the answer is lost")
         return _reply(start_response, status, answer)
 
+    def _fail(self, start_response):
+        """Do nothing and say so, say nothing, or break the connection."""
+        if self.fault == "reset":
+            raise ConnectionResetError(errno.ECONNRESET, "the store is away")
+        while self.fault == "silent":
+            gevent.sleep(0.05)
+        return _reply(start_response, 503, {})
+
     def _get(self, kind, name, query, body):
         if "watch" in query:
             return self._watch(kind, int(query["watch"]), int(query.get("wait_ms", 0)))
--- /dev/null
+++ b/hickoryloom/soak/tests/test_run.py
@@ -0,0 +1,16 @@
+"""A short run of real processes, and the seeds that once failed."""
+
+import pytest
+
+from hickoryloom.clock import SystemClock
+from hickoryloom.soak import render_report, run_soak
+from hickoryloom.soak.sites import build_site
+
+pytestmark = pytest.mark.processes
+
+
+def test_a_short_run_keeps_every_promise(tmp_path):
+    report = run_soak(20261204, 20.0, 3, lambda names: build_site(tmp_path, names), SystemClock())
+    assert not report.broken, render_report(report)
+    assert sum(report.record.faults.values()) > 5
+    assert len(report.record.calls) > 200
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -13,8 +13,10 @@
 from typing import Any
 
 import gevent
-from gevent import socket
-from gevent.server import StreamServer
+
+from hickoryloom.soak.link import Link
+
+__all__ = ["Link", "Process", "wait_until"]
 
 READY_TIMEOUT_S = 20.0
 POLL_S = 0.02
@@ -102,84 +104,3 @@
             )
             - 1000
         )
-
-
-class Link:
-    """A breakable TCP link to `target`: cut, silent or slow, for old and new connections."""
-
-    def __init__(self, target: str) -> None:
-        host, _, port = target.rpartition(":")
-        self._target = (host, int(port))
-        self._pairs: list[tuple[Any, Any]] = []
-        self._muted: list[tuple[Any, Any]] = []
-        self.refusing = False
-        self.silent = False
-        self.delay_s = 0.0
-        self._server = StreamServer(("127.0.0.1", 0), self._serve)
-        self._server.start()
-
-    @property
-    def address(self) -> str:
-        return f"127.0.0.1:{self._server.server_port}"
-
-    def cut(self) -> None:
-        """Break all connections and refuse new ones until `restore`."""
-        self.refusing = True
-        for pair in self._pairs:
-            for end in pair:
-                _shut(end)
-
-    def mute_open_connections(self) -> None:
-        """Let all open connections go silent for good, while new ones work."""
-        # The pairs themselves are kept: a new pair may get the id of one that is gone.
-        self._muted.extend(self._pairs)
-
-    def restore(self) -> None:
-        self.refusing = False
-        self.silent = False
-
-    def close(self) -> None:
-        self.cut()
-        self._server.stop(timeout=0)
-
-    def _is_muted(self, pair: Any) -> bool:
-        return any(pair is muted for muted in self._muted)
-
-    def _serve(self, client: Any, _address: Any) -> None:
-        if self.refusing:
-            return
-        try:
-            server = socket.create_connection(self._target, timeout=5)
-        except OSError:
-            return
-        server.settimeout(None)
-        pair = (client, server)
-        self._pairs.append(pair)
-        tasks = [
-            gevent.spawn(self._pump, client, server, pair),
-            gevent.spawn(self._pump, server, client, pair),
-        ]
-        gevent.joinall(tasks)
-        for end in pair:
-            _shut(end)
-        self._pairs.remove(pair)
-
-    def _pump(self, source: Any, sink: Any, pair: Any) -> None:
-        try:
-            while data := source.recv(65536):
-                if self.delay_s:
-                    gevent.sleep(self.delay_s)
-                while self.silent or self._is_muted(pair):
-                    gevent.sleep(POLL_S)
-                sink.sendall(data)
-            sink.shutdown(socket.SHUT_WR)
-        except OSError:
-            pass
-
-
-def _shut(end: Any) -> None:
-    try:
-        end.shutdown(socket.SHUT_RDWR)
-    except OSError:
-        pass
-    end.close()
