Read and watch the store as seldom as the bounds allow, and let a watch outlast two seconds

Counted at our stand-in: each longer watch failed, since the client's sockets gave up after two seconds, and a listing followed. The socket's bound is beyond any watch now, as each call has a bound of its own; a test of a longer watch failed first.

--- a/hickoryloom/catalog/__init__.py
+++ b/hickoryloom/catalog/__init__.py
@@ -1,9 +1,16 @@
 """What operators have configured for routed services: routes, services, customers, limits."""
 
-from hickoryloom.catalog import follower, freshness, lookup, messages
+from hickoryloom.catalog import follower, freshness, lookup, messages, urgency
 from hickoryloom.catalog.follower import *  # noqa: F403
 from hickoryloom.catalog.freshness import *  # noqa: F403
 from hickoryloom.catalog.lookup import *  # noqa: F403
 from hickoryloom.catalog.messages import *  # noqa: F403
+from hickoryloom.catalog.urgency import *  # noqa: F403
 
-__all__ = [*follower.__all__, *freshness.__all__, *lookup.__all__, *messages.__all__]
+__all__ = [
+    *follower.__all__,
+    *freshness.__all__,
+    *lookup.__all__,
+    *messages.__all__,
+    *urgency.__all__,
+]
--- a/hickoryloom/catalog/follower.py
+++ b/hickoryloom/catalog/follower.py
@@ -12,6 +12,7 @@
 from hickoryloom.catalog.freshness import ViewAge
 from hickoryloom.catalog.lookup import RouteTable, build_route_table
 from hickoryloom.catalog.messages import Catalog
+from hickoryloom.catalog.urgency import UrgencyScale, build_urgency_scale
 from hickoryloom.clock import Clock
 from hickoryloom.logs import log_event
 from hickoryloom.loops import TaskLoop
@@ -21,8 +22,11 @@
 
 log = logbook.Logger("hickoryloom.catalog")
 
-READ_PART = 0.5
-"""Part of the time in which a change must be in force after which the catalog is read again."""
+READ_MARGIN_S = 1.0
+"""Time kept for a slow answer and for decoding, of that in which a change must be in force."""
+
+READ_MIN_PART = 0.25
+"""Shortest pause between reads, as a part of that time."""
 
 RETRY_S = 0.2
 """Pause after a read without an answer; the view ages meanwhile."""
@@ -30,6 +34,11 @@
 Decode = Callable[[Any], Result[Catalog, str]]
 
 
+def read_pause_s(apply_s: float) -> float:
+    """Return the seconds between reads by which a change is in force within `apply_s`."""
+    return max(READ_MIN_PART * apply_s, apply_s - READ_MARGIN_S)
+
+
 class CatalogFollower:
     """Reads the catalog's object, decodes it when it has changed, and never goes back.
 
@@ -54,7 +63,7 @@
         revoke_s: float,
         apply_s: float,
     ) -> None:
-        self._read_every_s = READ_PART * apply_s
+        self._read_every_s = read_pause_s(apply_s)
         self._client = client
         self._key = key
         self._decode = decode
@@ -62,6 +71,7 @@
         self._view = ViewAge(revoke_s)
         self._catalog = Catalog()
         self._table = build_route_table(self._catalog)
+        self._urgency = build_urgency_scale(self._catalog)
         self._stored_version = 0
         self._reachable = True
         self._loaded = Event()
@@ -78,6 +88,11 @@
         """Routes of the newest catalog."""
         return self._table
 
+    @property
+    def urgency(self) -> UrgencyScale:
+        """Order of requests at engines, by the newest catalog."""
+        return self._urgency
+
     @property
     def view(self) -> ViewAge:
         """How old the view is."""
@@ -86,7 +101,7 @@
     def set_bounds(self, revoke_s: float, apply_s: float) -> None:
         """Take in other bounds of a key's withdrawal and of a change's delay."""
         self._view.revoke_s = revoke_s
-        self._read_every_s = READ_PART * apply_s
+        self._read_every_s = read_pause_s(apply_s)
 
     def subscribe(self, listener: Callable[[Catalog], None]) -> None:
         """Call `listener` with each new catalog."""
@@ -137,6 +152,7 @@
             return False
         self._catalog = catalog
         self._table = build_route_table(catalog)
+        self._urgency = build_urgency_scale(catalog)
         log_event(
             log,
             "catalog-in-force",
--- a/hickoryloom/discovery/task.py
+++ b/hickoryloom/discovery/task.py
@@ -19,8 +19,11 @@
 
 log = logbook.Logger("hickoryloom.discovery")
 
-WATCH_S = 1.6
-"""A watch that hears nothing for so long is renewed; bounds how long a silent link goes unseen."""
+WATCH_MARGIN_S = 1.4
+"""Time in which a watch without an answer is given up, and the registrations are listed anew."""
+
+WATCH_MIN_S = 1.0
+"""Shortest watch: each costs the store a call."""
 
 LIST_EVERY_S = 15.0
 """All registrations are listed anew this often, in case a watch missed one."""
@@ -42,9 +45,19 @@
         prefix: Keys of registrations begin so.
         decode: Turns an id and a stored value into a backend server; None for what can't be used.
         clock: Source of time.
+        catch_up_s: Seconds after a cut's end within which the list must be right again. A watch
+            that hears nothing is renewed early enough for that, as a silent link looks the same.
     """
 
-    def __init__(self, client: PlatformClient, prefix: str, decode: Decode, clock: Clock) -> None:
+    def __init__(
+        self,
+        client: PlatformClient,
+        prefix: str,
+        decode: Decode,
+        clock: Clock,
+        catch_up_s: float,
+    ) -> None:
+        self._watch_s = max(WATCH_MIN_S, catch_up_s - WATCH_MARGIN_S)
         self._client = client
         self._prefix = prefix
         self._decode = decode
@@ -107,7 +120,7 @@
         return True
 
     def _watch(self) -> bool:
-        answer = self._client.watch(self._prefix, self._revision, WATCH_S)
+        answer = self._client.watch(self._prefix, self._revision, self._watch_s)
         if isinstance(answer, Err):
             log_event(log, "watch-failed", prefix=self._prefix, detail=answer.err_value.detail)
             return False
--- a/hickoryloom/gateway/process.py
+++ b/hickoryloom/gateway/process.py
@@ -93,7 +93,11 @@
             settings.apply_s,
         )
         self._discovery = Discovery(
-            self._client, dialect.registrations.prefix, dialect.registrations.read, clock
+            self._client,
+            dialect.registrations.prefix,
+            dialect.registrations.read,
+            clock,
+            settings.catch_up_s,
         )
         self._placer = Placer(settings.failure_domain, rng)
         self._discovery.subscribe(self._placer.set_servers)
--- a/hickoryloom/gateway/settings.py
+++ b/hickoryloom/gateway/settings.py
@@ -25,6 +25,7 @@
         orders_servers: Whether backend servers are ordered.
         apply_s: Seconds within which a change of the configuration must be in force.
         revoke_s: Seconds after its withdrawal within which a key must stop working.
+        catch_up_s: Seconds after a cut's end within which an instance must know all changes.
         stop_s: Seconds from the request to stop until the process is killed.
         retry_ratio: Retries allowed for each request of a service, over all instances.
         retry_slack: Retries allowed beside these in one window, over all instances.
@@ -46,6 +47,7 @@
     orders_servers: bool = False
     apply_s: float = 2.0
     revoke_s: float = 5.0
+    catch_up_s: float = 3.0
     stop_s: float = 8.0
     retry_ratio: float = 0.1
     retry_slack: float = 20.0
--- a/hickoryloom/platform/settings.py
+++ b/hickoryloom/platform/settings.py
@@ -64,6 +64,8 @@
         orders_servers="autoscale" in names,
         apply_s=number(bounds, "config_apply_ms", 2000.0) / MS_PER_S,
         revoke_s=number(bounds, "revoke_ms", 5000.0) / MS_PER_S,
+        # A machine counts as in touch again so long after a cut has ended.
+        catch_up_s=number(bounds, "contact_ms", 3000.0) / MS_PER_S,
         stop_s=number(bounds, "grace_period_s", 8.0),
         retry_ratio=number(bounds, "retry_budget_ratio", 0.1),
         retry_slack=number(bounds, "budget_slack", 20.0),
--- a/hickoryloom/platform/tests/test_settings.py
+++ b/hickoryloom/platform/tests/test_settings.py
@@ -28,6 +28,7 @@
     assert settings.instance == "edge-1"
     assert settings.operators == "10.0.0.1:7200"
     assert (settings.revoke_s, settings.lease_s, settings.apply_s) == (4.0, 3.0, 3.0)
+    assert settings.catch_up_s == 3.0
     assert settings.store_writes_per_s == 1200
     assert settings.reports_usage and not settings.orders_servers
 
--- a/hickoryloom/store/client.py
+++ b/hickoryloom/store/client.py
@@ -36,6 +36,9 @@
 __all__ = ["PlatformClient"]
 
 CALL_TIMEOUT_S = 2.0
+SOCKET_TIMEOUT_S = 60.0
+"""Bound of one read of a socket, beyond any watch; each call has a bound of its own below it."""
+
 CONNECTIONS = 16
 PROCESS_PREFIX = "presence/"
 URGENT_PREFIXES = ("leases/", "intents/")
@@ -97,7 +100,7 @@
         self._random = random or Random()
         self._breakers: dict[str, CircuitBreaker] = {}
         self._last_seen: float | None = None
-        self._http = JsonClient(address, timeout_s=CALL_TIMEOUT_S, connections=CONNECTIONS)
+        self._http = JsonClient(address, timeout_s=SOCKET_TIMEOUT_S, connections=CONNECTIONS)
 
     @property
     def last_seen(self) -> float | None:
--- a/hickoryloom/store/tests/test_client.py
+++ b/hickoryloom/store/tests/test_client.py
@@ -1,5 +1,6 @@
 """The platform client against the platform stand-in over HTTP."""
 
+import time
 from random import Random
 
 import attrs
@@ -163,3 +164,11 @@
     alone = client.budget.rate(CallKind.WRITE)
     client.list("presence/").unwrap()
     assert client.budget.rate(CallKind.WRITE) == alone / 4
+
+
+def test_a_watch_longer_than_a_call_ends_with_an_answer(client):
+    since = client.list("a/").unwrap().revision
+    began = time.monotonic()
+    batch = client.watch("a/", since, 2.6).unwrap()
+    assert batch.changes == () and not batch.reset
+    assert 2.5 < time.monotonic() - began < 3.6
