Let the route's rank decide at engines among customers of equal priority

Cause: where customers have priorities, a short question and a long draft of equal customers were alike to an engine, so the newest of either was preempted first. Ruled out: a missing or clipped rank (all were 0 to 2, all requests to engines carried one).

--- a/hickoryloom/gateway/attempts.py
+++ b/hickoryloom/gateway/attempts.py
@@ -38,9 +38,6 @@
 ENGINE_RETRY_TARGETS = 8.0
 """The same for model engines, where a late first token mostly means a queue, not a fault."""
 
-HIGHEST_URGENCY = 9
-"""Ranks that engines tell apart; a route may have a higher number."""
-
 
 @attrs.frozen
 class GatewayParts:
@@ -211,7 +208,7 @@
             self._request,
             placement.server,
             self._customer,
-            self._urgency(),
+            parts.catalog.urgency.rank(self._route, self._customer),
             self._deadline - now,
             self._request.resume_after if resume_after is None else resume_after,
         )
@@ -236,12 +233,6 @@
         self._log.attempt(placement, self._progress.sends, "sent", placement.reason)
         return Ok(attempt)
 
-    def _urgency(self) -> int:
-        rank = self._route.priority
-        if self._customer is not None and self._customer.priority is not None:
-            rank = self._customer.priority
-        return min(max(rank, 0), HIGHEST_URGENCY)
-
     def _why_not(self, now: float) -> Refusal | None:
         """Return why the request must not be sent now, None when it may be."""
         reason = self._progress.blocked(now)
--- a/hickoryloom/gateway/tests/test_forwarding.py
+++ b/hickoryloom/gateway/tests/test_forwarding.py
@@ -5,7 +5,14 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from hickoryloom.catalog import Customer, RequestKind, Route, Target
+from hickoryloom.catalog import (
+    Catalog,
+    Customer,
+    RequestKind,
+    Route,
+    Target,
+    build_urgency_scale,
+)
 from hickoryloom.discovery import BackendServer
 from hickoryloom.gateway.attempts import GatewayParts
 from hickoryloom.gateway.budget import RetryWindow
@@ -127,6 +134,7 @@
             retries=lambda service: window,
         )
         self.view = self.catalog = self
+        self.urgency = build_urgency_scale(Catalog())
         self.version = 1
         self.customers = {"hash": None}
 
