--- a/conftest.py
+++ b/conftest.py
@@ -20,8 +20,11 @@
 settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "ci"))
 
 
-PROCESS_WEIGHT = 20
-"""A test with real processes takes about as long as so many others."""
+PROCESS_TEST_S = 3.0
+"""Seconds of a test with real processes in a file that does not say how long it takes."""
+
+OTHER_TEST_S = 0.1
+"""The same for other tests."""
 
 KNOWN_RED_FILE = Path(__file__).parent / "KNOWN-RED.txt"
 
@@ -62,8 +65,12 @@
     number, parts = (int(text) for text in part.split("/"))
     weights = Counter()
     for item in items:
+        told = item.get_closest_marker("seconds")
+        if told is not None:
+            weights[file_of(item)] = told.args[0]
+            continue
         slow = item.get_closest_marker("processes") or item.get_closest_marker("bench")
-        weights[file_of(item)] += PROCESS_WEIGHT if slow else 1
+        weights[file_of(item)] += PROCESS_TEST_S if slow else OTHER_TEST_S
     loads = [0] * parts
     chosen = set()
     for file, weight in sorted(weights.items(), key=lambda entry: (-entry[1], entry[0])):
--- a/hickoryloom/bench/tests/test_bench.py
+++ b/hickoryloom/bench/tests/test_bench.py
@@ -12,6 +12,8 @@
 from hickoryloom.bench.measures import MEASURES
 from hickoryloom.exceptions import UsageError
 
+pytestmark = pytest.mark.seconds(42)
+
 EXPERIMENTS = Path(__file__).resolve().parents[3] / "bench" / "experiments"
 BASELINES = ("fcfs-round-robin", "least-in-flight", "strict-priority")
 
--- a/hickoryloom/platform/tests/test_gateway_processes.py
+++ b/hickoryloom/platform/tests/test_gateway_processes.py
@@ -10,7 +10,7 @@
 from hickoryloom.platform.tests.site import HOST, KEY, Site
 from hickoryloom.platform.tests.standin import END, Backend, answer, event, stream_head
 
-pytestmark = pytest.mark.processes
+pytestmark = [pytest.mark.processes, pytest.mark.seconds(62)]
 
 ENGINE_HEADERS = {"Token_Count": "100,50", "Prompt_Prefix": "aa:40,bb:30,cc:30", "Model": "m"}
 
--- a/hickoryloom/soak/tests/test_run.py
+++ b/hickoryloom/soak/tests/test_run.py
@@ -6,7 +6,7 @@
 from hickoryloom.soak import render_report, run_soak
 from hickoryloom.soak.sites import build_site
 
-pytestmark = pytest.mark.processes
+pytestmark = [pytest.mark.processes, pytest.mark.seconds(22)]
 
 
 def test_a_short_run_keeps_every_promise(tmp_path):
--- a/tests/test_claims_processes.py
+++ b/tests/test_claims_processes.py
@@ -11,7 +11,7 @@
 from tests.harness import wait_until
 from tests.site import Site, spawn_all
 
-pytestmark = pytest.mark.processes
+pytestmark = [pytest.mark.processes, pytest.mark.seconds(34)]
 
 ENTRIES = ("entry-1", "entry-2", "entry-3")
 CALLER_TIMEOUT_S = 12.0
--- a/tests/test_configuration_processes.py
+++ b/tests/test_configuration_processes.py
@@ -10,7 +10,7 @@
 from tests.harness import Link, Process, wait_until
 from tests.site import DOMAINS, Site
 
-pytestmark = pytest.mark.processes
+pytestmark = [pytest.mark.processes, pytest.mark.seconds(33)]
 
 IN_FORCE_BOUND_S = 2.0
 BY_PEERS_BOUND_S = 4.0
--- a/tests/test_control_cost.py
+++ b/tests/test_control_cost.py
@@ -9,7 +9,7 @@
 from tests.harness import wait_until
 from tests.site import Site
 
-pytestmark = [pytest.mark.processes, pytest.mark.bench]
+pytestmark = [pytest.mark.processes, pytest.mark.bench, pytest.mark.seconds(14)]
 
 MAX_CORE_PART = 0.015
 MAX_MEMORY_MB = 64.0
--- a/tests/test_entry_speed.py
+++ b/tests/test_entry_speed.py
@@ -14,6 +14,8 @@
 from tests.site import DOMAINS, Site
 from tests.test_relay_speed import roles as roles  # noqa: PLC0414
 
+pytestmark = pytest.mark.seconds(30)
+
 MAX_RATIO = 1.5
 STREAMS = 150
 REPEATS = 3
--- a/tests/test_keys_processes.py
+++ b/tests/test_keys_processes.py
@@ -8,7 +8,7 @@
 from tests.harness import Link, wait_until
 from tests.site import DOMAINS, Site, call
 
-pytestmark = pytest.mark.processes
+pytestmark = [pytest.mark.processes, pytest.mark.seconds(52)]
 
 WITHDRAWAL_BOUND_S = 5.0
 MACHINE_SLACK_S = 1.0
--- a/tests/test_leases_processes.py
+++ b/tests/test_leases_processes.py
@@ -10,7 +10,7 @@
 from tests.harness import Link, wait_until
 from tests.site import Site
 
-pytestmark = pytest.mark.processes
+pytestmark = [pytest.mark.processes, pytest.mark.seconds(87)]
 
 LEASE_S = 2.0
 WINDOW_S = 1.0
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -14,7 +14,7 @@
 from tests.backends import POOL, Backends, call_json, journal, relay_stream, set_faults
 from tests.harness import wait_until
 
-pytestmark = pytest.mark.processes
+pytestmark = [pytest.mark.processes, pytest.mark.seconds(36)]
 
 LEAVING_BOUND_S = 3.0
 OBSERVED_S = 2.0
--- a/tests/test_operators_view.py
+++ b/tests/test_operators_view.py
@@ -9,7 +9,7 @@
 from tests.harness import wait_until
 from tests.site import start_site
 
-pytestmark = pytest.mark.processes
+pytestmark = [pytest.mark.processes, pytest.mark.seconds(35)]
 
 ROOT = Path(__file__).resolve().parent.parent
 DEMO_LIMIT_S = 120
--- a/tests/test_ordering_processes.py
+++ b/tests/test_ordering_processes.py
@@ -6,7 +6,7 @@
 from tests.harness import wait_until
 from tests.site import DOMAINS, Site
 
-pytestmark = pytest.mark.processes
+pytestmark = [pytest.mark.processes, pytest.mark.seconds(23)]
 
 LEASE_S = 2.0
 WAIT_S = 40.0
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -10,7 +10,7 @@
 from tests.harness import wait_until
 from tests.site import start_site
 
-pytestmark = pytest.mark.processes
+pytestmark = [pytest.mark.processes, pytest.mark.seconds(23)]
 
 LOAD_CALLERS = 12
 
--- a/tests/test_platform_outage.py
+++ b/tests/test_platform_outage.py
@@ -8,7 +8,7 @@
 from tests.harness import wait_until
 from tests.site import start_site
 
-pytestmark = pytest.mark.processes
+pytestmark = [pytest.mark.processes, pytest.mark.seconds(48)]
 
 ENTRIES = ("entry-1", "entry-2")
 PROCESSES = 4
--- a/tests/test_relay_speed.py
+++ b/tests/test_relay_speed.py
@@ -9,6 +9,8 @@
 
 from hickoryloom.bench.relay import read_cost
 
+pytestmark = pytest.mark.seconds(19)
+
 MAX_RATIO = 1.5
 STREAMS = 150
 REPEATS = 3
--- a/tests/test_tiers_processes.py
+++ b/tests/test_tiers_processes.py
@@ -12,7 +12,7 @@
 from tests.harness import Link, wait_until
 from tests.site import DOCUMENTS, DOMAINS, Site
 
-pytestmark = pytest.mark.processes
+pytestmark = [pytest.mark.processes, pytest.mark.seconds(27)]
 
 ENTRIES = ("entry-1", "entry-2", "entry-3")
 PHASE_S = 6.0
--- a/tests/test_usage_processes.py
+++ b/tests/test_usage_processes.py
@@ -6,7 +6,7 @@
 from tests.harness import wait_until
 from tests.site import Site
 
-pytestmark = pytest.mark.processes
+pytestmark = [pytest.mark.processes, pytest.mark.seconds(61)]
 
 LEASE_S = 2.0
 WINDOW_S = 2.0
--- a/tests/test_whole_answers.py
+++ b/tests/test_whole_answers.py
@@ -20,7 +20,7 @@
 )
 from tests.harness import Link, wait_until
 
-pytestmark = pytest.mark.processes
+pytestmark = [pytest.mark.processes, pytest.mark.seconds(48)]
 
 TOKENS = 60
 STREAMS = 12
