Order backend servers side by side, and their stand-ins at once

Orders went one after the other, so each lost answer held up all others for 1.5 s, and stand-ins waited for the next look: the notice came at 10.9 s, firm engines were ordered at 16.7 s and stood at 20.7 s (log of the holder). Now: orders of all failure domains and kinds go side by side, one at a time for each; a look each 0.3 s, which costs no call; what can't be had is made up for in the same look. Ruled out: the plan itself (it asked for the stand-ins as soon as it was told), the boot time.

--- a/hickoryloom/duties/caller.py
+++ b/hickoryloom/duties/caller.py
@@ -17,6 +17,9 @@
 CALL_TIMEOUT_S = 1.5
 """Longer than slow answers take, shorter than a lease lasts."""
 
+CONNECTIONS = 16
+"""Orders for all failure domains of a region, of both kinds, go side by side."""
+
 log = logbook.Logger("hickoryloom.duties")
 
 
@@ -29,7 +32,7 @@
     """
 
     def __init__(self, address: str, keeper: LeaseKeeper) -> None:
-        self._http = JsonClient(address, timeout_s=CALL_TIMEOUT_S, connections=2)
+        self._http = JsonClient(address, timeout_s=CALL_TIMEOUT_S, connections=CONNECTIONS)
         self._keeper = keeper
 
     def right(self) -> Right | None:
--- a/hickoryloom/scaling/orders.py
+++ b/hickoryloom/scaling/orders.py
@@ -36,6 +36,7 @@
     service: str
     _orders: dict[Group, _Order] = attrs.field(factory=dict)
     _ask_again: dict[Group, float] = attrs.field(factory=dict)
+    _unanswered: set[Group] = attrs.field(factory=set)
 
     def forget(self) -> None:
         """Forget all orders, since another holder may have given others meanwhile."""
@@ -85,6 +86,14 @@
         ]
         return sorted(orders, key=lambda order: standing.get(order[0], 0) - order[1])
 
+    def note_sent(self, group: Group) -> None:
+        """Take in that an order is being given; no other is due until it has ended."""
+        self._unanswered.add(group)
+
+    def note_ended(self, group: Group) -> None:
+        """Take in that an order has been answered or given up."""
+        self._unanswered.discard(group)
+
     def note(self, group: Group, number: int, outcome: DutyOutcome, now: float) -> None:
         """Take in how an order ended."""
         if outcome is DutyOutcome.NONE_TO_BE_HAD:
@@ -96,6 +105,8 @@
         self._orders[group] = _Order(number, now, outcome is DutyOutcome.DONE)
 
     def _is_due(self, group: Group, number: int, have: int, now: float) -> bool:
+        if group in self._unanswered:
+            return False
         if group in self._ask_again:
             return now >= self._ask_again[group]
         order = self._orders.get(group)
--- a/hickoryloom/scaling/task.py
+++ b/hickoryloom/scaling/task.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 
+import gevent
 import logbook
 from result import Err
 
@@ -21,8 +22,11 @@
 
 __all__ = ["Scaler"]
 
-LOOK_EVERY_S = 1.0
-"""Backend servers that are taken away have seconds left."""
+LOOK_EVERY_S = 0.3
+"""Backend servers that are taken away have seconds left, and a look costs no call."""
+
+ANSWER_WAIT_S = 0.3
+"""Time for the answers to orders before the next look; an answer that was lost holds up nothing."""
 
 READ_DEMAND_EVERY_S = 3.0
 """The size goes by the peak of the last half minute, which moves slowly."""
@@ -121,16 +125,35 @@
         plan = plan_servers(peak, service.scaling, domains, busy)
         standing = self._standing(service.name)
         book = self._books.setdefault(service.name, OrderBook(service.name))
-        for group, number in book.due(book.wanted(plan, standing, now), standing, now):
-            if self._order(book, group, number, busy, right) is DutyOutcome.FENCED:
-                return
+        wanted = book.wanted(plan, standing, now)
+        if not self._give(book, book.due(wanted, standing, now), busy, right):
+            return
+        # What could not be had is made up for at once, as its load is there already.
+        now = self._clock.monotonic()
+        wanted = book.wanted(plan, standing, now)
+        self._give(book, book.due(wanted, standing, now), busy, right)
+
+    def _give(
+        self, book: OrderBook, orders: list[tuple[Group, int]], busy: float, right: Right
+    ) -> bool:
+        """Give orders side by side; return whether one of them could not be had."""
+        tasks = [
+            gevent.spawn(self._order, book, group, number, busy, right) for group, number in orders
+        ]
+        gevent.joinall(tasks, timeout=ANSWER_WAIT_S)
+        return any(task.value is DutyOutcome.NONE_TO_BE_HAD for task in tasks)
 
     def _order(
         self, book: OrderBook, group: Group, number: int, busy: float, right: Right
     ) -> DutyOutcome:
         call = self._codec.order(group, number, self._instance, right.term)
-        outcome = self._caller.call(call, right, self._codec.read)
-        book.note(group, number, outcome, self._clock.monotonic())
+        book.note_sent(group)
+        try:
+            outcome = self._caller.call(call, right, self._codec.read)
+        finally:
+            book.note_ended(group)
+        if right.term == self._term:
+            book.note(group, number, outcome, self._clock.monotonic())
         log_event(
             log,
             "servers-ordered",
