Write a line for requests that are refused before their id is known

Cause: the users ask for one line for each decision that touches a request; refusals for framing, headers, body size or an undecodable header wrote none. One event for all, with status and detail, without the key. Four cases tested on real processes; they failed first for want of the event.

--- a/hickoryloom/gateway/app.py
+++ b/hickoryloom/gateway/app.py
@@ -59,6 +59,7 @@
         limits = self._parts.catalog.catalog.limits
         body = read_body(environ, limits)
         if isinstance(body, Err):
+            _log_unread(body.err_value, environ)
             return _send_refusal(body.err_value, start_response)
         decoded = self._callers.read_request(
             environ["REQUEST_METHOD"],
@@ -68,6 +69,7 @@
         )
         if isinstance(decoded, Err):
             refusal = refuse(400, decoded.err_value, Verdict.NOT_RUN)
+            _log_unread(refusal, environ)
             return _send_refusal(refusal, start_response)
         found = decoded.ok_value
         request = attrs.evolve(found, headers=end_to_end_headers(found.headers))
@@ -174,6 +176,18 @@
             close()
 
 
+def _log_unread(refusal: Refusal, environ: dict[str, Any]) -> None:
+    """Write that a request was refused before its id was known."""
+    log_event(
+        log,
+        "request-unreadable",
+        host=environ.get("HTTP_HOST", ""),
+        path=environ["PATH_INFO"],
+        status=refusal.status,
+        detail=refusal.reason,
+    )
+
+
 def _gather(reply: Reply) -> Reply | Refusal:
     """Read a stream to its end, so that it can be sent with its length."""
     try:
--- a/hickoryloom/http/server.py
+++ b/hickoryloom/http/server.py
@@ -23,6 +23,9 @@
 
 log = logbook.Logger("hickoryloom.http")
 
+MAX_LOGGED_DETAIL = 200
+"""Characters of what was wrong with a request; its own text is part of that."""
+
 CLOSE_POLL_S = 0.02
 IO_TIMEOUT_S = 60.0
 """Shortest time after which a read or write that stalls ends its connection."""
@@ -198,11 +201,12 @@
 
     def _handle_client_error(self, ex: Exception) -> tuple[str, bytes]:
         """Refuse a request that can't be read; gevent's own answer is always 400."""
-        if isinstance(ex, HeadersTooSlowError):
-            return TOO_SLOW, REFUSAL % TOO_SLOW.encode()
-        if isinstance(ex, HeadersTooLargeError):
-            return TOO_LARGE, REFUSAL % TOO_LARGE.encode()
         answer: tuple[str, bytes] = super()._handle_client_error(ex)
+        if isinstance(ex, HeadersTooSlowError):
+            answer = TOO_SLOW, REFUSAL % TOO_SLOW.encode()
+        elif isinstance(ex, HeadersTooLargeError):
+            answer = TOO_LARGE, REFUSAL % TOO_LARGE.encode()
+        log_event(log, "request-unreadable", status=answer[0], detail=str(ex)[:MAX_LOGGED_DETAIL])
         return answer
 
     def _stop_header_timer(self) -> None:
--- a/hickoryloom/platform/tests/test_framing_processes.py
+++ b/hickoryloom/platform/tests/test_framing_processes.py
@@ -100,3 +100,22 @@
     site.add(Backend("i-1", "llm", stream_of(3, False)))
     got = site.start().raw(head("/answer/x", "1.0", Content_Length=0))
     assert b" 502 " in got.splitlines()[0]
+
+
+@pytest.mark.parametrize(
+    ("data", "status", "detail"),
+    [
+        (head(Content_Length="+5") + b"five.", "400", "Content-Length"),
+        (head(X_Padding="x" * 17_000), "431", "headers are larger than the limit"),
+        (head(Content_Length=MOST_BODY + 1), "413", "body-too-large"),
+        (head(Token_Count="1,2", Last_Event_Id="1").replace(b"4000", b"soon"), "400", "deadline"),
+    ],
+)
+def test_a_refusal_of_what_could_not_be_read_is_told_in_one_line_without_the_key(
+    site, data, status, detail
+):
+    gateway = site.start()
+    gateway.raw(data, timeout_s=1.0)
+    (line,) = gateway.events("request-unreadable")
+    assert f"status={status}" in line.replace('"', "") and detail in line
+    assert KEY not in gateway.log()
