Take the tests' ports from a range that no connection is given

Seen in the failure's own log. Ruled out: the product; it told the address and ended as it should. Now each test process goes through forty ports of its own below the range of outgoing connections. Product code as in.

--- a/hickoryloom/platform/tests/site.py
+++ b/hickoryloom/platform/tests/site.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import os
 import signal
 import socket
@@ -20,10 +21,28 @@
 START_S = 20.0
 
 
+FIRST_PORT = 12_000
+"""Ports from here to 31,999 are below those that the system gives to outgoing connections."""
+
+PORTS_EACH = 40
+"""Ports that one test process goes through; those of others with near ids don't overlap."""
+
+_turns = itertools.count()
+
+
 def free_port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Return a port that neither an outgoing connection nor another test process will take."""
+    first = FIRST_PORT + os.getpid() % 500 * PORTS_EACH
+    for turn in itertools.islice(_turns, PORTS_EACH):
+        port = first + turn % PORTS_EACH
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
+    raise OSError(f"no port from {first} to {first + PORTS_EACH - 1} is free")
 
 
 def route(name, kind, service, **changed):
