--- a/hickoryloom/discovery/task.py
+++ b/hickoryloom/discovery/task.py
@@ -65,6 +65,7 @@
         self._decode = decode
         self._clock = clock
         self._state = LiveList()
+        self._notified: tuple[BackendServer, ...] = ()
         self._revision = 0
         self._listed_at: float | None = None
         self._loop = TaskLoop(self._step, "discovery", log)
@@ -77,6 +78,7 @@
 
     def is_usable(self, server: BackendServer) -> bool:
         """Return whether a backend server still accepts requests; call right before sending one."""
+        self._state.expire(self._clock.monotonic())
         known = self._state.get(server.id)
         return known is not None and known.address == server.address and not known.leaving
 
@@ -93,19 +95,24 @@
         self._loop.stop()
 
     def _step(self) -> float:
-        before = self._state.servers
+        before = self._notified
         revision = self._revision
         ok = self._list() if self._relist_due() else self._watch()
         if not ok:
-            self._state.on_store_lost()
             self._listed_at = None
         self._state.expire(self._clock.monotonic())
         self._notify(before)
         if not ok:
-            return RETRY_S
-        return (
-            BATCH_DELAY_S if self._revision != revision and before != self._state.servers else 0.0
-        )
+            return self._until_expiry_s(RETRY_S)
+        changed = self._revision != revision and before != self._state.servers
+        return self._until_expiry_s(BATCH_DELAY_S) if changed else 0.0
+
+    def _until_expiry_s(self, limit_s: float) -> float:
+        """Return the seconds until a missing backend server is dropped, at most `limit_s`."""
+        expiry = self._state.next_expiry
+        if expiry is None:
+            return limit_s
+        return min(limit_s, max(0.0, expiry - self._clock.monotonic()))
 
     def _relist_due(self) -> bool:
         return (
@@ -119,7 +126,7 @@
             log_event(log, "listing-failed", prefix=self._prefix, detail=response.err_value.detail)
             return False
         now = self._clock.monotonic()
-        self._state.on_store_response(now)
+        self._state.on_available(self._client.objects_available_since)
         decoded = [self._decode_item(item.key, item.value) for item in response.ok_value.items]
         self._state.replace([server for server in decoded if server is not None], now)
         self._revision = response.ok_value.revision
@@ -127,11 +134,13 @@
         return True
 
     def _watch(self) -> bool:
-        response = self._client.watch(self._prefix, self._revision, self._watch_s)
+        timeout_s = self._until_expiry_s(self._watch_s)
+        response = self._client.watch(self._prefix, self._revision, timeout_s)
         if isinstance(response, Err):
             log_event(log, "watch-failed", prefix=self._prefix, detail=response.err_value.detail)
             return False
         now = self._clock.monotonic()
+        self._state.on_available(self._client.objects_available_since)
         batch = response.ok_value
         if batch.reset:
             self._listed_at = None
@@ -154,6 +163,7 @@
 
     def _notify(self, before: tuple[BackendServer, ...]) -> None:
         after = self._state.servers
+        self._notified = after
         if after == before:
             return
         for server in set(after) - set(before):
--- a/hickoryloom/gateway/process.py
+++ b/hickoryloom/gateway/process.py
@@ -134,6 +134,7 @@
         )
         self._operators_app: Any = None
         self._sweeper = TaskLoop(self._sweep, "sweep", log)
+        self._usage_reporter: UsageReporter | None = None
         self._duties = self._build_duties() if settings.duties else None
 
     @property
@@ -260,18 +261,18 @@
         duty_client = DutyClient(settings.duties, lease_manager)
         tasks: list[UsageReporter | Scaler] = []
         if settings.reports_usage and settings.usage_window_s:
-            tasks.append(
-                UsageReporter(
-                    self._client,
-                    self._clock,
-                    self._meter,
-                    duty_client,
-                    self._dialect.usage,
-                    settings.instance,
-                    settings.usage_window_s,
-                    lambda: self._meter_task.write_interval_s,
-                )
+            self._usage_reporter = UsageReporter(
+                self._client,
+                self._clock,
+                self._meter,
+                duty_client,
+                self._dialect.usage,
+                settings.instance,
+                settings.usage_window_s,
+                lambda: self._meter_task.write_interval_s,
+                settings.usage_late_s,
             )
+            tasks.append(self._usage_reporter)
         if settings.orders_servers:
             tasks.append(
                 Scaler(
@@ -325,6 +326,9 @@
                 "requests_at_backend_servers": self._placer.in_flight,
                 "backend_connections_idle": self._connections.idle,
                 "instances": self._instances,
+                "usage_late_requests": (
+                    self._usage_reporter.late_requests if self._usage_reporter else 0
+                ),
             }
         )
 
--- a/hickoryloom/gateway/settings.py
+++ b/hickoryloom/gateway/settings.py
@@ -33,6 +33,7 @@
         retry_window_s: Length of the window in which retries are counted, in seconds.
         lease_s: Validity of a lease renewal, in seconds.
         usage_window_s: Length of a usage window in seconds; 0 if usage is not reported.
+        usage_late_s: Seconds after the end of a window within which its report must arrive.
     """
 
     instance: str
@@ -55,3 +56,4 @@
     retry_window_s: float = 10.0
     lease_s: float = 3.0
     usage_window_s: float = 0.0
+    usage_late_s: float = 10.0
--- a/hickoryloom/metering/messages.py
+++ b/hickoryloom/metering/messages.py
@@ -39,11 +39,13 @@
         written: Unix time of the write by the instance's clock, in seconds.
         windows: Number of started requests by customer, keyed by the window number as a string.
         demand: Demand by service.
+        final: Whether the process has ended gracefully and will write no more.
     """
 
     written: float
     windows: dict[str, Counts] = attrs.field(factory=dict)
     demand: dict[str, ServiceDemand] = attrs.field(factory=dict)
+    final: bool = False
 
 
 class UsageCodec(Protocol):
--- a/hickoryloom/metering/reporter.py
+++ b/hickoryloom/metering/reporter.py
@@ -12,10 +12,10 @@
 from hickoryloom.duties import DutyClient, DutyOutcome, LeasedTask
 from hickoryloom.leases import LeaseGrant
 from hickoryloom.logs import log_event
-from hickoryloom.metering.messages import UsageCodec
+from hickoryloom.metering.messages import InstanceCounts, UsageCodec
 from hickoryloom.metering.meter import RETAINED_WINDOWS, UsageMeter
 from hickoryloom.metering.task import COUNTS_PREFIX, read_all_counts
-from hickoryloom.metering.totals import sum_window
+from hickoryloom.metering.totals import find_unconfirmed, sum_window
 from hickoryloom.store import CallPriority, ErrorKind, PlatformClient
 
 __all__ = ["UsageReporter"]
@@ -28,6 +28,12 @@
 CHECK_INTERVAL_S = 0.5
 """Interval for checking whether a window is due."""
 
+RETRY_INTERVAL_S = 1.0
+"""Interval for repeating a report that failed, or that waits for the counts of an instance."""
+
+REPORT_RESERVE_S = 3.0
+"""Time reserved before a report is due, for sealing the window and repeating a lost call."""
+
 RETAINED_SEALED_WINDOWS = 2 * RETAINED_WINDOWS
 """Number of sealed windows retained in the store, so that a successor can repeat a report."""
 
@@ -40,6 +46,10 @@
     A window is sealed by creating an object with its counts before they are sent. A successor that
     finds the object sends the same counts, so that no two reports of a window differ.
 
+    A window is sealed once each live instance has written its counts after the end of the window,
+    or when the report would otherwise be late. Counts that arrive later are logged and counted,
+    but not reported.
+
     Args:
         client: Client of the store.
         clock: Source of time.
@@ -49,6 +59,7 @@
         instance: Name of the lease holder in its calls.
         window_s: Length of a window in seconds.
         write_interval_s: Returns the seconds between an instance's writes of its counts.
+        late_s: Seconds after the end of a window within which its report must arrive.
     """
 
     def __init__(
@@ -61,7 +72,9 @@
         instance: str,
         window_s: float,
         write_interval_s: Callable[[], float],
+        late_s: float,
     ) -> None:
+        self._late_s = late_s
         self._write_interval_s = write_interval_s
         self._client = client
         self._clock = clock
@@ -71,6 +84,8 @@
         self._instance = instance
         self._window_s = window_s
         self._next_window = 0
+        self._sealed_requests: dict[int, dict[str, int]] = {}
+        self._late_requests = 0
         self._task = LeasedTask(
             duty_client,
             self._find_next_window,
@@ -80,6 +95,11 @@
             log,
         )
 
+    @property
+    def late_requests(self) -> int:
+        """Number of requests whose counts arrived after their window was sealed."""
+        return self._late_requests
+
     def start(self) -> None:
         """Start reporting windows that are due."""
         self._task.start()
@@ -89,16 +109,22 @@
         self._task.stop()
 
     def _report_if_due(self, grant: LeaseGrant) -> float:
-        due_at = (
-            (self._next_window + 1) * self._window_s + self._write_interval_s() + SETTLE_MARGIN_S
-        )
-        if self._meter.wall() < due_at:
+        window = self._next_window
+        seal_limit = self._end(window) + max(0.0, self._late_s - REPORT_RESERVE_S)
+        due_at = self._end(window) + self._write_interval_s() + SETTLE_MARGIN_S
+        now = self._meter.wall()
+        if now < min(due_at, seal_limit):
             return CHECK_INTERVAL_S
-        if self._report(self._next_window, grant):
-            self._delete_expired(self._next_window - RETAINED_SEALED_WINDOWS)
-            self._next_window += 1
-            return 0.0
-        return CHECK_INTERVAL_S
+        counts = self._seal(window, final=now >= seal_limit)
+        if counts is None or not self._report(window, counts, grant):
+            return RETRY_INTERVAL_S
+        self._delete_expired(window - RETAINED_SEALED_WINDOWS)
+        self._next_window += 1
+        return 0.0
+
+    def _end(self, window: int) -> float:
+        """Return the Unix time at which a window ends."""
+        return (window + 1) * self._window_s
 
     def _find_next_window(self, _grant: LeaseGrant) -> bool:
         """Start with the last sealed window, whose report may not have been accepted."""
@@ -112,10 +138,7 @@
         self._next_window = max(oldest, min(last, current))
         return True
 
-    def _report(self, window: int, grant: LeaseGrant) -> bool:
-        counts = self._seal(window)
-        if counts is None:
-            return False
+    def _report(self, window: int, counts: dict[str, int], grant: LeaseGrant) -> bool:
         call = self._codec.report(window, counts, self._instance, grant.term)
         outcome = self._duty_client.call(call, grant, self._codec.read)
         log_event(
@@ -129,8 +152,13 @@
         )
         return outcome is DutyOutcome.DONE
 
-    def _seal(self, window: int) -> dict[str, int] | None:
-        """Return the sealed counts of a window, or None if sealing failed."""
+    def _seal(self, window: int, final: bool) -> dict[str, int] | None:
+        """Return the sealed counts of a window, or None if it is not sealed yet.
+
+        Args:
+            window: Number of the window.
+            final: Whether to seal it although counts of live instances may be missing.
+        """
         key = f"{SEALED_PREFIX}{window}"
         stored = self._client.get(key, CallPriority.URGENT)
         if isinstance(stored, Ok):
@@ -140,10 +168,33 @@
         found = read_all_counts(self._client)
         if isinstance(found, Err):
             return None
-        counts = sum_window(found.ok_value.values(), window)
+        all_counts = found.ok_value
+        self._record_late(all_counts)
+        unconfirmed = find_unconfirmed(all_counts, self._end(window))
+        if unconfirmed and not final:
+            log_event(log, "usage-incomplete", window=window, missing=",".join(unconfirmed))
+            return None
+        counts = sum_window(all_counts.values(), window)
         created = self._client.create(key, {"counts": counts})
-        # If another process created it, or the outcome is unknown, the next call reads it.
-        return counts if created.is_ok() else None
+        if created.is_err():
+            # Another process may have created it; the next call reads it.
+            return None
+        self._sealed_requests[window] = _requests_by_key(all_counts, window)
+        return counts
+
+    def _record_late(self, all_counts: dict[str, InstanceCounts]) -> None:
+        """Log counts that were added to a window after this process sealed it."""
+        for window, sealed in self._sealed_requests.items():
+            for key, requests in _requests_by_key(all_counts, window).items():
+                late = requests - sealed.get(key, 0)
+                if late <= 0:
+                    continue
+                sealed[key] = requests
+                self._late_requests += late
+                log_event(log, "usage-late", window=window, key=key, requests=late)
+        oldest = self._next_window - RETAINED_WINDOWS
+        for window in [window for window in self._sealed_requests if window < oldest]:
+            del self._sealed_requests[window]
 
     def _delete_expired(self, window: int) -> None:
         """Delete an expired sealed window, and the counts of processes that ended long ago."""
@@ -160,6 +211,13 @@
                 self._client.delete(item.key, item.version, CallPriority.BACKGROUND)
 
 
+def _requests_by_key(all_counts: dict[str, InstanceCounts], window: int) -> dict[str, int]:
+    """Return the number of requests in one window by store key of the counts."""
+    return {
+        key: sum(counts.windows.get(str(window), {}).values()) for key, counts in all_counts.items()
+    }
+
+
 def _window_from_key(key: str) -> int | None:
     text = key.removeprefix(SEALED_PREFIX)
     return int(text) if text.isdecimal() else None
--- a/hickoryloom/metering/task.py
+++ b/hickoryloom/metering/task.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 
+import attrs
 import cattrs
 import logbook
 from result import Err, Ok, Result
@@ -102,7 +103,7 @@
     def stop(self) -> None:
         """Stop after a final write."""
         self._loop.stop()
-        self._write()
+        self._write(final=True)
 
     def _step(self) -> float:
         self._write()
@@ -114,10 +115,11 @@
             self._count_instances(now)
         return self.write_interval_s
 
-    def _write(self) -> None:
+    def _write(self, final: bool = False) -> None:
         if not self._version_known and not self._read_version():
             return
-        value = cattrs.unstructure(self._meter.counts())
+        counts = attrs.evolve(self._meter.counts(), final=final)
+        value = cattrs.unstructure(counts)
         result = self._client.update(self._key, value, self._version)
         if isinstance(result, Ok):
             self._version = result.ok_value.version
--- a/hickoryloom/metering/totals.py
+++ b/hickoryloom/metering/totals.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from hickoryloom.metering.messages import InstanceCounts, ServiceDemand
 
-__all__ = ["filter_live", "sum_demand", "sum_window"]
+__all__ = ["filter_live", "find_unconfirmed", "sum_demand", "sum_window"]
 
 LIVENESS_TIMEOUT_S = 8.0
 """An instance that has not written its counts for this long is down or unreachable."""
@@ -26,6 +26,20 @@
     return [counts for counts in all_counts if abs(wall - counts.written) <= LIVENESS_TIMEOUT_S]
 
 
+def find_unconfirmed(all_counts: Mapping[str, InstanceCounts], window_end: float) -> list[str]:
+    """Return the keys of instances that may still add to a window that ended at `window_end`.
+
+    Counts written after the end of the window are final for it. An instance that stopped writing
+    longer than `LIVENESS_TIMEOUT_S` before the end is down, so that it delays only the windows
+    that end soon after its last write.
+    """
+    return sorted(
+        key
+        for key, counts in all_counts.items()
+        if not counts.final and window_end - LIVENESS_TIMEOUT_S <= counts.written < window_end
+    )
+
+
 def sum_demand(all_counts: Iterable[InstanceCounts]) -> dict[str, ServiceDemand]:
     """Return the demand per service, summed over the given instances."""
     total: dict[str, ServiceDemand] = {}
--- a/hickoryloom/platform/settings.py
+++ b/hickoryloom/platform/settings.py
@@ -72,6 +72,7 @@
         retry_window_s=get_float(bounds, "retry_window_s", 10.0),
         lease_s=get_float(bounds, "lease_ms", 3000.0) / MS_PER_S,
         usage_window_s=get_float(bounds, "usage_window_s", 0.0),
+        usage_late_s=get_float(bounds, "usage_late_s", 10.0),
     )
 
 
--- a/hickoryloom/store/__init__.py
+++ b/hickoryloom/store/__init__.py
@@ -1,6 +1,15 @@
 """Client for the platform services: objects, server orders, usage reports, live list, weights."""
 
-from hickoryloom.store import breaker, budget, client, codec, conditional_writes, messages
+from hickoryloom.store import (
+    availability,
+    breaker,
+    budget,
+    client,
+    codec,
+    conditional_writes,
+    messages,
+)
+from hickoryloom.store.availability import *  # noqa: F403
 from hickoryloom.store.breaker import *  # noqa: F403
 from hickoryloom.store.budget import *  # noqa: F403
 from hickoryloom.store.client import *  # noqa: F403
@@ -9,6 +18,7 @@
 from hickoryloom.store.messages import *  # noqa: F403
 
 __all__ = [
+    *availability.__all__,
     *breaker.__all__,
     *budget.__all__,
     *client.__all__,
--- /dev/null
+++ b/hickoryloom/store/availability.py
@@ -0,0 +1,32 @@
+"""Tracks since when the platform has been answering."""
+
+from __future__ import annotations
+
+import attrs
+
+__all__ = ["Availability"]
+
+
+@attrs.define
+class Availability:
+    """Time since which an interface of the platform is available.
+
+    A call that started before the last recovery, such as a watch on a connection that went
+    silent, says nothing about the time after it and does not begin a new outage.
+
+    Attributes:
+        since: Monotonic time of the first response after the last outage, in seconds; None before
+            the first response and during an outage.
+    """
+
+    since: float | None = None
+
+    def record_response(self, now: float) -> None:
+        """Record a response received at `now`."""
+        if self.since is None:
+            self.since = now
+
+    def record_failure(self, started_at: float) -> None:
+        """Record a call without a usable response that started at `started_at`."""
+        if self.since is not None and started_at >= self.since:
+            self.since = None
--- a/hickoryloom/store/client.py
+++ b/hickoryloom/store/client.py
@@ -16,6 +16,7 @@
 from hickoryloom.http import CallError, JsonClient, JsonResponse
 from hickoryloom.logs import log_event
 from hickoryloom.store import responses
+from hickoryloom.store.availability import Availability
 from hickoryloom.store.breaker import MAX_DELAY_S, BreakerState, CircuitBreaker
 from hickoryloom.store.budget import CallBudget, CallKind, CallPriority
 from hickoryloom.store.codec import DefaultCodec, ObjectCall, ObjectCodec
@@ -40,6 +41,7 @@
 """Timeout of one socket read, longer than any watch; each call has its own shorter timeout."""
 
 CONNECTIONS = 16
+OBJECTS_INTERFACE = "objects"
 PRESENCE_PREFIX = "presence/"
 URGENT_PREFIXES = ("leases/", "intents/")
 BACKGROUND_PREFIXES = ("presence/", "status/")
@@ -64,7 +66,7 @@
     def interface(self) -> str:
         """Platform interface that the call uses; each one can fail independently."""
         head = self.path.strip("/").partition("/")[0].partition("?")[0]
-        return "objects" if head in ("delete", "watch") else head
+        return OBJECTS_INTERFACE if head in ("delete", "watch") else head
 
 
 class PlatformClient:
@@ -99,6 +101,7 @@
         self._budget = budget or CallBudget(clock.monotonic())
         self._random = random or Random()
         self._breakers: dict[str, CircuitBreaker] = {}
+        self._objects = Availability()
         self._last_response_at: float | None = None
         self._http = JsonClient(address, timeout_s=SOCKET_TIMEOUT_S, connections=CONNECTIONS)
 
@@ -107,6 +110,14 @@
         """Monotonic time of the last response, in seconds; None before the first."""
         return self._last_response_at
 
+    @property
+    def objects_available_since(self) -> float | None:
+        """Monotonic time of the first response on objects after their last outage, in seconds.
+
+        None before the first response and during an outage.
+        """
+        return self._objects.since
+
     @property
     def budget(self) -> CallBudget:
         """Call budget of the process."""
@@ -185,7 +196,7 @@
 
     def watch(self, prefix: str, since: int, timeout_s: float) -> Result[WatchBatch, PlatformError]:
         """Wait up to `timeout_s` seconds for changes after revision `since`."""
-        if self._breaker("objects").state is not BreakerState.CLOSED:
+        if self._breaker(OBJECTS_INTERFACE).state is not BreakerState.CLOSED:
             # The call may become the probe of the circuit breaker, which has to end quickly.
             timeout_s = 0.0
         request = self._codec.watch(prefix, since, timeout_s)
@@ -290,29 +301,34 @@
             breaker.record_cancelled(self._clock.monotonic())
             raise
         if result.is_err():
-            return Err(self._record_failure(call, breaker, result.unwrap_err()))
+            return Err(self._record_failure(call, breaker, result.unwrap_err(), now))
         response = result.unwrap()
         if self._codec.is_outage(response):
             detail = f"status {response.status}"
-            return Err(self._record_failure(call, breaker, CallError(Applied.UNKNOWN, detail)))
+            failure = CallError(Applied.UNKNOWN, detail)
+            return Err(self._record_failure(call, breaker, failure, now))
         self._record_response(call, breaker)
         return self._codec.check_status(response)
 
     def _record_response(self, call: _Call, breaker: CircuitBreaker) -> None:
         now = self._clock.monotonic()
         self._last_response_at = now
+        if call.interface == OBJECTS_INTERFACE:
+            self._objects.record_response(now)
         if breaker.record_success():
             self._budget.drop_burst(now)
             log_event(log, "platform-back", interface=call.interface)
 
     def _record_failure(
-        self, call: _Call, breaker: CircuitBreaker, failure: CallError
+        self, call: _Call, breaker: CircuitBreaker, failure: CallError, started_at: float
     ) -> PlatformError:
         applied = failure.applied if call.kind is CallKind.WRITE else Applied.NOT_APPLIED
         if failure.refused_by_guard:
             breaker.record_cancelled(self._clock.monotonic())
             return PlatformError(ErrorKind.REJECTED, Applied.NOT_APPLIED, failure.detail)
         breaker.record_failure(self._clock.monotonic())
+        if call.interface == OBJECTS_INTERFACE:
+            self._objects.record_failure(started_at)
         wait_s = breaker.wait_s(self._clock.monotonic())
         if wait_s > 0:
             log_event(
