--- a/hickoryloom/metering/reporter.py
+++ b/hickoryloom/metering/reporter.py
@@ -29,10 +29,10 @@
 """Interval for checking whether a window is due."""
 
 RETRY_INTERVAL_S = 1.0
-"""Interval for repeating a report that failed, or that waits for the counts of an instance."""
+"""Interval for reading the counts again while those of an instance are missing."""
 
-REPORT_RESERVE_S = 3.0
-"""Time reserved before a report is due, for sealing the window and repeating a lost call."""
+REPORT_RESERVE_S = 2.0
+"""Time reserved before a report is due, for one call that times out and its repetition."""
 
 RETAINED_SEALED_WINDOWS = 2 * RETAINED_WINDOWS
 """Number of sealed windows retained in the store, so that a successor can repeat a report."""
@@ -116,8 +116,10 @@
         if now < min(due_at, seal_limit):
             return CHECK_INTERVAL_S
         counts = self._seal(window, final=now >= seal_limit)
-        if counts is None or not self._report(window, counts, grant):
-            return RETRY_INTERVAL_S
+        if counts is None:
+            return min(RETRY_INTERVAL_S, max(CHECK_INTERVAL_S, seal_limit - now))
+        if not self._report(window, counts, grant):
+            return CHECK_INTERVAL_S
         self._delete_expired(window - RETAINED_SEALED_WINDOWS)
         self._next_window += 1
         return 0.0
--- a/hickoryloom/metering/task.py
+++ b/hickoryloom/metering/task.py
@@ -30,6 +30,9 @@
 MAX_WRITE_INTERVAL_S = 3.5
 """Reports wait for the last write of each instance and must still be on time."""
 
+RETRY_INTERVAL_S = 0.4
+"""Interval for repeating a failed write, as a report may be waiting for it."""
+
 INSTANCE_COUNT_INTERVAL_S = 8.0
 """Interval for counting live instances, which start and stop within tens of seconds."""
 
@@ -106,7 +109,8 @@
         self._write(final=True)
 
     def _step(self) -> float:
-        self._write()
+        if not self._write():
+            return min(RETRY_INTERVAL_S, self.write_interval_s)
         now = self._clock.monotonic()
         interval_s = (
             INSTANCE_COUNT_INTERVAL_S + INSTANCE_COUNT_INTERVAL_PER_INSTANCE_S * self._instances
@@ -115,19 +119,21 @@
             self._count_instances(now)
         return self.write_interval_s
 
-    def _write(self, final: bool = False) -> None:
+    def _write(self, final: bool = False) -> bool:
+        """Write the counts; return whether the write is known to have been applied."""
         if not self._version_known and not self._read_version():
-            return
+            return False
         counts = attrs.evolve(self._meter.counts(), final=final)
         value = cattrs.unstructure(counts)
         result = self._client.update(self._key, value, self._version)
         if isinstance(result, Ok):
             self._version = result.ok_value.version
-            return
+            return True
         error = result.err_value
         log_event(log, "counts-not-written", key=self._key, detail=error.detail)
         if error.kind is ErrorKind.CONFLICT or error.applied is not Applied.NOT_APPLIED:
             self._version_known = False
+        return False
 
     def _read_version(self) -> bool:
         result = self._client.get(self._key)
