Share each failure domain's view of the store between its instances

Two instances of a failure domain (more above 40) read the catalog and the registrations; the others poll one of them for the version that it confirmed last, with its age, and for changed registrations. A poll's age counts from before it was sent, so that a reader's word is never taken for fresher than it is; an instance that is polled reads the store itself. Small fleets have no followers.

The pause between reads also keeps the view young enough for readiness: with a bound of 4 s for changes it was 3.0 s, beyond the 2.75 s at which an instance reports not ready.

--- a/hickoryloom/catalog/follower.py
+++ b/hickoryloom/catalog/follower.py
@@ -9,7 +9,7 @@
 from gevent.event import Event
 from result import Err, Result
 
-from hickoryloom.catalog.freshness import ViewAge
+from hickoryloom.catalog.freshness import READY_AGE_FRACTION, Confirmation, ViewAge
 from hickoryloom.catalog.lookup import RouteTable, build_route_table
 from hickoryloom.catalog.messages import Catalog
 from hickoryloom.catalog.priority_scale import PriorityScale, build_priority_scale
@@ -28,22 +28,40 @@
 MIN_READ_PAUSE_FRACTION = 0.25
 """Shortest pause between reads, as a fraction of `apply_s`."""
 
+READY_MARGIN_S = 0.75
+"""Part of the age at which an instance reports that it is not ready that is reserved for a slow
+response."""
+
+SHARED_INTERVAL_FRACTION = 0.45
+"""Pause of a reader between reads, and of its followers between polls, as a fraction of the
+greatest age of a shared view: both add up, besides the time that the calls take."""
+
+SHARED_CHECK_S = 0.25
+"""Interval for checking whether the version confirmed by a reader differs from the own one."""
+
 RETRY_S = 0.2
 """Pause after a failed read, during which the view keeps aging."""
 
 Decode = Callable[[Any], Result[Catalog, str]]
 
 
-def read_pause_s(apply_s: float) -> float:
-    """Return the pause between reads that applies a change within `apply_s` seconds."""
-    return max(MIN_READ_PAUSE_FRACTION * apply_s, apply_s - READ_MARGIN_S)
+def read_pause_s(revoke_s: float, apply_s: float) -> float:
+    """Return the pause between reads with which changes and withdrawn keys are noticed in time.
+
+    It is also the greatest age of another instance's confirmation that may replace a read.
+    """
+    return min(
+        max(MIN_READ_PAUSE_FRACTION * apply_s, apply_s - READ_MARGIN_S),
+        READY_AGE_FRACTION * revoke_s - READY_MARGIN_S,
+    )
 
 
 class CatalogFollower:
     """Polls the catalog's object, decodes it when it changes and never applies an older version.
 
     It polls instead of using a watch because every response also proves how fresh the view is,
-    whereas a silent watch proves nothing.
+    whereas a silent watch proves nothing. A confirmation by another instance replaces a read if it
+    is recent and names the version that was read last.
 
     Args:
         client: Client of the store.
@@ -63,7 +81,10 @@
         revoke_s: float,
         apply_s: float,
     ) -> None:
-        self._read_pause_s = read_pause_s(apply_s)
+        self._read_pause_s = read_pause_s(revoke_s, apply_s)
+        self._read_often_until = 0.0
+        self._confirmed_by_store: Confirmation | None = None
+        self._shared: Confirmation | None = None
         self._client = client
         self._key = key
         self._decode = decode
@@ -98,10 +119,38 @@
         """The age of the view."""
         return self._view
 
+    @property
+    def confirmed_by_store(self) -> Confirmation | None:
+        """The last confirmation by a read of this instance; None before the first."""
+        return self._confirmed_by_store
+
+    @property
+    def shared_interval_s(self) -> float:
+        """Seconds between polls of a reader that keep the view recent enough."""
+        return SHARED_INTERVAL_FRACTION * self._read_pause_s
+
+    def read_often(self, until: float) -> None:
+        """Read at `shared_interval_s` until a monotonic time, for instances that follow this."""
+        self._read_often_until = until
+
+    def apply_confirmation(self, confirmation: Confirmation) -> bool:
+        """Apply another instance's confirmation; return False if it is too old to be of use."""
+        now = self._clock.monotonic()
+        if now - confirmation.confirmed_at > self._read_pause_s:
+            return False
+        self._shared = confirmation
+        if confirmation.version == self._stored_version:
+            self._view.confirm(confirmation.confirmed_at)
+        return True
+
+    def read_store(self) -> None:
+        """Stop relying on confirmations by another instance."""
+        self._shared = None
+
     def set_bounds(self, revoke_s: float, apply_s: float) -> None:
         """Replace the time limits for withdrawing a key and for applying a change."""
         self._view.revoke_s = revoke_s
-        self._read_pause_s = read_pause_s(apply_s)
+        self._read_pause_s = read_pause_s(revoke_s, apply_s)
 
     def subscribe(self, listener: Callable[[Catalog], None]) -> None:
         """Call `listener` with each new catalog."""
@@ -117,6 +166,8 @@
 
     def _step(self) -> float:
         sent_at = self._clock.monotonic()
+        if self._is_confirmed_elsewhere(sent_at):
+            return SHARED_CHECK_S
         response = self._client.get(self._key)
         if isinstance(response, Err):
             return self._handle_failed_read(response.err_value.kind, response.err_value.detail)
@@ -130,7 +181,20 @@
             return self._read_pause_s
         self._stored_version = stored.version
         self._view.confirm(sent_at)
-        return self._read_pause_s
+        self._confirmed_by_store = Confirmation(stored.version, sent_at)
+        if self._shared is not None:
+            return SHARED_CHECK_S
+        often = sent_at < self._read_often_until
+        return self.shared_interval_s if often else self._read_pause_s
+
+    def _is_confirmed_elsewhere(self, now: float) -> bool:
+        """Return whether another instance confirmed the version that was read last recently."""
+        shared = self._shared
+        return (
+            shared is not None
+            and shared.version <= self._stored_version
+            and self._view.age(now) <= self._read_pause_s
+        )
 
     def _handle_failed_read(self, kind: ErrorKind, detail: str) -> float:
         if kind is ErrorKind.ABSENT:
--- a/hickoryloom/catalog/freshness.py
+++ b/hickoryloom/catalog/freshness.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-__all__ = ["ViewAge"]
+__all__ = ["Confirmation", "ViewAge"]
 
 REVOKE_MARGIN_S = 0.5
 """Allows for the time between the check and the start of work at the backend server."""
@@ -14,6 +14,19 @@
 instance then serves callers better."""
 
 
+@attrs.frozen
+class Confirmation:
+    """A read of the store that returned a version of the catalog's object.
+
+    Attributes:
+        version: Version of the object in the store.
+        confirmed_at: Monotonic time at which the read was sent at the latest, in seconds.
+    """
+
+    version: int
+    confirmed_at: float
+
+
 @attrs.define
 class ViewAge:
     """Decides from the age of the view whether its keys may still be trusted.
--- a/hickoryloom/discovery/state.py
+++ b/hickoryloom/discovery/state.py
@@ -48,6 +48,11 @@
         """Monotonic time at which the next missing backend server is dropped."""
         return min(self._missing.values(), default=None)
 
+    @property
+    def expiries(self) -> dict[str, float]:
+        """Monotonic time at which each missing backend server is dropped, by id."""
+        return dict(self._missing)
+
     def get(self, id: str) -> BackendServer | None:
         """Return a backend server, or None if it is unknown."""
         return self._servers.get(id)
@@ -88,6 +93,16 @@
         for id in [id for id, expiry in self._missing.items() if now >= expiry]:
             self._drop(id)
 
+    def mark_missing(self, id: str, expiry: float) -> None:
+        """Drop a backend server at `expiry` unless it registers again."""
+        if id in self._servers:
+            self._missing[id] = expiry
+
+    def drop(self, ids: Iterable[str]) -> None:
+        """Drop backend servers at once."""
+        for id in ids:
+            self._drop(id)
+
     def _drop(self, id: str) -> None:
         self._servers.pop(id, None)
         self._missing.pop(id, None)
--- a/hickoryloom/discovery/task.py
+++ b/hickoryloom/discovery/task.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
 import logbook
@@ -31,6 +31,9 @@
 BATCH_DELAY_S = 0.25
 """Delay after a change, so that changes close together arrive in one watch response."""
 
+SHARED_CHECK_S = 0.2
+"""Interval for dropping missing backend servers while registrations come from another instance."""
+
 RETRY_S = 0.2
 """Delay after a failed call to the store."""
 
@@ -40,6 +43,8 @@
 class Discovery:
     """Tracks registrations in the store and notifies listeners of changes.
 
+    Registrations may also come from another instance that tracks them; the store is not read then.
+
     Args:
         client: Client of the store.
         prefix: Key prefix of registrations.
@@ -66,6 +71,7 @@
         self._clock = clock
         self._state = LiveList()
         self._notified: tuple[BackendServer, ...] = ()
+        self._shared = False
         self._revision = 0
         self._listed_at: float | None = None
         self._loop = TaskLoop(self._step, "discovery", log)
@@ -82,6 +88,50 @@
         known = self._state.get(server.id)
         return known is not None and known.address == server.address and not known.leaving
 
+    @property
+    def follows_store(self) -> bool:
+        """Whether the registrations come from the store and the last call has succeeded."""
+        return not self._shared and self._listed_at is not None
+
+    def servers_by_id(self) -> dict[str, BackendServer]:
+        """Return all known backend servers by id."""
+        return {server.id: server for server in self._state.servers}
+
+    def expiries(self) -> dict[str, float]:
+        """Return the monotonic time at which each missing backend server is dropped, by id."""
+        return self._state.expiries
+
+    def apply_shared(
+        self,
+        servers: Mapping[str, BackendServer],
+        expiries: Mapping[str, float],
+        removed: Iterable[str] | None,
+    ) -> None:
+        """Apply registrations tracked by another instance, and stop reading the store.
+
+        Args:
+            servers: Changed backend servers by id.
+            expiries: Monotonic time at which each missing one is dropped, by id.
+            removed: Ids of removed backend servers; None if `servers` lists all.
+        """
+        self._shared = True
+        before = self._notified
+        if removed is None:
+            removed = [server.id for server in self._state.servers if server.id not in servers]
+        self._state.drop(removed)
+        for id, server in servers.items():
+            self._state.put(server)
+            if id in expiries:
+                self._state.mark_missing(id, expiries[id])
+        self._state.expire(self._clock.monotonic())
+        self._notify(before)
+
+    def read_store(self) -> None:
+        """Track the registrations in the store from now on."""
+        if self._shared:
+            self._shared = False
+            self._listed_at = None
+
     def subscribe(self, listener: Callable[[tuple[BackendServer, ...]], None]) -> None:
         """Register `listener` to be called with all backend servers after each change."""
         self._listeners.append(listener)
@@ -96,6 +146,10 @@
 
     def _step(self) -> float:
         before = self._notified
+        if self._shared:
+            self._state.expire(self._clock.monotonic())
+            self._notify(before)
+            return self._until_expiry_s(SHARED_CHECK_S)
         revision = self._revision
         ok = self._list() if self._relist_due() else self._watch()
         if not ok:
@@ -125,6 +179,8 @@
         if isinstance(response, Err):
             log_event(log, "listing-failed", prefix=self._prefix, detail=response.err_value.detail)
             return False
+        if self._shared:
+            return True
         now = self._clock.monotonic()
         self._state.on_available(self._client.objects_available_since)
         decoded = [self._decode_item(item.key, item.value) for item in response.ok_value.items]
@@ -139,6 +195,9 @@
         if isinstance(response, Err):
             log_event(log, "watch-failed", prefix=self._prefix, detail=response.err_value.detail)
             return False
+        if self._shared:
+            # Another instance has sent newer registrations meanwhile.
+            return True
         now = self._clock.monotonic()
         self._state.on_available(self._client.objects_available_since)
         batch = response.ok_value
--- a/hickoryloom/gateway/process.py
+++ b/hickoryloom/gateway/process.py
@@ -4,6 +4,7 @@
 
 import random
 import uuid
+from collections.abc import Mapping
 from typing import Any
 
 import gevent
@@ -22,10 +23,11 @@
 from hickoryloom.leases import LeaseManager
 from hickoryloom.logs import log_event
 from hickoryloom.loops import TaskLoop
-from hickoryloom.metering import MeterTask, UsageMeter, UsageReporter
+from hickoryloom.metering import InstanceCounts, MeterTask, UsageMeter, UsageReporter
 from hickoryloom.metrics import MetricsRecorder
 from hickoryloom.placing import Placer
 from hickoryloom.scaling import Scaler
+from hickoryloom.sharing import VIEW_PATH, Peer, ViewFollower, ViewServer
 from hickoryloom.store import CallBudget, PlatformClient
 from hickoryloom.upstream import ConnectionPool
 
@@ -111,8 +113,24 @@
             clock, dialect.backends.id_header, CONNECT_TIMEOUT_S, UNACKNOWLEDGED_TIMEOUT_S
         )
         self._meter = UsageMeter(clock, settings.usage_window_s or 60.0)
+        self._view_server = ViewServer(self._incarnation, clock, self._catalog, self._discovery)
+        self._view_follower = ViewFollower(
+            self._incarnation,
+            settings.failure_domain,
+            clock,
+            rng,
+            self._catalog,
+            self._discovery,
+            must_read=lambda: self._view_server.is_followed,
+        )
         self._meter_task = MeterTask(
-            self._client, clock, self._meter, self._incarnation, self._set_instance_count
+            self._client,
+            clock,
+            self._meter,
+            self._incarnation,
+            settings.operators,
+            settings.failure_domain,
+            self._set_instances,
         )
         context = GatewayContext(
             clock=clock,
@@ -168,6 +186,7 @@
             "reasons": self.unready_reasons(),
             "version": self._catalog.catalog.version,
             "view_age_s": min(age_s, 1e9),
+            "reader": self._view_follower.reader,
             "backend_servers": len(self._discovery.servers),
             "open_requests": self._proxy_server.active,
             "instances": self._instances,
@@ -193,6 +212,7 @@
         if self._operators_server is not None:
             self._operators_server.start()
         self._meter_task.start()
+        self._view_follower.start()
         self._sweeper.start()
         if self._duties is not None:
             self._duties.start()
@@ -214,14 +234,17 @@
         self._proxy_server.close_idle()
         end = started_at + self._settings.stop_s - STOP_MARGIN_S
         self._proxy_server.wait_idle(max(0.0, end - self._clock.monotonic()))
+        self._view_follower.stop()
         self._meter_task.stop()
         log_event(log, "stopped", open_requests=self._proxy_server.active)
 
     def _serve_operators(self, environ: dict[str, Any], start_response: Any) -> Any:
-        """Serve readiness checks and operators.
+        """Serve readiness checks, operators and other instances.
 
         The web framework is imported on the first call, so that it doesn't delay serving callers.
         """
+        if environ.get("PATH_INFO") == VIEW_PATH:
+            return self._view_server(environ, start_response)
         if self._operators_app is None:
             from hickoryloom.http.admin import build_admin_app
 
@@ -295,8 +318,14 @@
             limits.header_bytes, limits.header_timeout_s, limits.idle_timeout_s
         )
 
-    def _set_instance_count(self, count: int) -> None:
+    def _set_instances(self, live: Mapping[str, InstanceCounts]) -> None:
+        count = max(1, len(live))
         self._instances = count
+        self._view_follower.set_peers(
+            Peer(key, counts.address, counts.failure_domain)
+            for key, counts in live.items()
+            if counts.address
+        )
         self._placer.set_instances(count)
         for budget in self._retry_budgets.values():
             budget.instances = count
--- a/hickoryloom/metering/messages.py
+++ b/hickoryloom/metering/messages.py
@@ -40,12 +40,16 @@
         windows: Number of started requests by customer, keyed by the window number as a string.
         demand: Demand by service.
         final: Whether the process has ended gracefully and will write no more.
+        address: `host:port` at which the process serves other instances; empty for none.
+        failure_domain: Failure domain of the instance.
     """
 
     written: float
     windows: dict[str, Counts] = attrs.field(factory=dict)
     demand: dict[str, ServiceDemand] = attrs.field(factory=dict)
     final: bool = False
+    address: str = ""
+    failure_domain: str = ""
 
 
 class UsageCodec(Protocol):
--- a/hickoryloom/metering/task.py
+++ b/hickoryloom/metering/task.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import attrs
 import cattrs
@@ -36,6 +36,10 @@
 INSTANCE_COUNT_INTERVAL_S = 8.0
 """Interval for counting live instances, which start and stop within tens of seconds."""
 
+SECOND_COUNT_DELAY_S = 4.0
+"""Delay of the second count after the first: at a start of the whole fleet, some instances have not
+written their counts when others read them."""
+
 INSTANCE_COUNT_INTERVAL_PER_INSTANCE_S = 0.25
 """With many instances, their number changes less in proportion and is counted less often."""
 
@@ -65,7 +69,10 @@
         clock: Source of time.
         meter: The counts.
         incarnation: Unique id of this process.
-        on_instances: Called with the number of live instances whenever they have been counted.
+        address: `host:port` at which this process serves other instances; empty for none.
+        failure_domain: Failure domain of this instance.
+        on_instances: Called with the counts of live instances by incarnation whenever they have
+            been read.
     """
 
     def __init__(
@@ -74,16 +81,22 @@
         clock: Clock,
         meter: UsageMeter,
         incarnation: str,
-        on_instances: Callable[[int], None],
+        address: str,
+        failure_domain: str,
+        on_instances: Callable[[Mapping[str, InstanceCounts]], None],
     ) -> None:
+        self._address = address
+        self._failure_domain = failure_domain
         self._client = client
         self._clock = clock
         self._meter = meter
+        self._incarnation = incarnation
         self._key = f"{COUNTS_PREFIX}{incarnation}"
         self._on_instances = on_instances
         self._version = 0
         self._version_known = True
         self._counted_at: float | None = None
+        self._counts_read = 0
         self._instances = 1
         self._rank = 0
         self._loop = TaskLoop(self._step, "meter", log)
@@ -112,18 +125,26 @@
         if not self._write():
             return min(RETRY_INTERVAL_S, self.write_interval_s)
         now = self._clock.monotonic()
-        interval_s = (
-            INSTANCE_COUNT_INTERVAL_S + INSTANCE_COUNT_INTERVAL_PER_INSTANCE_S * self._instances
-        )
-        if self._counted_at is None or now - self._counted_at >= interval_s:
+        if self._counted_at is None or now - self._counted_at >= self._count_interval_s:
             self._count_instances(now)
         return self.write_interval_s
 
+    @property
+    def _count_interval_s(self) -> float:
+        if self._counts_read < 2:
+            return SECOND_COUNT_DELAY_S
+        return INSTANCE_COUNT_INTERVAL_S + INSTANCE_COUNT_INTERVAL_PER_INSTANCE_S * self._instances
+
     def _write(self, final: bool = False) -> bool:
         """Write the counts; return whether the write is known to have been applied."""
         if not self._version_known and not self._read_version():
             return False
-        counts = attrs.evolve(self._meter.counts(), final=final)
+        counts = attrs.evolve(
+            self._meter.counts(),
+            final=final,
+            address=self._address,
+            failure_domain=self._failure_domain,
+        )
         value = cattrs.unstructure(counts)
         result = self._client.update(self._key, value, self._version)
         if isinstance(result, Ok):
@@ -151,11 +172,15 @@
         if isinstance(found, Err):
             return
         self._counted_at = now
+        self._counts_read += 1
         all_counts = found.ok_value
-        live = filter_live(all_counts.values(), self._meter.wall())
-        other_live_keys = sorted(
-            key for key, counts in all_counts.items() if counts in live and key != self._key
-        )
-        self._rank = sum(1 for key in other_live_keys if key < self._key)
+        live_counts = filter_live(all_counts.values(), self._meter.wall())
+        live = {
+            key.removeprefix(COUNTS_PREFIX): counts
+            for key, counts in all_counts.items()
+            if counts in live_counts
+        }
+        others = sorted(key for key in live if key != self._incarnation)
+        self._rank = sum(1 for key in others if key < self._incarnation)
         self._instances = max(1, len(live))
-        self._on_instances(self._instances)
+        self._on_instances(live)
--- a/hickoryloom/metering/totals.py
+++ b/hickoryloom/metering/totals.py
@@ -22,8 +22,12 @@
 
 
 def filter_live(all_counts: Iterable[InstanceCounts], wall: float) -> list[InstanceCounts]:
-    """Return the counts of instances that have written recently."""
-    return [counts for counts in all_counts if abs(wall - counts.written) <= LIVENESS_TIMEOUT_S]
+    """Return the counts of instances that have written recently and have not ended."""
+    return [
+        counts
+        for counts in all_counts
+        if abs(wall - counts.written) <= LIVENESS_TIMEOUT_S and not counts.final
+    ]
 
 
 def find_unconfirmed(all_counts: Mapping[str, InstanceCounts], window_end: float) -> list[str]:
--- /dev/null
+++ b/hickoryloom/sharing/task.py
@@ -0,0 +1,185 @@
+"""Follower side: polls a reader of the failure domain and applies its updates."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from random import Random
+from urllib.parse import urlencode
+
+import logbook
+from result import Err, Ok, Result
+
+from hickoryloom.catalog import CatalogFollower, Confirmation
+from hickoryloom.clock import Clock
+from hickoryloom.discovery import Discovery
+from hickoryloom.http import JsonClient, JsonResponse
+from hickoryloom.logs import log_event
+from hickoryloom.loops import TaskLoop
+from hickoryloom.sharing.messages import Peer, ViewUpdate, read_update
+from hickoryloom.sharing.readers import select_readers
+from hickoryloom.sharing.server import VIEW_PATH
+
+__all__ = ["ViewFollower"]
+
+POLL_TIMEOUT_S = 0.4
+"""Hundreds of round trips within a failure domain; a reader that takes longer is replaced."""
+
+DIRECT_S = 3.0
+"""Time for which the store is read directly after no reader was usable."""
+
+SKIP_READER_S = 6.0
+"""Time for which a reader that failed is not asked again."""
+
+SKIP_STALE_S = 1.0
+"""The same for a reader whose view was too old, as it reads more often once it is polled."""
+
+IDLE_INTERVAL_S = 1.0
+"""Interval for checking whether there is a reader to follow."""
+
+JITTER = 0.1
+"""Fraction by which poll intervals vary, so that followers don't poll in step."""
+
+log = logbook.Logger("hickoryloom.sharing")
+
+Connect = Callable[[str], JsonClient]
+
+
+class ViewFollower:
+    """Keeps the catalog and the registrations current from a reader's updates.
+
+    While no reader is usable, both components read the store themselves.
+
+    Args:
+        key: Key of this process.
+        failure_domain: Failure domain of this instance.
+        clock: Source of time.
+        rng: Source of jitter.
+        catalog: Receives confirmations of the configuration's version.
+        discovery: Receives changed registrations.
+        must_read: Returns whether this instance has to read the store for followers of its own.
+        connect: Builds the client of a reader's address.
+    """
+
+    def __init__(
+        self,
+        key: str,
+        failure_domain: str,
+        clock: Clock,
+        rng: Random,
+        catalog: CatalogFollower,
+        discovery: Discovery,
+        must_read: Callable[[], bool],
+        connect: Connect | None = None,
+    ) -> None:
+        self._key = key
+        self._failure_domain = failure_domain
+        self._clock = clock
+        self._rng = rng
+        self._catalog = catalog
+        self._discovery = discovery
+        self._must_read = must_read
+        self._connect: Connect = connect or _connect
+        self._readers: tuple[Peer, ...] = ()
+        self._client: JsonClient | None = None
+        self._reader: Peer | None = None
+        self._epoch = ""
+        self._sequence = 0
+        self._skip_until: dict[str, float] = {}
+        self._loop = TaskLoop(self._step, "view-follower", log)
+
+    @property
+    def reader(self) -> str:
+        """Key of the reader that is followed; empty while the store is read directly."""
+        return self._reader.key if self._reader is not None else ""
+
+    def set_peers(self, peers: Iterable[Peer]) -> None:
+        """Replace the known live instances."""
+        self._readers = select_readers(self._key, self._failure_domain, peers)
+
+    def start(self) -> None:
+        """Start polling."""
+        self._loop.start()
+
+    def stop(self) -> None:
+        """Stop polling; the store is read directly from then on."""
+        self._loop.stop()
+        self._follow(None, "stopped")
+
+    def _step(self) -> float:
+        if self._must_read() or not self._readers:
+            self._follow(None, "no reader needed")
+            return IDLE_INTERVAL_S
+        now = self._clock.monotonic()
+        usable = [peer for peer in self._readers if self._skip_until.get(peer.key, 0.0) <= now]
+        for reader in usable:
+            skip_s = self._poll(reader)
+            if not skip_s:
+                return self._catalog.shared_interval_s * (1 - JITTER * self._rng.random())
+            self._skip_until[reader.key] = self._clock.monotonic() + skip_s
+        self._follow(None, "no usable reader")
+        return DIRECT_S
+
+    def _poll(self, reader: Peer) -> float:
+        """Poll a reader and apply its update.
+
+        Returns:
+            0 if the reader has a current view, otherwise the seconds for which to skip it.
+        """
+        if reader != self._reader:
+            self._follow(reader, "selected")
+        assert self._client is not None
+        sent_at = self._clock.monotonic()
+        query = urlencode({"epoch": self._epoch, "after": self._sequence})
+        response = self._client.call("GET", f"{VIEW_PATH}?{query}", timeout_s=POLL_TIMEOUT_S)
+        update = response.map_err(lambda error: error.detail).and_then(_read_response)
+        if isinstance(update, Err):
+            log_event(log, "reader-failed", reader=reader.key, detail=update.err_value)
+            return SKIP_READER_S
+        return 0.0 if self._apply(update.ok_value, sent_at) else SKIP_STALE_S
+
+    def _apply(self, update: ViewUpdate, sent_at: float) -> bool:
+        """Apply an update; return False if its view is too old."""
+        # The reader computed the age after `sent_at`, so its view is at least this recent.
+        confirmed_at = sent_at - update.config_age_s
+        confirmation = Confirmation(update.config_version, confirmed_at)
+        if not self._catalog.apply_confirmation(confirmation):
+            log_event(log, "reader-stale", reader=self.reader, age_s=update.config_age_s)
+            return False
+        if update.complete or update.epoch != self._epoch or update.sequence != self._sequence:
+            self._discovery.apply_shared(
+                {shared.server.id: shared.server for shared in update.servers},
+                {
+                    shared.server.id: sent_at + shared.expires_in_s
+                    for shared in update.servers
+                    if shared.expires_in_s is not None
+                },
+                None if update.complete else update.removed,
+            )
+        self._epoch = update.epoch
+        self._sequence = update.sequence
+        return True
+
+    def _follow(self, reader: Peer | None, reason: str) -> None:
+        if reader == self._reader:
+            return
+        if self._client is not None:
+            self._client.close()
+        log_event(log, "reader-changed", reader=reader.key if reader else "", reason=reason)
+        self._reader = reader
+        self._client = None if reader is None else self._connect(reader.address)
+        self._epoch = ""
+        self._sequence = 0
+        if reader is None:
+            self._catalog.read_store()
+            self._discovery.read_store()
+
+
+def _connect(address: str) -> JsonClient:
+    return JsonClient(address, timeout_s=POLL_TIMEOUT_S, connections=1)
+
+
+def _read_response(response: JsonResponse) -> Result[ViewUpdate, str]:
+    if response.status != 200:
+        return Err(f"status {response.status}")
+    update = read_update(response.body)
+    return Ok(update.ok_value) if isinstance(update, Ok) else Err(update.err_value)
--- a/hickoryloom/store/availability.py
+++ b/hickoryloom/store/availability.py
@@ -15,18 +15,21 @@
     silent, says nothing about the time after it and does not begin a new outage.
 
     Attributes:
-        since: Monotonic time of the first response after the last outage, in seconds; None before
-            the first response and during an outage.
+        since: Monotonic time of the first response after the last outage, in seconds, or minus
+            infinity without an earlier outage; None before the first response and during an
+            outage.
     """
 
     since: float | None = None
+    _failed: bool = False
 
     def record_response(self, now: float) -> None:
         """Record a response received at `now`."""
         if self.since is None:
-            self.since = now
+            self.since = now if self._failed else float("-inf")
 
     def record_failure(self, started_at: float) -> None:
         """Record a call without a usable response that started at `started_at`."""
+        self._failed = True
         if self.since is not None and started_at >= self.since:
             self.since = None
--- a/hickoryloom/store/client.py
+++ b/hickoryloom/store/client.py
@@ -114,7 +114,8 @@
     def objects_available_since(self) -> float | None:
         """Monotonic time of the first response on objects after their last outage, in seconds.
 
-        None before the first response and during an outage.
+        Minus infinity without an earlier outage; None before the first response and during an
+        outage.
         """
         return self._objects.since
 
