Share the mean number of short streams; reserve engines for them only while long prompts come

Load: a large fleet in which each instance sends under two requests a second. An instance estimated the short streams of all from its own, so that one reserved 2 engines and another 20, and long prompts landed beside the streams. Readers now average the figures of their followers.

A check of a pause that could not fail now loads the other server, so that it tells a paused server from a usable one.

--- a/hickoryloom/gateway/attempts.py
+++ b/hickoryloom/gateway/attempts.py
@@ -271,7 +271,7 @@
     def record_head(self, attempt: Attempt, head: ResponseHead) -> None:
         """Record the load and the idle timeout that a response head reports."""
         attempt.exchange.keep_alive_s = head.keep_alive_s
-        if head.load is not None:
+        if head.load is not None and not head.misdirected:
             now = self._context.clock.monotonic()
             self._context.placer.apply_load_report(attempt.placement.server.id, head.load, now)
 
--- a/hickoryloom/gateway/forwarding.py
+++ b/hickoryloom/gateway/forwarding.py
@@ -144,7 +144,6 @@
         exchange = attempt.exchange
         status, headers = exchange.status, exchange.headers
         splitter = EventSplitter(self._request.resume_after)
-        exchange.read_deadline = self._attempts.head_deadline(attempt)
         first = self._read_events(attempt, splitter)
         self._record_first_event(attempt)
         caller_headers = self._context.backends.response_headers(headers)
@@ -186,7 +185,9 @@
         """
         exchange = attempt.exchange
         wait_started_at = self._context.clock.monotonic()
-        if self._attempts.retryable and attempt.first_event_received:
+        if not attempt.first_event_received:
+            exchange.read_deadline = self._attempts.head_deadline(attempt)
+        elif self._attempts.retryable:
             stream_timeout_s = max(
                 MIN_STREAM_TIMEOUT_S, STREAM_TIMEOUT_GAPS * self._route.max_gap_s
             )
--- a/hickoryloom/gateway/process.py
+++ b/hickoryloom/gateway/process.py
@@ -113,7 +113,9 @@
             clock, dialect.backends.id_header, CONNECT_TIMEOUT_S, UNACKNOWLEDGED_TIMEOUT_S
         )
         self._meter = UsageMeter(clock, settings.usage_window_s or 60.0)
-        self._view_server = ViewServer(self._incarnation, clock, self._catalog, self._discovery)
+        self._view_server = ViewServer(
+            self._incarnation, clock, self._catalog, self._discovery, self._placer
+        )
         self._view_follower = ViewFollower(
             self._incarnation,
             settings.failure_domain,
@@ -121,6 +123,7 @@
             rng,
             self._catalog,
             self._discovery,
+            self._placer,
             must_read=lambda: self._view_server.is_followed,
         )
         self._meter_task = MeterTask(
--- a/hickoryloom/gateway/tests/test_forwarding.py
+++ b/hickoryloom/gateway/tests/test_forwarding.py
@@ -14,12 +14,12 @@
     build_priority_scale,
 )
 from hickoryloom.discovery import BackendServer
-from hickoryloom.gateway.attempts import GatewayContext
+from hickoryloom.gateway.attempts import HEAD_TIMEOUT_TARGETS, GatewayContext
 from hickoryloom.gateway.budget import SharedRetryBudget
 from hickoryloom.gateway.forwarding import RequestForwarder
 from hickoryloom.gateway.messages import CallerRequest, Refusal, ResponseHead
 from hickoryloom.metrics import MetricsRecorder
-from hickoryloom.placing import Placer
+from hickoryloom.placing import Placer, ReportedLoad
 from hickoryloom.upstream import AttemptError, AttemptFailure, FailureCause
 from hickoryloom.verdict import Verdict
 
@@ -30,6 +30,7 @@
     "cut-before-run",
     "cut-after-run",
     "silent",
+    "silent-after-head",
     "rejected",
     "misdirected",
     "failed",
@@ -107,6 +108,7 @@
         self.resumptions = []
         self.interrupted = []
         self.rejecting = self.unsigned = False
+        self.load = None
         placer = Placer("d", random.Random(1))
         servers = [
             BackendServer(
@@ -175,7 +177,7 @@
             not_run=status == 503 and self.rejecting,
             misdirected=status == 421,
             signed=not self.unsigned,
-            load=None,
+            load=self.load,
             keep_alive_s=None,
         )
 
@@ -186,12 +188,15 @@
         """Yield the body; a resumed stream starts after the last event that the caller has."""
         first = (self.resumptions[-1] or 0) + 1
         for number in range(first, EVENTS + 1):
+            if exchange.outcome == "silent-after-head":
+                self.clock.now = exchange.read_deadline
+                raise exchange.error(FailureCause.TIMED_OUT, "no bytes in time")
             if exchange.outcome == "cut-midway" and number == first + 1:
                 raise exchange.error(FailureCause.CONNECTION_LOST, "reset")
             yield b"id: %d\ndata: x\n\n" % number
 
 
-def serve(fake, kind, max_attempts, resumable):
+def serve(fake, kind, max_attempts, resumable, target_s=0.4):
     """Serve one request; return the reply or refusal, the body and whether it is complete."""
     route = Route(
         "r",
@@ -199,7 +204,7 @@
         "/",
         kind,
         4.0,
-        0.4,
+        target_s,
         (Target("s"),),
         max_attempts=max_attempts,
         resumable=resumable,
@@ -265,6 +270,24 @@
     assert fake.resumptions == [None, 1]
 
 
+def test_a_resumable_stream_without_a_first_event_is_retried_before_the_deadline():
+    fake = GatewayFake(["silent-after-head", "answered"])
+    started_at = fake.clock.now
+    response, _, complete = serve(fake, RequestKind.STREAM, 2, True, target_s=0.1)
+    assert response.status == 200 and complete
+    assert fake.clock.now - started_at <= HEAD_TIMEOUT_TARGETS * 0.1 + 1e-6
+
+
+def test_the_load_in_a_misdirected_response_is_not_credited_to_the_chosen_server():
+    """The response comes from another server, which has taken over the address."""
+    fake = GatewayFake(["misdirected"])
+    fake.load = ReportedLoad(4, 9, 4)
+    loads = []
+    fake.context.placer.apply_load_report = lambda id, load, now: loads.append(id)
+    serve(fake, RequestKind.ONCE, 1, False)
+    assert loads == []
+
+
 def test_an_interrupted_stream_that_is_not_resumable_is_reported_as_incomplete():
     _, body, complete = serve(GatewayFake(["cut-midway"]), RequestKind.STREAM, 2, False)
     assert not complete and body.count(b"id: ") == 1
--- a/hickoryloom/placing/placer.py
+++ b/hickoryloom/placing/placer.py
@@ -11,7 +11,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from hickoryloom.discovery import BackendServer
 from hickoryloom.placing.messages import Placement, PlacementOutcome, PlacementRequest, ReportedLoad
@@ -91,6 +91,18 @@
         for engines in self._short_prompts.values():
             engines.instances = instances
 
+    def short_streams(self, now: float) -> dict[str, float]:
+        """Return the mean number of short requests in flight at this instance, by service."""
+        return {
+            service: round(engines.mean_streams(now), 3)
+            for service, engines in self._short_prompts.items()
+        }
+
+    def set_mean_short_streams(self, means: Mapping[str, float], now: float) -> None:
+        """Set the mean number of short requests in flight at one of several instances."""
+        for service, mean in means.items():
+            self._short_prompt_engines(service).set_shared_mean(mean, now)
+
     def choose(
         self, request: PlacementRequest, exclude: frozenset[str], now: float
     ) -> Placement | None:
--- a/hickoryloom/placing/short_prompts.py
+++ b/hickoryloom/placing/short_prompts.py
@@ -27,6 +27,13 @@
 AVERAGING_S = 4.0
 """Time constant of the average number of streams: twice the mean duration of a stream."""
 
+LONG_PROMPT_MEMORY_S = 10.0
+"""Time after the last long prompt for which engines stay reserved: an instance of a large fleet
+sends one every second or less."""
+
+SHARED_MEAN_MAX_AGE_S = 4.0
+"""Age up to which the mean over other instances replaces this instance's own."""
+
 MIN_ENGINES_TO_PARTITION = 3
 """With fewer engines, reserving one costs more than the stalls that it prevents."""
 
@@ -36,13 +43,15 @@
     """Tracks the number of short requests in flight and selects the engines reserved for them.
 
     Attributes:
-        instances: Number of instances that send similar traffic. The requests of this instance
-            are multiplied by it to estimate the total.
+        instances: Number of instances that send similar traffic. The mean number of streams of
+            an instance is multiplied by it to estimate the total.
     """
 
     instances: int = 1
     _short: int = 0
-    _long: int = 0
+    _long_until: float = float("-inf")
+    _shared_mean: float | None = None
+    _shared_at: float = 0.0
     _mean_short: float = 0.0
     _updated: float | None = None
 
@@ -52,7 +61,7 @@
         if short:
             self._short += 1
         else:
-            self._long += 1
+            self._long_until = now + LONG_PROMPT_MEMORY_S
 
     def finished(self, short: bool, now: float) -> None:
         """Record that a request has ended."""
@@ -60,10 +69,20 @@
         if short:
             self._short = max(0, self._short - 1)
 
+    def mean_streams(self, now: float) -> float:
+        """Return the mean number of short requests in flight at this instance."""
+        self._refresh(now)
+        return self._mean_short
+
+    def set_shared_mean(self, mean: float, now: float) -> None:
+        """Set the mean number of short requests in flight at one of several instances."""
+        self._shared_mean = mean
+        self._shared_at = now
+
     def select(self, engines: Iterable[tuple[str, int]], now: float) -> frozenset[str]:
         """Return the ids of the engines that are reserved for short requests.
 
-        No engine is reserved until a long request has been sent.
+        No engine is reserved unless a long request has been sent recently.
 
         Args:
             engines: Id and slots of each usable engine.
@@ -71,10 +90,13 @@
         """
         self._refresh(now)
         ranked = sorted(engines, key=lambda engine: rank("quiet", engine[0]), reverse=True)
-        if len(ranked) < MIN_ENGINES_TO_PARTITION or not self._long:
+        if len(ranked) < MIN_ENGINES_TO_PARTITION or now >= self._long_until:
             return frozenset()
         slots = max(1, ranked[0][1])
-        needed = math.ceil(self._mean_short * self.instances / (MAX_STREAM_FILL * slots))
+        mean = self._mean_short
+        if self._shared_mean is not None and now - self._shared_at <= SHARED_MEAN_MAX_AGE_S:
+            mean = self._shared_mean
+        needed = math.ceil(mean * self.instances / (MAX_STREAM_FILL * slots))
         number = min(max(1, needed), len(ranked) // 2)
         return frozenset(id for id, _ in ranked[:number])
 
--- a/hickoryloom/placing/tests/test_placer.py
+++ b/hickoryloom/placing/tests/test_placer.py
@@ -1,3 +1,4 @@
+import heapq
 from collections import Counter
 from random import Random
 
@@ -11,6 +12,7 @@
     PromptSegment,
     ReportedLoad,
 )
+from hickoryloom.placing.short_prompts import LONG_PROMPT_MEMORY_S
 from hickoryloom.placing.tracked import FAILURES_TO_PAUSE
 
 
@@ -111,11 +113,14 @@
         placement = placer.choose(plain, excluded, 0.0)
         placer.start_attempt(placement, plain, 0.0)
         placer.finish_attempt(placement, plain, PlacementOutcome.FAILED, False, 0.0)
+    full = ReportedLoad(6, 6, 6)
+    placer.apply_load_report(backends[1].id, full, 0.1)
     assert {placer.choose(plain, frozenset(), 0.1).server.id for _ in range(20)} == {backends[1].id}
     placement = placer.choose(plain, excluded, 5.0)
-    placer.start_attempt(placement, plain, 0.0)
+    placer.start_attempt(placement, plain, 5.0)
     placer.finish_attempt(placement, plain, PlacementOutcome.DONE, False, 5.0)
-    assert len({placer.choose(plain, frozenset(), 5.0).server.id for _ in range(200)}) >= 1
+    placer.apply_load_report(backends[1].id, full, 5.0)
+    assert {placer.choose(plain, frozenset(), 5.0).server.id for _ in range(20)} == {backends[0].id}
 
 
 def test_plain_requests_go_to_the_server_with_free_slots():
@@ -163,3 +168,64 @@
         placer.start_attempt(placement, prompt_request(f"s{n}"), 0.0)
         used.add(placement.server.id)
     assert len(used) == 9
+
+
+def test_engines_reserved_for_short_prompts_are_released_when_long_prompts_stop():
+    placer = build_placer(servers(9))
+    long_request = prompt_request("s")
+    placement = placer.choose(long_request, frozenset(), 0.0)
+    placer.start_attempt(placement, long_request, 0.0)
+    engines = [(server.id, server.slots) for server in servers(9)]
+    reserved = placer._short_prompt_engines("llm")
+    assert reserved.select(engines, 1.0)
+    placer.finish_attempt(placement, long_request, PlacementOutcome.DONE, True, 1.0)
+    assert not reserved.select(engines, LONG_PROMPT_MEMORY_S + 1.0)
+
+
+def play_thin_traffic(share_streams):
+    """Play a large fleet in which each instance sends less than two requests per second.
+
+    195 instances send 72 short streams of 1.6 s and 172 long prompts per second to 62 engines of
+    16 slots. Returns the fraction of long prompts that land on an engine with a short stream.
+    """
+    random = Random(5)
+    backends = servers(62, slots=16)
+    placers = [build_placer(backends, seed) for seed in range(195)]
+    for placer in placers:
+        placer.set_instances(195)
+    now, running, stalling, prompts = 0.0, [], 0, 0
+    next_share = 0.0
+    while now < 12.0:
+        now += random.expovariate(244.0)
+        while running and running[0][0] <= now:
+            _, _, placer, placement, request = heapq.heappop(running)
+            placer.finish_attempt(placement, request, PlacementOutcome.DONE, True, now)
+        if share_streams and now >= next_share:
+            next_share = now + 0.9
+            for first in range(0, 195, 20):
+                group = placers[first : first + 20]
+                means = [placer.short_streams(now).get("llm", 0.0) for placer in group]
+                for placer in group:
+                    placer.set_mean_short_streams({"llm": sum(means) / len(means)}, now)
+        placer = random.choice(placers)
+        is_short = random.random() < 72 / 244
+        name = f"s{random.randrange(600)}"
+        request = short(name) if is_short else prompt_request(name)
+        placement = placer.choose(request, frozenset(), now)
+        placer.start_attempt(placement, request, now)
+        placer.record_first_token(placement, 0.05)
+        duration_s = 1.6 if is_short else 0.4
+        heapq.heappush(running, (now + duration_s, random.random(), placer, placement, request))
+        if not is_short and now > 5.0:
+            prompts += 1
+            stalling += any(
+                other.server.id == placement.server.id and waiting.prompt_tokens < 1_000
+                for _, _, _, other, waiting in running
+            )
+    return stalling / prompts
+
+
+def test_instances_with_thin_traffic_reserve_the_same_engines():
+    """Long prompts stall fewer streams if instances share how many of these there are."""
+    alone, shared = play_thin_traffic(False), play_thin_traffic(True)
+    assert shared < 0.5 * alone
--- a/hickoryloom/sharing/messages.py
+++ b/hickoryloom/sharing/messages.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import Any, TypeVar
 
 import attrs
 import cattrs
@@ -10,7 +10,10 @@
 
 from hickoryloom.discovery import BackendServer
 
-__all__ = ["Peer", "SharedServer", "ViewUpdate", "read_update"]
+__all__ = ["Peer", "Poll", "SharedServer", "ViewUpdate", "read_poll", "read_update"]
+
+
+T = TypeVar("T")
 
 
 @attrs.frozen
@@ -42,6 +45,23 @@
     expires_in_s: float | None = None
 
 
+@attrs.frozen
+class Poll:
+    """A follower's request for what it lacks.
+
+    Attributes:
+        key: Key of the follower's process.
+        epoch: Epoch of the last update; empty for none.
+        sequence: Sequence number of the last update.
+        streams: Mean number of short streams in flight at the follower, by service.
+    """
+
+    key: str
+    epoch: str = ""
+    sequence: int = 0
+    streams: dict[str, float] = attrs.field(factory=dict)
+
+
 @attrs.frozen
 class ViewUpdate:
     """What a reader knows of the store.
@@ -54,6 +74,8 @@
         config_age_s: Seconds since that version was last confirmed to be the newest.
         servers: Backend servers, or those that changed since the sequence number asked for.
         removed: Ids of backend servers that were removed since then.
+        streams: Mean number of short streams in flight at an instance, by service, over the reader
+            and its followers.
     """
 
     epoch: str
@@ -63,11 +85,21 @@
     config_age_s: float
     servers: tuple[SharedServer, ...] = ()
     removed: tuple[str, ...] = ()
+    streams: dict[str, float] = attrs.field(factory=dict)
+
+
+def read_poll(value: Any) -> Result[Poll, str]:
+    """Decode the JSON value of a poll; return an error message if it is invalid."""
+    return _read(value, Poll)
 
 
 def read_update(value: Any) -> Result[ViewUpdate, str]:
     """Decode the JSON value of an update; return an error message if it is invalid."""
+    return _read(value, ViewUpdate)
+
+
+def _read(value: Any, kind: type[T]) -> Result[T, str]:
     try:
-        return Ok(cattrs.structure(value, ViewUpdate))
+        return Ok(cattrs.structure(value, kind))
     except (cattrs.BaseValidationError, KeyError, TypeError, ValueError) as error:
-        return Err(f"invalid view update: {type(error).__name__}")
+        return Err(f"invalid {kind.__name__}: {type(error).__name__}")
--- a/hickoryloom/sharing/server.py
+++ b/hickoryloom/sharing/server.py
@@ -5,19 +5,26 @@
 import json
 from collections.abc import Iterable
 from typing import Any
-from urllib.parse import parse_qs
 
 import cattrs
+import logbook
+from result import Err
 
 from hickoryloom.catalog import CatalogFollower
 from hickoryloom.clock import Clock
 from hickoryloom.discovery import Discovery
+from hickoryloom.logs import log_event
+from hickoryloom.placing import Placer
 from hickoryloom.sharing.history import ServerHistory
-from hickoryloom.sharing.messages import ViewUpdate
+from hickoryloom.sharing.messages import Poll, ViewUpdate, read_poll
+from hickoryloom.sharing.sample import StreamSample
 
 __all__ = ["VIEW_PATH", "ViewServer"]
 
 VIEW_PATH = "/view"
+MAX_POLL_BYTES = 16 * 1024
+
+log = logbook.Logger("hickoryloom.sharing")
 
 FOLLOWED_S = 8.0
 """Time after the last poll of a follower during which this instance keeps reading the store. A
@@ -35,11 +42,19 @@
         clock: Source of time.
         catalog: Provides the confirmed version of the configuration.
         discovery: Provides the backend servers.
+        placer: Provides this instance's streams, and receives the mean over its followers.
     """
 
     def __init__(
-        self, epoch: str, clock: Clock, catalog: CatalogFollower, discovery: Discovery
+        self,
+        epoch: str,
+        clock: Clock,
+        catalog: CatalogFollower,
+        discovery: Discovery,
+        placer: Placer,
     ) -> None:
+        self._placer = placer
+        self._sample = StreamSample()
         self._epoch = epoch
         self._clock = clock
         self._catalog = catalog
@@ -54,21 +69,20 @@
             return False
         return self._clock.monotonic() - self._polled_at < FOLLOWED_S
 
-    def update(self, epoch: str, sequence: int) -> ViewUpdate | None:
-        """Return what a follower lacks; None if this instance has no view of its own.
-
-        Args:
-            epoch: Epoch of the follower's last update.
-            sequence: Sequence number of the follower's last update.
-        """
+    def update(self, poll: Poll) -> ViewUpdate | None:
+        """Return what a follower lacks; None if this instance has no view of its own."""
         self._polled_at = now = self._clock.monotonic()
         self._catalog.read_often(now + FOLLOWED_S)
+        self._sample.record(poll.key, poll.streams, now)
+        self._sample.record(self._epoch, self._placer.short_streams(now), now)
+        streams = self._sample.mean(now)
+        self._placer.set_mean_short_streams(streams, now)
         confirmed = self._catalog.confirmed_by_store
         if confirmed is None or not self._discovery.follows_store:
             return None
         self._history.update(self._discovery.servers_by_id(), self._discovery.expiries())
-        complete = epoch != self._epoch or not self._history.can_continue(sequence)
-        servers, removed = self._history.changes_since(0 if complete else sequence, now)
+        complete = poll.epoch != self._epoch or not self._history.can_continue(poll.sequence)
+        servers, removed = self._history.changes_since(0 if complete else poll.sequence, now)
         return ViewUpdate(
             epoch=self._epoch,
             sequence=self._history.sequence,
@@ -77,16 +91,30 @@
             config_age_s=now - confirmed.confirmed_at,
             servers=servers,
             removed=() if complete else removed,
+            streams=streams,
         )
 
     def __call__(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
         """Serve a poll as a WSGI application."""
-        query = parse_qs(environ.get("QUERY_STRING", ""))
-        epoch = query.get("epoch", [""])[0]
-        after = query.get("after", ["0"])[0]
-        update = self.update(epoch, int(after) if after.isascii() and after.isdigit() else 0)
-        body = b"" if update is None else json.dumps(cattrs.unstructure(update)).encode()
-        status = "503 Service Unavailable" if update is None else "200 OK"
-        headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
-        start_response(status, headers)
-        return [body]
+        poll = read_poll(_read_json(environ))
+        if isinstance(poll, Err):
+            log_event(log, "poll-invalid", detail=poll.err_value)
+            return _respond(start_response, "400 Bad Request", b"")
+        update = self.update(poll.ok_value)
+        if update is None:
+            return _respond(start_response, "503 Service Unavailable", b"")
+        return _respond(start_response, "200 OK", json.dumps(cattrs.unstructure(update)).encode())
+
+
+def _read_json(environ: dict[str, Any]) -> Any:
+    """Return the JSON value of a request's body; None if there is none."""
+    try:
+        return json.loads(environ["wsgi.input"].read(MAX_POLL_BYTES))
+    except ValueError:
+        return None
+
+
+def _respond(start_response: Any, status: str, body: bytes) -> Iterable[bytes]:
+    headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
+    start_response(status, headers)
+    return [body]
--- a/hickoryloom/sharing/task.py
+++ b/hickoryloom/sharing/task.py
@@ -4,8 +4,8 @@
 
 from collections.abc import Callable, Iterable
 from random import Random
-from urllib.parse import urlencode
 
+import cattrs
 import logbook
 from result import Err, Ok, Result
 
@@ -15,7 +15,8 @@
 from hickoryloom.http import JsonClient, JsonResponse
 from hickoryloom.logs import log_event
 from hickoryloom.loops import TaskLoop
-from hickoryloom.sharing.messages import Peer, ViewUpdate, read_update
+from hickoryloom.placing import Placer
+from hickoryloom.sharing.messages import Peer, Poll, ViewUpdate, read_update
 from hickoryloom.sharing.readers import select_readers
 from hickoryloom.sharing.server import VIEW_PATH
 
@@ -56,6 +57,7 @@
         rng: Source of jitter.
         catalog: Receives confirmations of the configuration's version.
         discovery: Receives changed registrations.
+        placer: Provides this instance's streams, and receives the mean over other instances.
         must_read: Returns whether this instance has to read the store for followers of its own.
         connect: Builds the client of a reader's address.
     """
@@ -68,6 +70,7 @@
         rng: Random,
         catalog: CatalogFollower,
         discovery: Discovery,
+        placer: Placer,
         must_read: Callable[[], bool],
         connect: Connect | None = None,
     ) -> None:
@@ -77,6 +80,7 @@
         self._rng = rng
         self._catalog = catalog
         self._discovery = discovery
+        self._placer = placer
         self._must_read = must_read
         self._connect: Connect = connect or _connect
         self._readers: tuple[Peer, ...] = ()
@@ -129,8 +133,10 @@
             self._follow(reader, "selected")
         assert self._client is not None
         sent_at = self._clock.monotonic()
-        query = urlencode({"epoch": self._epoch, "after": self._sequence})
-        response = self._client.call("GET", f"{VIEW_PATH}?{query}", timeout_s=POLL_TIMEOUT_S)
+        streams = self._placer.short_streams(sent_at)
+        poll = Poll(self._key, self._epoch, self._sequence, streams)
+        body = cattrs.unstructure(poll)
+        response = self._client.call("POST", VIEW_PATH, body, timeout_s=POLL_TIMEOUT_S)
         update = response.map_err(lambda error: error.detail).and_then(_read_response)
         if isinstance(update, Err):
             log_event(log, "reader-failed", reader=reader.key, detail=update.err_value)
@@ -155,6 +161,7 @@
                 },
                 None if update.complete else update.removed,
             )
+        self._placer.set_mean_short_streams(update.streams, self._clock.monotonic())
         self._epoch = update.epoch
         self._sequence = update.sequence
         return True
