--- a/hickoryloom/gateway/app.py
+++ b/hickoryloom/gateway/app.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import json
 from collections.abc import Callable, Iterable, Iterator
 from http import HTTPStatus
 from typing import Any
@@ -206,14 +207,15 @@
 
 
 def _send_refusal(refusal: Refusal, start_response: StartResponse) -> Iterable[bytes]:
-    body = f'{{"error":{{"type":"{refusal.reason}","verdict":"{refusal.verdict.value}"}}}}'
-    headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body.encode())))]
+    error = {"type": refusal.reason, "verdict": refusal.verdict.value}
+    body = json.dumps({"error": error}, separators=(",", ":")).encode()
+    headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
     if refusal.retry_after_s is not None:
         headers.append(("Retry-After", f"{refusal.retry_after_s:.2f}"))
     if refusal.close:
         headers.append(("Connection", "close"))
     start_response(_status_line(refusal.status), headers)
-    return [body.encode()]
+    return [body]
 
 
 def _status_line(status: int) -> str:
--- a/hickoryloom/platform/callers.py
+++ b/hickoryloom/platform/callers.py
@@ -19,7 +19,8 @@
 TOKENS_HEADER = "token-count"
 PREFIX_HEADER = "prompt-prefix"
 LAST_EVENT_HEADER = "last-event-id"
-PREFIX_PART = re.compile(r"\s*([0-9a-fA-F]+):(\d+)\s*")
+NUMBER = re.compile(r"[0-9]{1,15}")
+PREFIX_PART = re.compile(r"\s*([0-9a-fA-F]+):([0-9]{1,15})\s*")
 
 GATEWAY_HEADERS = frozenset(
     (
@@ -58,8 +59,8 @@
             return values
         known = values.ok_value
         deadline = known.get(DEADLINE_HEADER)
-        if deadline is not None and not deadline.isdecimal():
-            return Err(f"header {DEADLINE_HEADER!r} is not a whole number")
+        if deadline is not None and not NUMBER.fullmatch(deadline):
+            return Err(f"header {DEADLINE_HEADER!r} is not a whole number of up to 15 digits")
         last_event = known.get(LAST_EVENT_HEADER)
         key = known.get(KEY_HEADER)
         return Ok(
@@ -74,7 +75,7 @@
                 key_hash="" if key is None else hash_key(key),
                 prompt_tokens=_read_prompt_tokens(known.get(TOKENS_HEADER)),
                 prompt_segments=_read_parts(known.get(PREFIX_HEADER, "")),
-                resume_after=int(last_event) if last_event and last_event.isdecimal() else None,
+                resume_after=_read_number(last_event),
             )
         )
 
@@ -103,9 +104,13 @@
 def _read_prompt_tokens(value: str | None) -> int:
     """Return the prompt tokens, the first of two numbers; 0 if the value is malformed."""
     prompt, _, output = (value or "").partition(",")
-    if prompt.strip().isdecimal() and output.strip().isdecimal():
-        return int(prompt)
-    return 0
+    prompt_tokens, output_tokens = _read_number(prompt.strip()), _read_number(output.strip())
+    return 0 if prompt_tokens is None or output_tokens is None else prompt_tokens
+
+
+def _read_number(value: str | None) -> int | None:
+    """Return a whole number of up to 15 digits; None for any other value."""
+    return int(value) if value is not None and NUMBER.fullmatch(value) else None
 
 
 def _read_parts(value: str) -> tuple[PromptSegment, ...]:
--- a/hickoryloom/platform/catalog.py
+++ b/hickoryloom/platform/catalog.py
@@ -101,8 +101,8 @@
 
 
 def _read_service(record: Any) -> Service:
-    engine = record.get("inference_engine") if isinstance(record, dict) else None
-    scaling = record.get("autoscaling") if isinstance(record, dict) else None
+    engine = get_dict(record, "inference_engine")
+    scaling = get_dict(record, "autoscaling")
     return Service(
         name=get_str(record, "name"),
         max_connections=get_int(record, "max_connections", 0),
--- a/hickoryloom/platform/fields.py
+++ b/hickoryloom/platform/fields.py
@@ -7,6 +7,8 @@
 
 __all__ = ["FieldError", "get_bool", "get_dict", "get_float", "get_int", "get_list", "get_str"]
 
+MAX_INT = 2**63 - 1
+
 
 class FieldError(ValueError):
     """A field is missing or has an invalid value."""
@@ -31,13 +33,19 @@
 
 
 def get_int(source: Any, name: str, default: int | None = None) -> int:
-    """Return an integer."""
-    return int(_get_value(source, name, (int,), default))
+    """Return an integer of up to 64 bits."""
+    value = int(_get_value(source, name, (int,), default))
+    if not -MAX_INT <= value <= MAX_INT:
+        raise FieldError(f"field {name!r} is out of range")
+    return value
 
 
 def get_float(source: Any, name: str, default: float | None = None) -> float:
     """Return a finite number."""
-    value = float(_get_value(source, name, (float, int), default))
+    try:
+        value = float(_get_value(source, name, (float, int), default))
+    except OverflowError:
+        raise FieldError(f"field {name!r} is out of range")
     if not math.isfinite(value):
         raise FieldError(f"field {name!r} is {value}")
     return value
--- a/hickoryloom/platform/tests/test_codecs.py
+++ b/hickoryloom/platform/tests/test_codecs.py
@@ -174,3 +174,47 @@
     assert PlatformUsage().read(JsonResponse(409, {})) is DutyOutcome.FENCED
     assert PlatformScaling().read(JsonResponse(409, {})) is DutyOutcome.NO_CAPACITY
     assert PlatformScaling().read(JsonResponse(503, {})) is DutyOutcome.UNKNOWN
+
+
+DIGITS = st.text(alphabet="0123456789", min_size=1, max_size=6_000)
+NUMERIC = st.one_of(DIGITS, st.just("9" * 5_000), st.sampled_from(["²", "٣", "-1", "1e9", ""]))
+
+
+@given(deadline=NUMERIC, tokens=NUMERIC, part=NUMERIC, last_event=NUMERIC)
+def test_no_number_in_a_header_raises(deadline, tokens, part, last_event):
+    headers = (
+        ("host", "h"),
+        ("deadline-ms", deadline),
+        ("token-count", f"{tokens},{tokens}"),
+        ("prompt-prefix", f"ab:{part}"),
+        ("last-event-id", last_event),
+    )
+    request = PlatformCallers().read_request("POST", "/x", headers, b"")
+    if request.is_ok():
+        assert request.ok_value.caller_timeout_s >= 0
+        assert all(segment.tokens >= 0 for segment in request.ok_value.prompt_segments)
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        *(
+            (field, value)
+            for field in ("autoscaling", "inference_engine")
+            for value in ([1], "x", 7)
+        ),
+        ("autoscaling", {"min_replicas": 10**400}),
+        ("inference_engine", {"capacity": 10**400}),
+    ],
+)
+def test_a_service_with_malformed_fields_is_an_error(field, value):
+    document = configuration(version=3)
+    document["services"][0][field] = value
+    assert isinstance(PlatformCatalog().read(document), Err)
+
+
+@pytest.mark.parametrize("value", [10**400, -(10**400), 1e400])
+def test_a_number_out_of_range_is_an_error(value):
+    document = configuration(version=3)
+    document["routes"][0]["timeout_ms"] = value
+    assert isinstance(PlatformCatalog().read(document), Err)
--- a/hickoryloom/platform/tests/test_framing_processes.py
+++ b/hickoryloom/platform/tests/test_framing_processes.py
@@ -131,3 +131,14 @@
     (line,) = gateway.events("request-unreadable")
     assert f"status={status}" in line.replace('"', "") and detail in line
     assert KEY not in gateway.log()
+
+
+@pytest.mark.parametrize("size", [b"0x5", b"5g", b"-5", b""])
+def test_a_malformed_chunk_size_gets_one_refusal_and_ends_the_connection(site, size):
+    backend = site.add_backend(Backend("i-1", "app", respond))
+    gateway = site.start()
+    body = size + b"\r\nhello\r\n0\r\n\r\n"
+    received = gateway.send_raw(request_head(Transfer_Encoding="chunked") + body + request_head())
+    assert received.startswith(b"HTTP/1.1 400 ") and received.count(b"HTTP/1.1") == 1
+    assert b"connection: close" in received.lower()
+    assert backend.requests == []
