--- a/hickoryloom/discovery/messages.py
+++ b/hickoryloom/discovery/messages.py
@@ -20,7 +20,7 @@
         leaving: Whether it is draining and must not receive new requests.
         reclaimable: Whether the platform may reclaim it.
         started_ms: Unix time of its start, in milliseconds; 0 if unknown.
-        slow_s: Remaining warm-up time as of the registration, in seconds; 0 when warm.
+        warming_up: Whether it is still slow after its start.
     """
 
     id: str
@@ -31,4 +31,4 @@
     leaving: bool = False
     reclaimable: bool = False
     started_ms: int = 0
-    slow_s: float = 0.0
+    warming_up: bool = False
--- a/hickoryloom/discovery/task.py
+++ b/hickoryloom/discovery/task.py
@@ -158,8 +158,7 @@
         self._notify(before)
         if not ok:
             return self._until_expiry_s(RETRY_S)
-        changed = self._revision != revision and before != self._state.servers
-        return self._until_expiry_s(BATCH_DELAY_S) if changed else 0.0
+        return self._until_expiry_s(BATCH_DELAY_S) if self._revision != revision else 0.0
 
     def _until_expiry_s(self, limit_s: float) -> float:
         """Return the seconds until a missing backend server is dropped, at most `limit_s`."""
--- a/hickoryloom/placing/placer.py
+++ b/hickoryloom/placing/placer.py
@@ -227,7 +227,7 @@
         delay_s = max(own_s, reported_s) + rate.seconds(tokens)
         delay_s += tracked.in_flight * RUNNING_PENALTY_S
         delay_s += FULL_PENALTY_S * (tracked.occupancy(now) >= 1.0)
-        delay_s += SLOW_PENALTY_S * (tracked.server.slow_s > 0)
+        delay_s += SLOW_PENALTY_S * tracked.server.warming_up
         return delay_s + FAILED_PENALTY_S * tracked.failure_rate
 
     def _choose_plain(self, candidates: list[TrackedServer], now: float) -> Placement:
@@ -239,7 +239,7 @@
                 + OTHER_DOMAIN_PENALTY * other_domain
                 + jitter
                 + tracked.failure_rate
-                + (tracked.server.slow_s > 0)
+                + tracked.server.warming_up
             )
 
         best = min(candidates, key=occupancy_score)
--- a/hickoryloom/sharing/task.py
+++ b/hickoryloom/sharing/task.py
@@ -32,7 +32,7 @@
 """Time for which a reader that failed is not asked again."""
 
 SKIP_STALE_S = 1.0
-"""The same for a reader whose view was too old, as it reads more often once it is polled."""
+"""The same for a reader without a current view, as it reads more often once it is polled."""
 
 IDLE_INTERVAL_S = 1.0
 """Interval for checking whether there is a reader to follow."""
@@ -140,7 +140,7 @@
         update = response.map_err(lambda error: error.detail).and_then(_read_response)
         if isinstance(update, Err):
             log_event(log, "reader-failed", reader=reader.key, detail=update.err_value)
-            return SKIP_READER_S
+            return SKIP_STALE_S if response.is_ok() else SKIP_READER_S
         return 0.0 if self._apply(update.ok_value, sent_at) else SKIP_STALE_S
 
     def _apply(self, update: ViewUpdate, sent_at: float) -> bool:
