Reserve engines for short prompts by the time that their prefills take as well as by their streams

Load: bursts of short prompts on a large fleet. The test plays 150 short prompts a second of 30 ms each: the busiest engine is 0.77 busy without this, under 0.5 with it. Instances now share the load in engines instead of the number of streams.

--- a/hickoryloom/placing/placer.py
+++ b/hickoryloom/placing/placer.py
@@ -91,17 +91,19 @@
         for engines in self._short_prompts.values():
             engines.instances = instances
 
-    def short_streams(self, now: float) -> dict[str, float]:
-        """Return the mean number of short requests in flight at this instance, by service."""
-        return {
-            service: round(engines.mean_streams(now), 3)
-            for service, engines in self._short_prompts.items()
-        }
-
-    def set_mean_short_streams(self, means: Mapping[str, float], now: float) -> None:
-        """Set the mean number of short requests in flight at one of several instances."""
-        for service, mean in means.items():
-            self._short_prompt_engines(service).set_shared_mean(mean, now)
+    def short_prompt_load(self, now: float) -> dict[str, float]:
+        """Return the number of engines that this instance's short requests fill, by service."""
+        loads = {}
+        for service, engines in self._short_prompts.items():
+            servers = self._by_service.get(service)
+            if servers:
+                loads[service] = round(engines.load(servers[0].server.slots, now), 4)
+        return loads
+
+    def set_mean_short_prompt_load(self, loads: Mapping[str, float], now: float) -> None:
+        """Set the mean of `short_prompt_load` over several instances."""
+        for service, load in loads.items():
+            self._short_prompt_engines(service).set_shared_load(load, now)
 
     def choose(
         self, request: PlacementRequest, exclude: frozenset[str], now: float
@@ -135,7 +137,9 @@
     def start_attempt(self, placement: Placement, request: PlacementRequest, now: float) -> None:
         """Record that a request has been sent to the selected backend server."""
         if request.prompt_tokens:
-            self._short_prompt_engines(request.service).started(_is_short(request), now)
+            prefill_s = self._rate(request.service).seconds(placement.prefill_tokens)
+            engines = self._short_prompt_engines(request.service)
+            engines.started(_is_short(request), prefill_s, now)
         tracked = self._tracked.get(placement.server.id)
         if tracked is not None:
             tracked.on_start(request, placement.prefill_tokens)
--- a/hickoryloom/placing/short_prompts.py
+++ b/hickoryloom/placing/short_prompts.py
@@ -2,9 +2,9 @@
 
 The prefill of a long prompt takes several steps, and every running stream of the engine waits
 during each of them. If long prompts are distributed over all engines, a few per second are enough
-to stall most streams for too long. Therefore some engines are reserved for
-short prompts: as many as the number of streams requires, but at most half of all engines. Every
-instance selects the same ones.
+to stall most streams for too long. Therefore some engines are reserved for short prompts: as many
+as their streams and their own prefills require, but at most half of all engines. Every instance
+selects the same ones.
 """
 
 from __future__ import annotations
@@ -24,15 +24,19 @@
 MAX_STREAM_FILL = 0.8
 """Fraction of a reserved engine's slots that streams may occupy before another is reserved."""
 
+MAX_PREFILL_FILL = 0.35
+"""Fraction of time that a reserved engine may process prompts before another is reserved. Prompts
+that arrive together stall its streams one after the other."""
+
 AVERAGING_S = 4.0
-"""Time constant of the average number of streams: twice the mean duration of a stream."""
+"""Time constant of the average load: twice the mean duration of a stream."""
 
 LONG_PROMPT_MEMORY_S = 10.0
 """Time after the last long prompt for which engines stay reserved: an instance of a large fleet
 sends one every second or less."""
 
-SHARED_MEAN_MAX_AGE_S = 4.0
-"""Age up to which the mean over other instances replaces this instance's own."""
+SHARED_LOAD_MAX_AGE_S = 4.0
+"""Age up to which the mean load of other instances replaces this instance's own."""
 
 MIN_ENGINES_TO_PARTITION = 3
 """With fewer engines, reserving one costs more than the stalls that it prevents."""
@@ -40,26 +44,28 @@
 
 @attrs.define
 class ShortPromptEngines:
-    """Tracks the number of short requests in flight and selects the engines reserved for them.
+    """Tracks the load of short requests and selects the engines reserved for them.
 
     Attributes:
-        instances: Number of instances that send similar traffic. The mean number of streams of
-            an instance is multiplied by it to estimate the total.
+        instances: Number of instances that send similar traffic. The mean load of an instance is
+            multiplied by it to estimate the total.
     """
 
     instances: int = 1
-    _short: int = 0
+    _in_flight: int = 0
     _long_until: float = float("-inf")
-    _shared_mean: float | None = None
+    _shared_load: float | None = None
     _shared_at: float = 0.0
-    _mean_short: float = 0.0
+    _mean_in_flight: float = 0.0
+    _prefill_busy: float = 0.0
     _updated: float | None = None
 
-    def started(self, short: bool, now: float) -> None:
-        """Record that a request has been sent."""
+    def started(self, short: bool, prefill_s: float, now: float) -> None:
+        """Record that a request has been sent whose prefill takes an engine `prefill_s`."""
         self._refresh(now)
         if short:
-            self._short += 1
+            self._in_flight += 1
+            self._prefill_busy += prefill_s / AVERAGING_S
         else:
             self._long_until = now + LONG_PROMPT_MEMORY_S
 
@@ -67,16 +73,22 @@
         """Record that a request has ended."""
         self._refresh(now)
         if short:
-            self._short = max(0, self._short - 1)
+            self._in_flight = max(0, self._in_flight - 1)
+
+    def load(self, slots: int, now: float) -> float:
+        """Return the number of engines that this instance's short requests fill.
 
-    def mean_streams(self, now: float) -> float:
-        """Return the mean number of short requests in flight at this instance."""
+        Args:
+            slots: Slots of an engine.
+            now: Monotonic time in seconds.
+        """
         self._refresh(now)
-        return self._mean_short
+        streams = self._mean_in_flight / (MAX_STREAM_FILL * max(1, slots))
+        return max(streams, self._prefill_busy / MAX_PREFILL_FILL)
 
-    def set_shared_mean(self, mean: float, now: float) -> None:
-        """Set the mean number of short requests in flight at one of several instances."""
-        self._shared_mean = mean
+    def set_shared_load(self, load: float, now: float) -> None:
+        """Set the mean load of several instances."""
+        self._shared_load = load
         self._shared_at = now
 
     def select(self, engines: Iterable[tuple[str, int]], now: float) -> frozenset[str]:
@@ -88,22 +100,20 @@
             engines: Id and slots of each usable engine.
             now: Monotonic time in seconds.
         """
-        self._refresh(now)
         ranked = sorted(engines, key=lambda engine: rank("quiet", engine[0]), reverse=True)
         if len(ranked) < MIN_ENGINES_TO_PARTITION or now >= self._long_until:
             return frozenset()
-        slots = max(1, ranked[0][1])
-        mean = self._mean_short
-        if self._shared_mean is not None and now - self._shared_at <= SHARED_MEAN_MAX_AGE_S:
-            mean = self._shared_mean
-        needed = math.ceil(mean * self.instances / (MAX_STREAM_FILL * slots))
-        number = min(max(1, needed), len(ranked) // 2)
+        load = self.load(ranked[0][1], now)
+        if self._shared_load is not None and now - self._shared_at <= SHARED_LOAD_MAX_AGE_S:
+            load = self._shared_load
+        number = min(max(1, math.ceil(load * self.instances)), len(ranked) // 2)
         return frozenset(id for id, _ in ranked[:number])
 
     def _refresh(self, now: float) -> None:
         if self._updated is not None:
             weight = math.exp((self._updated - now) / AVERAGING_S)
-            self._mean_short = weight * self._mean_short + (1 - weight) * self._short
+            self._mean_in_flight = weight * self._mean_in_flight + (1 - weight) * self._in_flight
+            self._prefill_busy *= weight
         self._updated = now
 
 
--- a/hickoryloom/placing/tests/test_placer.py
+++ b/hickoryloom/placing/tests/test_placer.py
@@ -182,7 +182,7 @@
     assert not reserved.select(engines, LONG_PROMPT_MEMORY_S + 1.0)
 
 
-def play_thin_traffic(share_streams):
+def play_thin_traffic(share_loads):
     """Play a large fleet in which each instance sends less than two requests per second.
 
     195 instances send 72 short streams of 1.6 s and 172 long prompts per second to 62 engines of
@@ -200,13 +200,13 @@
         while running and running[0][0] <= now:
             _, _, placer, placement, request = heapq.heappop(running)
             placer.finish_attempt(placement, request, PlacementOutcome.DONE, True, now)
-        if share_streams and now >= next_share:
+        if share_loads and now >= next_share:
             next_share = now + 0.9
             for first in range(0, 195, 20):
                 group = placers[first : first + 20]
-                means = [placer.short_streams(now).get("llm", 0.0) for placer in group]
+                loads = [placer.short_prompt_load(now).get("llm", 0.0) for placer in group]
                 for placer in group:
-                    placer.set_mean_short_streams({"llm": sum(means) / len(means)}, now)
+                    placer.set_mean_short_prompt_load({"llm": sum(loads) / len(loads)}, now)
         placer = random.choice(placers)
         is_short = random.random() < 72 / 244
         name = f"s{random.randrange(600)}"
@@ -226,6 +226,30 @@
 
 
 def test_instances_with_thin_traffic_reserve_the_same_engines():
-    """Long prompts stall fewer streams if instances share how many of these there are."""
+    """Long prompts stall fewer streams if instances share the load of these."""
     alone, shared = play_thin_traffic(False), play_thin_traffic(True)
     assert shared < 0.5 * alone
+
+
+def test_a_burst_of_short_prompts_is_spread_over_enough_engines_for_its_prefills():
+    """150 short prompts per second, of 30 ms prefill each, beside a few long prompts.
+
+    Their streams would fit on few engines, whose prefills would stall them all.
+    """
+    random = Random(3)
+    placer = build_placer(servers(40, slots=128))
+    now, busy, running = 0.0, Counter(), []
+    while now < 20.0:
+        now += random.expovariate(155.0)
+        while running and running[0][0] <= now:
+            _, _, placement, request = heapq.heappop(running)
+            placer.finish_attempt(placement, request, PlacementOutcome.DONE, True, now)
+        is_short = random.random() < 150 / 155
+        request = PlacementRequest("llm", 1_200) if is_short else prompt_request("s")
+        placement = placer.choose(request, frozenset(), now)
+        placer.start_attempt(placement, request, now)
+        placer.record_first_token(placement, placement.prefill_tokens / 40_000)
+        heapq.heappush(running, (now + 1.5, random.random(), placement, request))
+        if is_short and now > 10.0:
+            busy[placement.server.id] += 0.03
+    assert max(busy.values()) / 10.0 <= 0.5
--- a/hickoryloom/sharing/__init__.py
+++ b/hickoryloom/sharing/__init__.py
@@ -3,7 +3,7 @@
 In a large fleet, reading the store at every instance costs more calls than all other work. A few
 instances of each failure domain, the readers, follow the store. The others poll a reader for the
 version of the configuration that it last confirmed, for changed registrations, and for the mean
-number of streams of an instance.
+load of an instance.
 """
 
 from hickoryloom.sharing import history, messages, readers, sample, server, task
--- a/hickoryloom/sharing/messages.py
+++ b/hickoryloom/sharing/messages.py
@@ -53,13 +53,13 @@
         key: Key of the follower's process.
         epoch: Epoch of the last update; empty for none.
         sequence: Sequence number of the last update.
-        streams: Mean number of short streams in flight at the follower, by service.
+        loads: Number of engines that the follower's short requests fill, by service.
     """
 
     key: str
     epoch: str = ""
     sequence: int = 0
-    streams: dict[str, float] = attrs.field(factory=dict)
+    loads: dict[str, float] = attrs.field(factory=dict)
 
 
 @attrs.frozen
@@ -74,8 +74,7 @@
         config_age_s: Seconds since that version was last confirmed to be the newest.
         servers: Backend servers, or those that changed since the sequence number asked for.
         removed: Ids of backend servers that were removed since then.
-        streams: Mean number of short streams in flight at an instance, by service, over the reader
-            and its followers.
+        loads: Mean of the loads of the reader and its followers, by service.
     """
 
     epoch: str
@@ -85,7 +84,7 @@
     config_age_s: float
     servers: tuple[SharedServer, ...] = ()
     removed: tuple[str, ...] = ()
-    streams: dict[str, float] = attrs.field(factory=dict)
+    loads: dict[str, float] = attrs.field(factory=dict)
 
 
 def read_poll(value: Any) -> Result[Poll, str]:
--- a/hickoryloom/sharing/server.py
+++ b/hickoryloom/sharing/server.py
@@ -17,7 +17,7 @@
 from hickoryloom.placing import Placer
 from hickoryloom.sharing.history import ServerHistory
 from hickoryloom.sharing.messages import Poll, ViewUpdate, read_poll
-from hickoryloom.sharing.sample import StreamSample
+from hickoryloom.sharing.sample import LoadSample
 
 __all__ = ["VIEW_PATH", "ViewServer"]
 
@@ -42,7 +42,7 @@
         clock: Source of time.
         catalog: Provides the confirmed version of the configuration.
         discovery: Provides the backend servers.
-        placer: Provides this instance's streams, and receives the mean over its followers.
+        placer: Provides this instance's load, and receives the mean over its followers.
     """
 
     def __init__(
@@ -54,7 +54,7 @@
         placer: Placer,
     ) -> None:
         self._placer = placer
-        self._sample = StreamSample()
+        self._sample = LoadSample()
         self._epoch = epoch
         self._clock = clock
         self._catalog = catalog
@@ -73,10 +73,10 @@
         """Return what a follower lacks; None if this instance has no view of its own."""
         self._polled_at = now = self._clock.monotonic()
         self._catalog.read_often(now + FOLLOWED_S)
-        self._sample.record(poll.key, poll.streams, now)
-        self._sample.record(self._epoch, self._placer.short_streams(now), now)
-        streams = self._sample.mean(now)
-        self._placer.set_mean_short_streams(streams, now)
+        self._sample.record(poll.key, poll.loads, now)
+        self._sample.record(self._epoch, self._placer.short_prompt_load(now), now)
+        loads = self._sample.mean(now)
+        self._placer.set_mean_short_prompt_load(loads, now)
         confirmed = self._catalog.confirmed_by_store
         if confirmed is None or not self._discovery.follows_store:
             return None
@@ -91,7 +91,7 @@
             config_age_s=now - confirmed.confirmed_at,
             servers=servers,
             removed=() if complete else removed,
-            streams=streams,
+            loads=loads,
         )
 
     def __call__(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
--- a/hickoryloom/sharing/task.py
+++ b/hickoryloom/sharing/task.py
@@ -57,7 +57,7 @@
         rng: Source of jitter.
         catalog: Receives confirmations of the configuration's version.
         discovery: Receives changed registrations.
-        placer: Provides this instance's streams, and receives the mean over other instances.
+        placer: Provides this instance's load, and receives the mean over other instances.
         must_read: Returns whether this instance has to read the store for followers of its own.
         connect: Builds the client of a reader's address.
     """
@@ -133,8 +133,8 @@
             self._follow(reader, "selected")
         assert self._client is not None
         sent_at = self._clock.monotonic()
-        streams = self._placer.short_streams(sent_at)
-        poll = Poll(self._key, self._epoch, self._sequence, streams)
+        loads = self._placer.short_prompt_load(sent_at)
+        poll = Poll(self._key, self._epoch, self._sequence, loads)
         body = cattrs.unstructure(poll)
         response = self._client.call("POST", VIEW_PATH, body, timeout_s=POLL_TIMEOUT_S)
         update = response.map_err(lambda error: error.detail).and_then(_read_response)
@@ -161,7 +161,7 @@
                 },
                 None if update.complete else update.removed,
             )
-        self._placer.set_mean_short_streams(update.streams, self._clock.monotonic())
+        self._placer.set_mean_short_prompt_load(update.loads, self._clock.monotonic())
         self._epoch = update.epoch
         self._sequence = update.sequence
         return True
--- a/hickoryloom/sharing/tests/test_sharing.py
+++ b/hickoryloom/sharing/tests/test_sharing.py
@@ -18,6 +18,7 @@
 from hickoryloom.http import CallError, JsonResponse
 from hickoryloom.leases.tests.fakes import DOWN
 from hickoryloom.placing import PlacementRequest, Placer
+from hickoryloom.placing.short_prompts import MAX_STREAM_FILL
 from hickoryloom.sharing import Peer, ViewFollower, ViewServer
 from hickoryloom.sharing.task import POLL_TIMEOUT_S
 from hickoryloom.store import Availability, Change, Listing, Versioned, WatchBatch
@@ -244,8 +245,8 @@
     assert not system.usable_at_follower("a")
 
 
-def test_instances_that_exchange_views_estimate_the_same_number_of_streams():
-    """One of them has two short streams in flight, the other none."""
+def test_instances_that_exchange_views_estimate_the_same_load():
+    """One of them has two short streams in flight at engines of 4 slots, the other none."""
     system = System()
     request = PlacementRequest("s", prompt_tokens=100)
     for _ in range(2):
@@ -254,7 +255,7 @@
     system.run(20.0)
     for instance in (system.reader, system.follower):
         engines = instance.placer._short_prompt_engines("s")
-        assert abs(engines._shared_mean - 1.0) < 0.1
+        assert abs(engines._shared_load * MAX_STREAM_FILL * 4 - 1.0) < 0.1
 
 
 class SharedViews(RuleBasedStateMachine):
