Keep an instance from taking back a lease that another has just released; end open calls before a release

The record now names the instance of the holder and of the one before; an instance that comes back after another waits out the duration. A call under the lease times out when its grant ends; a planned stop waits for open orders before it releases the lease.

--- a/hickoryloom/duties/client.py
+++ b/hickoryloom/duties/client.py
@@ -17,6 +17,9 @@
 CALL_TIMEOUT_S = 1.5
 """Longer than slow responses take and shorter than the duration of a lease."""
 
+MIN_CALL_TIMEOUT_S = 0.05
+"""Timeout of a call whose grant is about to expire; the guard rejects it after the expiry."""
+
 MAX_CONNECTIONS = 16
 """Allows orders of both kinds for all failure domains of a region to be sent concurrently."""
 
@@ -52,10 +55,13 @@
             grant: Lease grant under which the call is made; the call carries its term.
             read: Decodes the response.
         """
+        current = self._lease_manager.current_grant() or grant
+        left_s = current.until - self._lease_manager.now()
         response = self._http.call(
             "POST",
             call.path,
             call.body,
+            timeout_s=min(CALL_TIMEOUT_S, max(MIN_CALL_TIMEOUT_S, left_s)),
             headers=call.headers,
             guard=self._lease_manager.guard(grant),
         )
--- a/hickoryloom/gateway/process.py
+++ b/hickoryloom/gateway/process.py
@@ -283,6 +283,7 @@
             settings.lease_s,
             read_interval_s=settings.lease_s * CANDIDATE_READ_FACTOR,
             is_candidate=lambda: self._meter_task.rank < MAX_LEASE_CANDIDATES,
+            instance=settings.instance,
         )
         duty_client = DutyClient(settings.duties, lease_manager)
         tasks: list[UsageReporter | Scaler] = []
--- a/hickoryloom/leases/manager.py
+++ b/hickoryloom/leases/manager.py
@@ -48,6 +48,7 @@
         read_interval_s: Interval between a candidate's reads, in seconds; None derives it from the
             duration.
         is_candidate: Returns whether this process is a candidate for the lease; None means always.
+        instance: Instance of this process; see `LeaseState`.
     """
 
     def __init__(
@@ -60,6 +61,7 @@
         rng: random.Random | None = None,
         read_interval_s: float | None = None,
         is_candidate: Callable[[], bool] | None = None,
+        instance: str = "",
     ) -> None:
         self._duty = duty
         self._key = f"leases/{duty}"
@@ -68,7 +70,7 @@
         times = LeaseTimes.from_duration(duration_s)
         if read_interval_s is not None:
             times = attrs.evolve(times, read_s=read_interval_s)
-        self._state = LeaseState(incarnation, times)
+        self._state = LeaseState(incarnation, times, instance)
         self._rng = rng or random.Random()
         self._loop = TaskLoop(self._step, f"lease-{duty}", log)
         self._logged_term = 0
@@ -88,6 +90,10 @@
         """Return the current grant to act, or None if the lease is not held."""
         return self._state.current_grant(self._clock.monotonic())
 
+    def now(self) -> float:
+        """Return the time on the clock of `LeaseGrant.until`."""
+        return self._clock.monotonic()
+
     def guard(self, grant: LeaseGrant) -> Guard:
         """Return a check, to run right before a write, that the grant's term is still held."""
 
@@ -192,7 +198,11 @@
         "renewals": int,
     }
     try:
-        return LeaseRecord(**{name: read(value[name]) for name, read in fields.items()})
+        return LeaseRecord(
+            **{name: read(value[name]) for name, read in fields.items()},
+            instance=str(value.get("instance", "")),
+            previous_instance=str(value.get("previous_instance", "")),
+        )
     except (KeyError, TypeError, ValueError):
         log_event(log, "lease-unreadable", value=str(value)[:100])
         return None
--- a/hickoryloom/leases/messages.py
+++ b/hickoryloom/leases/messages.py
@@ -23,12 +23,16 @@
         duration_s: Time for which the holder may act after a renewal, in seconds.
         renewals: Number of the write. It differs for every attempted write, so that a reader can
             tell which of its writes took effect.
+        instance: Instance of the holder, or of the last one after a release.
+        previous_instance: The last other instance that held the lease before.
     """
 
     holder: str
     term: int
     duration_s: float
     renewals: int = 0
+    instance: str = ""
+    previous_instance: str = ""
 
 
 @attrs.frozen
--- a/hickoryloom/leases/state.py
+++ b/hickoryloom/leases/state.py
@@ -30,10 +30,13 @@
     Args:
         incarnation: Incarnation of the candidate.
         times: Timing parameters of the lease.
+        instance: Instance of the candidate. Some receivers reject two holders that act in turn, so
+            an instance waits before it takes back a lease that another one has just released.
     """
 
     incarnation: str
     times: LeaseTimes
+    instance: str = ""
     _record: LeaseRecord | None = None
     _version: int = 0
     _changed_at: float | None = None
@@ -153,6 +156,8 @@
             term=self._highest_term + 1,
             duration_s=self.times.duration_s,
             renewals=renewals,
+            instance=self.instance,
+            previous_instance=self._previous_instance(),
         )
         return WriteStep(record, self._version)
 
@@ -161,11 +166,26 @@
         assert self._changed_at is not None
         if self._record is None:
             return self._changed_at + self._absence_wait_s()
-        if not self._record.holder:
+        if not self._record.holder and not self._returns_after_another():
             return self._changed_at
         duration_s = max(self._record.duration_s, self.times.duration_s)
         return self._changed_at + duration_s + self.times.margin_s
 
+    def _previous_instance(self) -> str:
+        """Return the last instance other than this one that held the lease."""
+        if self._record is None:
+            return ""
+        if self._record.instance == self.instance:
+            return self._record.previous_instance
+        return self._record.instance
+
+    def _returns_after_another(self) -> bool:
+        """Return whether this instance held the lease right before the last holder."""
+        assert self._record is not None
+        if not self.instance or self._record.instance == self.instance:
+            return False
+        return self._record.previous_instance == self.instance
+
     def _absence_wait_s(self) -> float:
         if self._highest_term == 0:
             return 0.0
--- a/hickoryloom/scaling/task.py
+++ b/hickoryloom/scaling/task.py
@@ -6,6 +6,7 @@
 
 import gevent
 import logbook
+from gevent.pool import Group
 from result import Err
 
 from hickoryloom.catalog import CatalogFollower, Service
@@ -15,7 +16,8 @@
 from hickoryloom.leases import LeaseGrant
 from hickoryloom.logs import log_event
 from hickoryloom.metering import ServiceDemand, filter_live, read_all_counts, sum_demand
-from hickoryloom.scaling.messages import Group, ScalingCodec
+from hickoryloom.scaling.messages import Group as ServerGroup
+from hickoryloom.scaling.messages import ScalingCodec
 from hickoryloom.scaling.orders import OrderTracker
 from hickoryloom.scaling.sizing import REQUEST_OVERHEAD_S, DemandPeak, plan_servers
 from hickoryloom.store import PlatformClient
@@ -28,6 +30,12 @@
 RESPONSE_WAIT_S = 0.3
 """Maximum wait for responses to orders, so that a lost response delays no other order."""
 
+STOP_TIMEOUT_S = 1.5
+"""Longest wait for open calls at a stop; a call times out after this time."""
+
+DEMAND_RETRY_S = 1.0
+"""Pause after a failed read of the demand; the last known demand applies meanwhile."""
+
 DEMAND_READ_INTERVAL_S = 3.0
 """Pause between reads of the demand; the half-minute peak that sets the size changes slowly."""
 
@@ -74,6 +82,7 @@
         self._term = 0
         self._read_at = -DEMAND_READ_INTERVAL_S
         self._demand: dict[str, ServiceDemand] = {}
+        self._open_orders = Group()
         self._order_trackers: dict[str, OrderTracker] = {}
         self._peaks: dict[str, DemandPeak] = {}
         self._task = LeasedTask(
@@ -85,8 +94,9 @@
         self._task.start()
 
     def stop(self) -> None:
-        """Stop ordering."""
+        """Stop ordering and wait for open calls, so that none arrives after a successor's."""
         self._task.stop()
+        self._open_orders.join(timeout=STOP_TIMEOUT_S)
 
     def _begin_term(self, grant: LeaseGrant) -> bool:
         """Discard orders of an earlier term, since another holder may have issued others."""
@@ -99,7 +109,9 @@
     def _issue_due_orders(self, grant: LeaseGrant) -> float:
         now = self._clock.monotonic()
         if now - self._read_at >= DEMAND_READ_INTERVAL_S and not self._read_demand(now):
-            return CHECK_INTERVAL_S
+            if not self._demand:
+                return DEMAND_RETRY_S
+            self._read_at = now - DEMAND_READ_INTERVAL_S + DEMAND_RETRY_S
         for service in self._catalog.catalog.services.values():
             if service.scaling is not None:
                 self._scale(service, self._demand.get(service.name, ServiceDemand()), grant)
@@ -135,18 +147,24 @@
         self._issue(tracker, tracker.due_orders(desired, running, now), busy, grant)
 
     def _issue(
-        self, tracker: OrderTracker, orders: list[tuple[Group, int]], busy: float, grant: LeaseGrant
+        self,
+        tracker: OrderTracker,
+        orders: list[tuple[ServerGroup, int]],
+        busy: float,
+        grant: LeaseGrant,
     ) -> bool:
         """Issue orders concurrently and return whether capacity was unavailable for any of them."""
         tasks = [
-            gevent.spawn(self._issue_one, tracker, group, number, busy, grant)
+            self._open_orders.spawn(self._issue_one, tracker, group, number, busy, grant)
             for group, number in orders
         ]
+        for task in tasks:
+            task.link_exception(_log_failed_order)
         gevent.joinall(tasks, timeout=RESPONSE_WAIT_S)
         return any(task.value is DutyOutcome.NO_CAPACITY for task in tasks)
 
     def _issue_one(
-        self, tracker: OrderTracker, group: Group, number: int, busy: float, grant: LeaseGrant
+        self, tracker: OrderTracker, group: ServerGroup, number: int, busy: float, grant: LeaseGrant
     ) -> DutyOutcome:
         call = self._codec.order(group, number, self._instance, grant.term)
         tracker.mark_sent(group)
@@ -169,10 +187,15 @@
         )
         return outcome
 
-    def _count_running(self, service: str) -> dict[Group, int]:
-        running: dict[Group, int] = {}
+    def _count_running(self, service: str) -> dict[ServerGroup, int]:
+        running: dict[ServerGroup, int] = {}
         for server in self._discovery.servers:
             if server.service == service and not server.leaving:
-                group = Group(service, server.failure_domain, server.reclaimable)
+                group = ServerGroup(service, server.failure_domain, server.reclaimable)
                 running[group] = running.get(group, 0) + 1
         return running
+
+
+def _log_failed_order(task: gevent.Greenlet[..., object]) -> None:
+    detail = f"{type(task.exception).__name__}: {task.exception}"[:300]
+    log_event(log, "order-failed", error=detail)
