Let a joining entry use its shares of customers' limits only once its peers run no more than theirs

Heartbeats now tell whether an entry runs more than its share.

Also, each with a test that failed first: requests that ran when a limit was introduced were not counted (in_flight fell to -1); state of idle customers was never removed, and that of customers with only a limit of requests in flight could not be; the expiry of missing peers was left out of the next wake-up.

--- a/hickoryloom/admission/fairness.py
+++ b/hickoryloom/admission/fairness.py
@@ -4,6 +4,7 @@
 
 import heapq
 from collections import deque
+from collections.abc import Collection
 
 import attrs
 
@@ -141,12 +142,19 @@
             return None
         return max(flows, key=lambda flow: len(flow.queue) / flow.weight).queue[-1]
 
-    def remove_idle(self) -> None:
-        """Remove the state of customers with an empty queue and no outstanding charge."""
+    def remove_idle(self, running: Collection[str]) -> None:
+        """Remove the state of customers with an empty queue and no outstanding charge.
+
+        Args:
+            running: Customers with running requests, whose charges are not settled yet.
+        """
         idle = [
             name
             for name, flow in self._flows.items()
-            if not flow.queue and not flow.in_heap and flow.finish_tag <= self._virtual_time
+            if not flow.queue
+            and not flow.in_heap
+            and name not in running
+            and flow.finish_tag <= self._virtual_time
         ]
         for name in idle:
             del self._flows[name]
--- a/hickoryloom/admission/limits.py
+++ b/hickoryloom/admission/limits.py
@@ -25,7 +25,6 @@
         tokens: Available tokens; negative after responses that were longer than estimated.
         updated: Monotonic time of the last update, in seconds.
         max_in_flight: Maximum number of running requests; None for no limit.
-        in_flight: Number of running requests.
         division_version: Version of the limits and of the set of entries for which the share was
             computed.
     """
@@ -35,7 +34,6 @@
     tokens: float = 0.0
     updated: float = 0.0
     max_in_flight: int | None = None
-    in_flight: int = 0
     division_version: int = -1
 
     def advance(self, now: float) -> None:
@@ -59,8 +57,14 @@
         self._joined = True
         self._customers: Mapping[str, Customer] = {}
         self._shares: dict[str, _LimitShare] = {}
+        self._running: dict[str, int] = {}
         self._division_version = 0
 
+    @property
+    def running(self) -> Collection[str]:
+        """Customers with running requests."""
+        return self._running.keys()
+
     def set_customers(self, customers: Mapping[str, Customer]) -> None:
         """Apply new limits."""
         self._customers = customers
@@ -71,7 +75,8 @@
 
         Args:
             entries: All entries that may start requests, including this one.
-            joined: Whether all other entries know of this one; until then its shares are 0.
+            joined: Whether all other entries have reduced what they run to their shares beside
+                this one; until then its shares are 0.
         """
         ordered = tuple(sorted(entries))
         if ordered != self._entries or joined != self._joined:
@@ -88,7 +93,7 @@
         share = self._share(customer, now)
         if share is None:
             return now
-        if share.max_in_flight is not None and share.in_flight >= share.max_in_flight:
+        if self._is_full(customer, share):
             return float("inf")
         if share.tokens_per_s:
             share.advance(now)
@@ -113,7 +118,7 @@
             return 0.0
         wait = 0.0
         if share.max_in_flight is not None:
-            excess = queued + 1 + share.in_flight - share.max_in_flight
+            excess = queued + 1 + self._running.get(customer, 0) - share.max_in_flight
             wait = max(0, excess) * service_s / max(share.max_in_flight, 0.1)
         if share.tokens_per_s:
             share.advance(now)
@@ -122,10 +127,11 @@
 
     def started(self, customer: str, cost: float, now: float) -> None:
         """Charge a request that has started."""
+        # Counted without a limit too, as one may be introduced while the request runs.
+        self._running[customer] = self._running.get(customer, 0) + 1
         share = self._share(customer, now)
         if share is None:
             return
-        share.in_flight += 1
         share.advance(now)
         share.tokens -= cost
 
@@ -137,20 +143,37 @@
             difference: Actual minus charged tokens.
             now: Monotonic time in seconds.
         """
+        self._running[customer] = self._running.get(customer, 0) - 1
+        if self._running[customer] <= 0:
+            del self._running[customer]
         share = self._share(customer, now)
         if share is None:
             return
-        share.in_flight -= 1
         share.advance(now)
         share.tokens -= difference
 
+    def over_share(self, now: float) -> bool:
+        """Return whether more requests of a customer run than its current share allows."""
+        for customer, running in self._running.items():
+            share = self._share(customer, now)
+            limit = None if share is None else share.max_in_flight
+            if limit is not None and running > limit:
+                return True
+        return False
+
     def remove_idle(self, now: float) -> None:
         """Remove the shares of customers with no running request and a full bucket."""
         for name, share in list(self._shares.items()):
             share.advance(now)
-            if not share.in_flight and share.tokens >= share.burst:
+            refilled = not share.tokens_per_s or share.tokens >= share.burst
+            if name not in self._running and refilled:
                 del self._shares[name]
 
+    def _is_full(self, customer: str, share: _LimitShare) -> bool:
+        if share.max_in_flight is None:
+            return False
+        return self._running.get(customer, 0) >= share.max_in_flight
+
     def _share(self, customer: str, now: float) -> _LimitShare | None:
         share = self._shares.get(customer)
         if share is not None and share.division_version == self._division_version:
--- a/hickoryloom/admission/peers.py
+++ b/hickoryloom/admission/peers.py
@@ -61,6 +61,11 @@
             self._missing = dict.fromkeys(missing, float("inf"))
         self._live = live
 
+    @property
+    def next_expiry(self) -> float:
+        """Monotonic time at which the next missing peer is removed; infinite for none."""
+        return min(self._missing.values(), default=float("inf"))
+
     def expire(self, now: float) -> bool:
         """Remove missing peers whose timeout has expired; return whether there were any."""
         expired = [name for name, expires in self._missing.items() if expires <= now]
--- a/hickoryloom/admission/pool.py
+++ b/hickoryloom/admission/pool.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 
 from hickoryloom.admission.allocation import Allocation, allocate
 from hickoryloom.admission.arrivals import ArrivalRates
@@ -193,8 +193,14 @@
             pressure=self._pressure.tier,
             epoch=self._pressure.epoch,
             demand=demand,
+            over_share=self._limits.over_share(now),
         )
 
+    def remove_idle(self, running: Collection[str]) -> None:
+        """Remove the state of customers that have no queued request and are not in `running`."""
+        for class_queue in self._queues:
+            class_queue.queue.remove_idle(running)
+
     def next_wake(self) -> float:
         """Return the monotonic time at which `dispatch` is due without another event.
 
--- a/hickoryloom/admission/state.py
+++ b/hickoryloom/admission/state.py
@@ -20,6 +20,7 @@
 
 DEFAULT_TOKENS_PER_S = 40.0
 PAUSE_THRESHOLD_S = 10.0
+IDLE_REMOVAL_INTERVAL_S = 30.0
 
 
 class AdmissionState:
@@ -44,6 +45,7 @@
         self._last_active = float("-inf")
         self._resumed_at = float("-inf")
         self._acknowledged_by: set[str] = set()
+        self._idle_removed_at = 0.0
 
     @property
     def pools(self) -> Mapping[str, PoolState]:
@@ -80,6 +82,7 @@
         """
         self._detect_pause(now)
         self._peers.update(peers, missing, now)
+        self._remove_idle(now)
         return self._refresh(now)
 
     def submit(self, request: Request, now: float) -> QueuedRequest:
@@ -117,7 +120,8 @@
 
     def next_wake(self) -> float:
         """Return the monotonic time at which `dispatch_due` is due without another event."""
-        return min((pool.next_wake() for pool in self._pools.values()), default=float("inf"))
+        times = [pool.next_wake() for pool in self._pools.values()]
+        return min([*times, self._peers.next_expiry], default=float("inf"))
 
     def summaries(self, now: float) -> dict[str, PoolSummary]:
         """Return this entry's summary of each pool, for its peers."""
@@ -151,14 +155,31 @@
         self._limits.set_entries(entries, self._joined())
 
     def _joined(self) -> bool:
-        """Return whether all entries include this one when they divide customers' limits."""
+        """Return whether all entries have made room for this one in the customers' limits.
+
+        An entry that has acknowledged this one includes it when it divides the limits, but may
+        still run requests from its larger share of before.
+        """
         for name, peer in self._peers.live.items():
-            if peer.acknowledged_at is not None and peer.acknowledged_at > self._resumed_at:
+            acknowledged = (
+                peer.acknowledged_at is not None and peer.acknowledged_at > self._resumed_at
+            )
+            pools = peer.heartbeat.pools.values()
+            if acknowledged and not any(summary.over_share for summary in pools):
                 self._acknowledged_by.add(name)
         entries = {*self._peers.live, *self._peers.missing}
         self._acknowledged_by &= entries
         return entries <= self._acknowledged_by
 
+    def _remove_idle(self, now: float) -> None:
+        """Remove the state of idle customers from time to time, so that it doesn't grow forever."""
+        if now - self._idle_removed_at < IDLE_REMOVAL_INTERVAL_S:
+            return
+        self._idle_removed_at = now
+        self._limits.remove_idle(now)
+        for pool in self._pools.values():
+            pool.remove_idle(self._limits.running)
+
     def _detect_pause(self, now: float) -> None:
         """Detect a start or a pause of this process.
 
--- a/hickoryloom/admission/tests/test_limits.py
+++ b/hickoryloom/admission/tests/test_limits.py
@@ -9,7 +9,9 @@
 
 from hickoryloom.admission import RefusalReason
 from hickoryloom.admission.limits import CustomerLimits
-from hickoryloom.admission.tests.cluster import CLASSES, Cluster
+from hickoryloom.admission.peers import MISSING_PEER_TIMEOUT_S
+from hickoryloom.admission.state import IDLE_REMOVAL_INTERVAL_S
+from hickoryloom.admission.tests.cluster import CLASSES, POOL, Cluster
 from hickoryloom.configuration import Customer
 
 LIMIT = 8
@@ -169,3 +171,40 @@
     cluster.exchange_all()
     cluster.exchange_all()
     assert len(stopped.running) == 1
+
+
+def test_a_limit_introduced_while_requests_run_counts_them():
+    limits = CustomerLimits("a")
+    limits.set_customers({"c": Customer("c", ())})
+    for _ in range(3):
+        limits.started("c", 1.0, 0.0)
+    limits.set_customers({"c": Customer("c", (), max_in_flight=2)})
+    limits.finished("c", 0.0, 1.0)
+    assert not limits.may_start("c", 1.0)
+    limits.finished("c", 0.0, 2.0)
+    assert limits.may_start("c", 2.0)
+    limits.started("c", 1.0, 2.0)
+    assert not limits.may_start("c", 2.0)
+
+
+def test_state_of_idle_customers_is_removed():
+    customers = tuple(Customer(f"c{n}", tuple(CLASSES), max_in_flight=2) for n in range(50))
+    cluster = Cluster(1, customers, slots=100)
+    node = cluster.nodes[0]
+    for customer in customers:
+        cluster.arrive(node, "high", 60.0, customer.name)
+    for admitted in list(node.running)[:-1]:
+        cluster.finish(node, admitted)
+    cluster.advance(IDLE_REMOVAL_INTERVAL_S + 1.0)
+    node.admission.set_peers((), cluster.now)
+    assert list(node.admission._limits._shares) == [customers[-1].name]
+    queues = node.admission.pools[POOL]._queues
+    assert [list(queue.queue._flows) for queue in queues] == [[customers[-1].name]]
+
+
+def test_a_missing_peer_expires_without_another_event():
+    cluster = Cluster(2, CUSTOMERS, slots=100)
+    cluster.exchange_all()
+    node = cluster.nodes[0]
+    node.admission.set_peers((), cluster.now)
+    assert node.admission.next_wake() <= cluster.now + MISSING_PEER_TIMEOUT_S
--- a/hickoryloom/membership/messages.py
+++ b/hickoryloom/membership/messages.py
@@ -38,6 +38,8 @@
             no request of a lower tier in the pool.
         epoch: Number of changes of `pressure` in this entry process.
         demand: Number of slots wanted, by tier, including those of requests in flight.
+        over_share: Whether the process runs more requests of a customer than its share of the
+            customer's limit, as after the join of another entry.
     """
 
     in_flight: int = 0
@@ -46,6 +48,7 @@
     pressure: int = 0
     epoch: int = 0
     demand: dict[int, int] = attrs.field(factory=dict)
+    over_share: bool = False
 
 
 @attrs.frozen
