--- a/hickoryloom/admission/tests/test_limits.py
+++ b/hickoryloom/admission/tests/test_limits.py
@@ -195,6 +195,10 @@
         cluster.arrive(node, "high", 60.0, customer.name)
     for admitted in list(node.running)[:-1]:
         cluster.finish(node, admitted)
+    # Later requests of others use up what a customer has been charged for fairness.
+    for _ in range(5):
+        cluster.arrive(node, "high", 60.0, customers[-1].name)
+        cluster.finish(node, node.running[-1])
     cluster.advance(IDLE_REMOVAL_INTERVAL_S + 1.0)
     node.admission.set_peers((), cluster.now)
     assert list(node.admission._limits._shares) == [customers[-1].name]
