Send the test's SIGHUPs from the moment at which the process ignores them

The known red test slept 0.1 s after the start and then signalled, but beside load the interpreter itself takes longer. Trace, 15 starts each, time until SIGHUP is ignored, in ms: a bare interpreter whose only line ignores it 39 to 79, the gateway 38 to 98; beside six busy loops 109 to 178 and 104 to 165. So what is left is the interpreter's start, which no line of the program precedes, and the promise begins there.

--- a/hickoryloom/platform/tests/site.py
+++ b/hickoryloom/platform/tests/site.py
@@ -4,11 +4,13 @@
 
 import itertools
 import os
+import re
 import signal
 import socket
 import subprocess
 import sys
 import time
+from pathlib import Path
 
 import gevent
 import yaml
@@ -190,6 +192,18 @@
             assert time.monotonic() < deadline, self.log()
             gevent.sleep(0.05)
 
+    def wait_signal_ignored(self, number):
+        """Wait until the process ignores or handles a signal."""
+        deadline = time.monotonic() + START_S
+        while not self._has_disposition(number):
+            assert time.monotonic() < deadline, self.log()
+            gevent.sleep(0.001)
+
+    def _has_disposition(self, number):
+        status = Path(f"/proc/{self._process.pid}/status").read_text()
+        masks = re.findall(r"^Sig(?:Ign|Cgt):\s*([0-9a-f]+)$", status, re.MULTILINE)
+        return any(int(mask, 16) >> (number - 1) & 1 for mask in masks)
+
     def ready_status(self):
         try:
             client = HTTPClient("127.0.0.1", self.readiness, network_timeout=2.0)
--- a/hickoryloom/platform/tests/test_gateway_processes.py
+++ b/hickoryloom/platform/tests/test_gateway_processes.py
@@ -405,9 +405,9 @@
     site.add_backend(Backend("i-1", "app", respond))
     gateway = site.launch()
     # No signal can be handled before the interpreter runs the first line of the program.
-    gevent.sleep(0.1)
-    for _ in range(40):
+    gateway.wait_signal_ignored(signal.SIGHUP)
+    for _ in range(400):
         gateway.signal(signal.SIGHUP)
-        gevent.sleep(0.02)
+        gevent.sleep(0.002)
     gateway.wait_ready()
     assert gateway.call("/once/x")[0] == 200
