Repeat the final write of usage counts at a planned stop until the store is back

A stopping process now repeats the write until the end of its grace period and says when the counts are lost.

--- a/hickoryloom/gateway/process.py
+++ b/hickoryloom/gateway/process.py
@@ -238,7 +238,7 @@
         end = started_at + self._settings.stop_s - STOP_MARGIN_S
         self._proxy_server.wait_idle(max(0.0, end - self._clock.monotonic()))
         self._view_follower.stop()
-        self._meter_task.stop()
+        self._meter_task.stop(until=end)
         log_event(log, "stopped", open_requests=self._proxy_server.active)
 
     def _serve_operators(self, environ: dict[str, Any], start_response: Any) -> Any:
--- a/hickoryloom/metering/task.py
+++ b/hickoryloom/metering/task.py
@@ -6,6 +6,7 @@
 
 import attrs
 import cattrs
+import gevent
 import logbook
 from result import Err, Ok, Result
 
@@ -116,10 +117,20 @@
         """Start writing counts periodically."""
         self._loop.start()
 
-    def stop(self) -> None:
-        """Stop after a final write."""
+    def stop(self, until: float) -> None:
+        """Stop after a final write.
+
+        The counts are lost with the process, so a failed write is repeated.
+
+        Args:
+            until: Monotonic time after which it is not repeated.
+        """
         self._loop.stop()
-        self._write(final=True)
+        while not self._write(final=True):
+            if self._clock.monotonic() + RETRY_INTERVAL_S > until:
+                log_event(log, "final-counts-lost", key=self._key)
+                return
+            gevent.sleep(RETRY_INTERVAL_S)
 
     def _step(self) -> float:
         if not self._write():
