Keep the pause between reads positive where withdrawn keys must stop within 1.4 s or less

The margin for readiness made the pause negative for such a bound, which would have read the store in a busy loop; no known deployment has one (5 s everywhere), so the pauses there are the same. Readers that are gone are forgotten with their time of failure.

--- a/hickoryloom/catalog/follower.py
+++ b/hickoryloom/catalog/follower.py
@@ -26,7 +26,7 @@
 """Part of `apply_s` that is reserved for a slow response and for decoding."""
 
 MIN_READ_PAUSE_FRACTION = 0.25
-"""Shortest pause between reads, as a fraction of `apply_s`."""
+"""Shortest pause between reads, as a fraction of `apply_s` and of `revoke_s`."""
 
 READY_MARGIN_S = 0.75
 """Part of the age at which an instance reports that it is not ready that is reserved for a slow
@@ -52,7 +52,7 @@
     """
     return min(
         max(MIN_READ_PAUSE_FRACTION * apply_s, apply_s - READ_MARGIN_S),
-        READY_AGE_FRACTION * revoke_s - READY_MARGIN_S,
+        max(MIN_READ_PAUSE_FRACTION * revoke_s, READY_AGE_FRACTION * revoke_s - READY_MARGIN_S),
     )
 
 
--- a/hickoryloom/sharing/task.py
+++ b/hickoryloom/sharing/task.py
@@ -99,6 +99,8 @@
     def set_peers(self, peers: Iterable[Peer]) -> None:
         """Replace the known live instances."""
         self._readers = select_readers(self._key, self._failure_domain, peers)
+        known = {reader.key for reader in self._readers}
+        self._skip_until = {key: at for key, at in self._skip_until.items() if key in known}
 
     def start(self) -> None:
         """Start polling."""
