Follow a reader only while its registrations are proved recent, and only in large failure domains

What the design allowed: the age of the configuration proved nothing about the reader's watch of registrations, which may hang or lag on a lossy link while reads on other connections succeed, and a calm follower then lags with it.

Now a poll also carries how old the registrations are, counted from the send of the reader's last complete call; a reader that is followed ends its watches after a fifth of the time that a leaving server has; and a follower leaves a reader whose registrations are older than that time minus a poll and 0.4 s. Failure domains of fewer than eight instances have no followers at all, so the small sites read the store as before.

--- a/hickoryloom/discovery/task.py
+++ b/hickoryloom/discovery/task.py
@@ -34,6 +34,13 @@
 SHARED_CHECK_S = 0.2
 """Interval for dropping missing backend servers while registrations come from another instance."""
 
+SHARED_INTERVAL_FRACTION = 0.2
+"""Duration of a watch at an instance that others follow, and pause between their polls, as a
+fraction of `leave_s`: two watches and a poll must fit into it."""
+
+SHARED_MARGIN_S = 0.4
+"""Part of `leave_s` that is reserved for slow calls between instances and for the send."""
+
 RETRY_S = 0.2
 """Delay after a failed call to the store."""
 
@@ -54,6 +61,8 @@
         catch_up_s: Time after the end of a network partition within which the list must be up to
             date again, in seconds. A watch without events cannot be told from one on a dead
             connection, so each watch ends early enough to meet this limit.
+        leave_s: Time after its announcement within which a leaving backend server must get no more
+            requests, in seconds.
     """
 
     def __init__(
@@ -63,7 +72,11 @@
         decode: Decode,
         clock: Clock,
         catch_up_s: float,
+        leave_s: float,
     ) -> None:
+        self._leave_s = leave_s
+        self._watch_often_until = 0.0
+        self._confirmed_at: float | None = None
         self._watch_s = max(MIN_WATCH_S, catch_up_s - WATCH_TIMEOUT_MARGIN_S)
         self._client = client
         self._prefix = prefix
@@ -93,6 +106,25 @@
         """Whether the registrations come from the store and the last call has succeeded."""
         return not self._shared and self._listed_at is not None
 
+    @property
+    def shared_interval_s(self) -> float:
+        """Seconds between polls that keep registrations of another instance recent enough."""
+        return SHARED_INTERVAL_FRACTION * self._leave_s
+
+    @property
+    def confirmed_at(self) -> float | None:
+        """Monotonic time as of which the registrations are known to be complete, in seconds."""
+        return self._confirmed_at
+
+    def watch_often(self, until: float) -> None:
+        """End watches after `shared_interval_s` until a monotonic time, for other instances."""
+        self._watch_often_until = until
+
+    def is_recent(self, confirmed_at: float) -> bool:
+        """Return whether registrations as of `confirmed_at` may be used until the next poll."""
+        limit_s = self._leave_s - self.shared_interval_s - SHARED_MARGIN_S
+        return self._clock.monotonic() - confirmed_at <= limit_s
+
     def servers_by_id(self) -> dict[str, BackendServer]:
         """Return all known backend servers by id."""
         return {server.id: server for server in self._state.servers}
@@ -174,6 +206,7 @@
         )
 
     def _list(self) -> bool:
+        sent_at = self._clock.monotonic()
         response = self._client.list(self._prefix)
         if isinstance(response, Err):
             log_event(log, "listing-failed", prefix=self._prefix, detail=response.err_value.detail)
@@ -185,11 +218,14 @@
         decoded = [self._decode_item(item.key, item.value) for item in response.ok_value.items]
         self._state.replace([server for server in decoded if server is not None], now)
         self._revision = response.ok_value.revision
+        self._confirmed_at = sent_at
         self._listed_at = now
         return True
 
     def _watch(self) -> bool:
-        timeout_s = self._until_expiry_s(self._watch_s)
+        sent_at = self._clock.monotonic()
+        often = sent_at < self._watch_often_until
+        timeout_s = self._until_expiry_s(self.shared_interval_s if often else self._watch_s)
         response = self._client.watch(self._prefix, self._revision, timeout_s)
         if isinstance(response, Err):
             log_event(log, "watch-failed", prefix=self._prefix, detail=response.err_value.detail)
@@ -210,6 +246,7 @@
             else:
                 self._state.put(server)
         self._revision = batch.revision
+        self._confirmed_at = sent_at
         return True
 
     def _decode_item(self, key: str, value: Any) -> BackendServer | None:
--- a/hickoryloom/discovery/tests/test_task.py
+++ b/hickoryloom/discovery/tests/test_task.py
@@ -115,6 +115,7 @@
             lambda id, value: attrs.evolve(SERVER, id=id),
             self.clock,
             catch_up_s=3.0,
+            leave_s=LEAVING_BOUND_S,
         )
 
     def check(self):
--- a/hickoryloom/gateway/process.py
+++ b/hickoryloom/gateway/process.py
@@ -105,6 +105,7 @@
             dialect.registrations.read,
             clock,
             settings.catch_up_s,
+            settings.leave_s,
         )
         self._placer = Placer(settings.failure_domain, rng)
         self._discovery.subscribe(self._placer.set_servers)
--- a/hickoryloom/gateway/settings.py
+++ b/hickoryloom/gateway/settings.py
@@ -27,6 +27,8 @@
         revoke_s: Seconds within which a withdrawn key must stop working.
         catch_up_s: Seconds after a network partition within which an instance must have received
             all changes.
+        leave_s: Seconds after a backend server has announced that it leaves within which it must
+            get no more requests.
         stop_s: Seconds from the shutdown request until the process is killed.
         retry_ratio: Retries allowed per request of a service, over all instances.
         retry_slack: Additional retries allowed per window, over all instances.
@@ -50,6 +52,7 @@
     apply_s: float = 2.0
     revoke_s: float = 5.0
     catch_up_s: float = 3.0
+    leave_s: float = 2.0
     stop_s: float = 8.0
     retry_ratio: float = 0.1
     retry_slack: float = 20.0
--- a/hickoryloom/sharing/messages.py
+++ b/hickoryloom/sharing/messages.py
@@ -72,6 +72,7 @@
         complete: Whether `servers` lists all backend servers rather than the changed ones.
         config_version: Version of the configuration object in the store.
         config_age_s: Seconds since that version was last confirmed to be the newest.
+        servers_age_s: Seconds since the registrations were last confirmed to be complete.
         servers: Backend servers, or those that changed since the sequence number asked for.
         removed: Ids of backend servers that were removed since then.
         loads: Mean of the loads of the reader and its followers, by service.
@@ -82,6 +83,7 @@
     complete: bool
     config_version: int
     config_age_s: float
+    servers_age_s: float
     servers: tuple[SharedServer, ...] = ()
     removed: tuple[str, ...] = ()
     loads: dict[str, float] = attrs.field(factory=dict)
--- a/hickoryloom/sharing/readers.py
+++ b/hickoryloom/sharing/readers.py
@@ -13,6 +13,10 @@
 
 __all__ = ["select_readers"]
 
+MIN_FOLLOWED_INSTANCES = 8
+"""Size of a failure domain from which its instances follow readers: in a smaller one, the calls
+that are saved don't outweigh that a reader's fault delays others."""
+
 MIN_READERS = 2
 """Readers of a failure domain, so that one of them can fail."""
 
@@ -32,9 +36,11 @@
         peers: Live instances; the instance itself may be missing.
 
     Returns:
-        The readers; empty if the instance itself is one.
+        The readers; empty if the instance itself is one, or if the failure domain is small.
     """
     local = [peer for peer in peers if peer.failure_domain == failure_domain and peer.key != key]
+    if len(local) + 1 < MIN_FOLLOWED_INSTANCES:
+        return ()
     number = max(MIN_READERS, math.ceil((len(local) + 1) / (MAX_FOLLOWERS + 1)))
     ranked = sorted([key, *(peer.key for peer in local)], key=lambda name: _rank("", name))
     selected = ranked[:number]
--- a/hickoryloom/sharing/server.py
+++ b/hickoryloom/sharing/server.py
@@ -73,12 +73,14 @@
         """Return what a follower lacks; None if this instance has no view of its own."""
         self._polled_at = now = self._clock.monotonic()
         self._catalog.read_often(now + FOLLOWED_S)
+        self._discovery.watch_often(now + FOLLOWED_S)
         self._sample.record(poll.key, poll.loads, now)
         self._sample.record(self._epoch, self._placer.short_prompt_load(now), now)
         loads = self._sample.mean(now)
         self._placer.set_mean_short_prompt_load(loads, now)
         confirmed = self._catalog.confirmed_by_store
-        if confirmed is None or not self._discovery.follows_store:
+        servers_at = self._discovery.confirmed_at
+        if confirmed is None or servers_at is None or not self._discovery.follows_store:
             return None
         self._history.update(self._discovery.servers_by_id(), self._discovery.expiries())
         complete = poll.epoch != self._epoch or not self._history.can_continue(poll.sequence)
@@ -89,6 +91,7 @@
             complete=complete,
             config_version=confirmed.version,
             config_age_s=now - confirmed.confirmed_at,
+            servers_age_s=now - servers_at,
             servers=servers,
             removed=() if complete else removed,
             loads=loads,
--- a/hickoryloom/sharing/task.py
+++ b/hickoryloom/sharing/task.py
@@ -120,7 +120,8 @@
         for reader in usable:
             skip_s = self._poll(reader)
             if not skip_s:
-                return self._catalog.shared_interval_s * (1 - JITTER * self._rng.random())
+                interval_s = min(self._catalog.shared_interval_s, self._discovery.shared_interval_s)
+                return interval_s * (1 - JITTER * self._rng.random())
             self._skip_until[reader.key] = self._clock.monotonic() + skip_s
         self._follow(None, "no usable reader")
         return DIRECT_S
@@ -150,8 +151,15 @@
         # The reader computed the age after `sent_at`, so its view is at least this recent.
         confirmed_at = sent_at - update.config_age_s
         confirmation = Confirmation(update.config_version, confirmed_at)
-        if not self._catalog.apply_confirmation(confirmation):
-            log_event(log, "reader-stale", reader=self.reader, age_s=update.config_age_s)
+        is_recent = self._discovery.is_recent(sent_at - update.servers_age_s)
+        if not is_recent or not self._catalog.apply_confirmation(confirmation):
+            log_event(
+                log,
+                "reader-stale",
+                reader=self.reader,
+                config_age_s=update.config_age_s,
+                servers_age_s=update.servers_age_s,
+            )
             return False
         if update.complete or update.epoch != self._epoch or update.sequence != self._sequence:
             self._discovery.apply_shared(
--- a/hickoryloom/sharing/tests/test_readers.py
+++ b/hickoryloom/sharing/tests/test_readers.py
@@ -2,7 +2,7 @@
 from hypothesis import strategies as st
 
 from hickoryloom.sharing import Peer, select_readers
-from hickoryloom.sharing.readers import MAX_FOLLOWERS, MIN_READERS
+from hickoryloom.sharing.readers import MAX_FOLLOWERS, MIN_FOLLOWED_INSTANCES, MIN_READERS
 
 sizes = st.integers(min_value=1, max_value=130)
 
@@ -26,6 +26,9 @@
 def test_each_domain_has_a_second_reader_and_no_reader_too_many_followers(size):
     selected = choices(build_peers(size))
     readers = [key for key, followed in selected.items() if not followed]
+    if size < MIN_FOLLOWED_INSTANCES:
+        assert len(readers) == size
+        return
     assert len(readers) == min(size, max(MIN_READERS, -(-size // (MAX_FOLLOWERS + 1))))
     assert all(len(followed) >= MIN_READERS for followed in selected.values() if followed)
 
