Log what marks the end of a response: length, chunks or the end of the connection

The request line gets framing=, and so does attempt-failed of the relay. test_cause_of_a_failure_in_mid_stream checks the field.

--- a/hickoryloom/gateway/attempts.py
+++ b/hickoryloom/gateway/attempts.py
@@ -307,6 +307,7 @@
             return
         attempt.ended = True
         self._attempt = None
+        self._log.record_framing(attempt.exchange.framing)
         now = self._context.clock.monotonic()
         self._context.connections.close(attempt.exchange)
         self._context.placer.finish_attempt(
--- a/hickoryloom/gateway/request_log.py
+++ b/hickoryloom/gateway/request_log.py
@@ -10,6 +10,7 @@
 from hickoryloom.metering import UsageMeter
 from hickoryloom.metrics import Measure, MetricsRecorder
 from hickoryloom.placing import Placement
+from hickoryloom.upstream import BodyFraming
 from hickoryloom.verdict import Verdict
 
 __all__ = ["RequestLog"]
@@ -52,6 +53,7 @@
         self._arrived = arrived
         self._counted = False
         self._worst_gap_s = 0.0
+        self._framing: BodyFraming | None = None
 
     def record_start(self, at: float) -> None:
         """Count the request once, as started by a backend server at monotonic time `at`."""
@@ -74,6 +76,10 @@
         """Record the time between two events of the stream."""
         self._worst_gap_s = max(self._worst_gap_s, seconds)
 
+    def record_framing(self, framing: BodyFraming | None) -> None:
+        """Record what marks the end of the latest response body; None if there is none."""
+        self._framing = framing
+
     def log_attempt(self, placement: Placement, number: int, outcome: str, detail: str) -> None:
         """Log an attempt or its failure."""
         log_event(
@@ -109,6 +115,7 @@
             attempts=attempts,
             took_ms=round(took_s * 1000),
             worst_gap_ms=round(self._worst_gap_s * 1000),
+            framing=self._framing.value if self._framing is not None else None,
             detail=detail or None,
         )
 
--- a/hickoryloom/gateway/tests/test_forwarding.py
+++ b/hickoryloom/gateway/tests/test_forwarding.py
@@ -66,6 +66,7 @@
         if outcome == "promise-without-proof":
             self.status = 503
         self.headers = ()
+        self.framing = None
         self._body = None
 
     def interrupt(self, cause):
--- a/hickoryloom/platform/tests/test_operations_page.py
+++ b/hickoryloom/platform/tests/test_operations_page.py
@@ -68,6 +68,7 @@
     gevent.sleep(0.2)
     (line,) = grep(gateway, "cut", "request")
     assert (line["outcome"], line["verdict"]) == ("broken-off", "may-have-run")
+    assert line["framing"] == "chunked"
     failed = [line for line in grep(gateway, "cut", "attempt") if line["outcome"] != "sent"]
     assert [(line["outcome"], line["backend_server"]) for line in failed] == [("cut", "i-1")]
 
--- a/hickoryloom/relay/attempts.py
+++ b/hickoryloom/relay/attempts.py
@@ -350,10 +350,16 @@
             backend=attempt.choice.backend.id,
             cause=failure.cause.value,
             verdict=failure.verdict.value,
+            framing=_framing_of(attempt),
             detail=failure.detail,
         )
 
 
+def _framing_of(attempt: Attempt) -> str | None:
+    framing = attempt.exchange.framing if attempt.exchange is not None else None
+    return framing.value if framing is not None else None
+
+
 def _attempt_end(failure: AttemptFailure) -> AttemptEnd:
     if failure.cause in (FailureCause.CANCELLED, FailureCause.PREEMPTED):
         return AttemptEnd.ABANDONED
--- a/hickoryloom/upstream/exchange.py
+++ b/hickoryloom/upstream/exchange.py
@@ -9,7 +9,7 @@
 from geventhttpclient.response import HTTPParseError, HTTPResponse
 
 from hickoryloom.clock import Clock
-from hickoryloom.upstream.messages import AttemptFailure, FailureCause
+from hickoryloom.upstream.messages import AttemptFailure, BodyFraming, FailureCause
 from hickoryloom.verdict import Verdict
 
 __all__ = ["AttemptError", "Exchange"]
@@ -44,11 +44,13 @@
         return next((value for found, value in self.headers if found == name), "")
 
     @property
-    def self_delimiting(self) -> bool:
-        """Whether a length or chunked encoding marks its end, rather than the connection's end."""
+    def framing(self) -> BodyFraming:
+        """What marks the end of its body."""
         if self.header("content-length") or self.status in (204, 304):
-            return True
-        return "chunked" in self.header("transfer-encoding").lower()
+            return BodyFraming.LENGTH
+        if "chunked" in self.header("transfer-encoding").lower():
+            return BodyFraming.CHUNKED
+        return BodyFraming.CLOSE
 
 
 class _Response(HTTPResponse):
@@ -138,6 +140,11 @@
         """Headers of the response, names in lower case."""
         return self._message.headers
 
+    @property
+    def framing(self) -> BodyFraming | None:
+        """What marks the end of the response body; None before its headers are complete."""
+        return self._message.framing if self._message.headers_complete else None
+
     @property
     def closed(self) -> bool:
         """Whether the socket was released."""
@@ -294,7 +301,7 @@
     def _handle_peer_close(self) -> int:
         """Handle the peer's close, which is a valid end only of a response without a length."""
         message = self._message
-        if not message.headers_complete or message.complete or message.self_delimiting:
+        if message.complete or self.framing is not BodyFraming.CLOSE:
             raise self.error(FailureCause.CONNECTION_LOST, "closed before the end of the response")
         message.complete = True
         self.id_confirmed = False
--- a/hickoryloom/upstream/messages.py
+++ b/hickoryloom/upstream/messages.py
@@ -1,4 +1,4 @@
-"""Failures of attempts at backend servers."""
+"""Messages about attempts at backend servers: failures and the framing of responses."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 from hickoryloom.verdict import Verdict
 
-__all__ = ["AttemptFailure", "FailureCause"]
+__all__ = ["AttemptFailure", "BodyFraming", "FailureCause"]
 
 
 class FailureCause(enum.Enum):
@@ -40,6 +40,20 @@
     PREEMPTED = "preempted"
 
 
+class BodyFraming(enum.Enum):
+    """What marks the end of a response body.
+
+    Attributes:
+        LENGTH: The length in the headers, which is zero for statuses without a body.
+        CHUNKED: The last chunk.
+        CLOSE: The end of the connection.
+    """
+
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CLOSE = "close"
+
+
 @attrs.frozen
 class AttemptFailure:
     """A failed attempt, with the verdict on whether the backend server may have run the request."""
