--- a/hickoryloom/gateway/tests/test_forwarding.py
+++ b/hickoryloom/gateway/tests/test_forwarding.py
@@ -39,6 +39,7 @@
     "foreign",
     "encoded",
     "cut-midway",
+    "ended-inside-an-event",
     "answered",
 )
 
@@ -73,7 +74,9 @@
         self.fake.interrupted.append(cause)
 
     def header(self, name):
-        return "gzip" if name == "content-encoding" and self.outcome == "encoded" else ""
+        if name == "content-encoding" and self.outcome == "encoded":
+            return "gzip"
+        return "text/event-stream" if name == "content-type" else ""
 
     def error(self, cause, detail):
         return AttemptError(AttemptFailure(cause, Verdict.MAY_HAVE_RUN, detail))
@@ -194,6 +197,9 @@
                 raise exchange.error(FailureCause.TIMED_OUT, "no bytes in time")
             if exchange.outcome == "cut-midway" and number == first + 1:
                 raise exchange.error(FailureCause.CONNECTION_LOST, "reset")
+            if exchange.outcome == "ended-inside-an-event" and number == first + 1:
+                yield b"id: %d\nda" % number
+                return
             yield b"id: %d\ndata: x\n\n" % number
 
 
@@ -289,6 +295,11 @@
     assert loads == []
 
 
+def test_a_stream_that_ends_inside_an_event_is_reported_as_incomplete():
+    _, body, complete = serve(GatewayFake(["ended-inside-an-event"]), RequestKind.STREAM, 2, False)
+    assert not complete and body == b"id: 1\ndata: x\n\n"
+
+
 def test_an_interrupted_stream_that_is_not_resumable_is_reported_as_incomplete():
     _, body, complete = serve(GatewayFake(["cut-midway"]), RequestKind.STREAM, 2, False)
     assert not complete and body.count(b"id: ") == 1
--- a/hickoryloom/platform/tests/standin.py
+++ b/hickoryloom/platform/tests/standin.py
@@ -4,9 +4,11 @@
 
 import errno
 import json
+import struct
 from urllib.parse import parse_qs, unquote
 
 import gevent
+from gevent import socket
 from gevent.event import Event
 from gevent.pywsgi import WSGIServer
 from gevent.server import StreamServer
@@ -179,11 +181,12 @@
     Attributes:
         requests: Received requests, each with method, target, headers and body.
         script: Called with each request; yields bytes to send, delays in seconds as floats, or
-            `CLOSE` to close the connection.
+            `CLOSE` or `RESET` to close or reset the connection.
         responds_early: Whether it responds before it has read the request body.
     """
 
     CLOSE = object()
+    RESET = object()
 
     def __init__(self, id, service, script, responds_early=False):
         self.id = id
@@ -251,6 +254,9 @@
         for part in self.script(request):
             if part is self.CLOSE:
                 return False
+            if part is self.RESET:
+                reset_on_close(sock)
+                return False
             if isinstance(part, float):
                 gevent.sleep(part)
             else:
@@ -258,6 +264,11 @@
         return True
 
 
+def reset_on_close(sock):
+    """Make closing the socket reset its connection."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+
 def build_response(request, body=b"done", status=200, signed=True, **headers):
     """Return a complete response to a request."""
     lines = [f"HTTP/1.1 {status} Status", f"Attempt-Id: {request['headers']['attempt-id']}"]
@@ -268,21 +279,21 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
 
-def build_stream_head(request):
-    """Return status line and headers of a stream."""
+def build_stream_head(request, chunked=True):
+    """Return status line and headers of a stream, which ends with its connection if not chunked."""
     return (
         "HTTP/1.1 200 OK\r\n"
         f"Attempt-Id: {request['headers']['attempt-id']}\r\n"
         "Replica-Signature: 3e1b.07\r\n"
         "Content-Type: text/event-stream\r\n"
-        "Transfer-Encoding: chunked\r\n\r\n"
+        + ("Transfer-Encoding: chunked\r\n\r\n" if chunked else "\r\n")
     ).encode()
 
 
-def build_event(id):
-    """Return one event of a stream as an HTTP chunk."""
+def build_event(id, chunked=True):
+    """Return one event of a stream, as an HTTP chunk or as it is."""
     data = f"id: {id}\ndata: x{id}\n\n".encode()
-    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
+    return f"{len(data):x}\r\n".encode() + data + b"\r\n" if chunked else data
 
 
 LAST_CHUNK = b"0\r\n\r\n"
--- a/hickoryloom/platform/tests/test_gateway_processes.py
+++ b/hickoryloom/platform/tests/test_gateway_processes.py
@@ -60,6 +60,21 @@
     return script
 
 
+def unframed(count, last=b"", reset=False):
+    """Script of a stream without length or chunks: `count` events, `last`, end of connection."""
+
+    def script(request):
+        begin = int(request["headers"].get("last-event-id", 0)) + 1
+        yield build_stream_head(request, chunked=False)
+        for id in range(begin, count + 1):
+            yield build_event(id, chunked=False)
+            yield 0.02
+        yield last
+        yield Backend.RESET if reset else Backend.CLOSE
+
+    return script
+
+
 def ids_of(body):
     return [int(line[4:]) for line in body.decode().splitlines() if line.startswith("id: ")]
 
@@ -193,20 +208,56 @@
     assert all(backend.requests for backend in site.backends)
 
 
+STREAM_REQUEST = (
+    f"POST /answer/x HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: a\r\nDeadline-Ms: 4000\r\n"
+    f"X-Api-Key: {KEY}\r\nToken-Count: 100,50\r\nContent-Length: 0\r\n\r\n"
+).encode()
+
+
 def test_a_truncated_stream_that_can_not_be_resumed_does_not_look_complete(site):
     site.add_backend(Backend("i-1", "llm", truncated_after(3)))
     other = site.add_backend(Backend("i-2", "llm", truncated_after(3)))
-    gateway = site.start()
-    request = (
-        f"POST /answer/x HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: a\r\nDeadline-Ms: 4000\r\n"
-        f"X-Api-Key: {KEY}\r\nToken-Count: 100,50\r\nContent-Length: 0\r\n\r\n"
-    ).encode()
-    received = gateway.send_raw(request)
+    received = site.start().send_raw(STREAM_REQUEST)
     assert b"id: 3\n" in received and b"id: 4\n" not in received
-    assert not received.endswith(b"0\r\n\r\n")
+    assert not received.endswith(LAST_CHUNK)
     assert len(site.backends[0].requests) + len(other.requests) == 1
 
 
+def test_a_stream_that_ends_inside_an_event_does_not_look_complete(site):
+    site.add_backend(Backend("i-1", "llm", unframed(3, b"id: 4\ndata: x")))
+    received = site.start().send_raw(STREAM_REQUEST)
+    assert b"id: 3\n" in received and b"id: 4\n" not in received
+    assert not received.endswith(LAST_CHUNK)
+
+
+def test_a_stream_that_ends_inside_an_event_continues_at_another_backend_server(site):
+    site.add_backend(Backend("i-1", "llm", unframed(3, b"id: 4\ndata: x4\n")))
+    site.add_backend(Backend("i-2", "llm", unframed(8)))
+    gateway = site.start()
+    for number in range(8):
+        session = {**ENGINE_HEADERS, "Prompt_Prefix": f"aa:40,b{number}:30,cc:30"}
+        status, _, body = gateway.call("/draft/x", id=f"r{number}", **session)
+        assert status == 200
+        assert ids_of(body) == list(range(1, 9))
+    assert all(backend.requests for backend in site.backends)
+
+
+@pytest.mark.parametrize("count", [0, 3])
+def test_a_reset_stream_that_ends_with_its_connection_does_not_look_complete(site, count):
+    site.add_backend(Backend("i-1", "llm", unframed(count, reset=True)))
+    received = site.start().send_raw(STREAM_REQUEST)
+    if count:
+        assert b"id: 3\n" in received and not received.endswith(LAST_CHUNK)
+    else:
+        assert received.startswith(b"HTTP/1.1 502 ")
+
+
+def test_a_complete_stream_that_ends_with_its_connection_is_delivered_as_complete(site):
+    site.add_backend(Backend("i-1", "llm", unframed(3)))
+    received = site.start().send_raw(STREAM_REQUEST)
+    assert b"id: 3\n" in received and received.endswith(LAST_CHUNK)
+
+
 def test_the_backend_connection_is_closed_when_the_caller_disconnects(site):
     backend = site.add_backend(Backend("i-1", "llm", stream(200)))
     gateway = site.start()
