Treat a stream that ends inside an event as broken off

Cause: where a response has neither a length nor chunks, the close of its connection is its regular end in HTTP, so Exchange.read reports the end of the body; the forwarder then delivered the rest of the splitter, a partial event, and ended its own chunked response. Resets and early ends of responses with a length or chunks raise an error and were reported before (tests beside it passed without the change).

The events themselves tell the difference, so the forwarder checks them at the end of any stream, however it is framed: inside an event it is a lost connection, which is resumed where the route allows it and otherwise ends the caller's connection. A stream without length or chunks that ends before its first event counts the same, as nothing tells it from a lost one. Responses of type text/event-stream that are buffered get the same check; a response of another type on a streamed route is no longer split into events.

--- a/hickoryloom/gateway/events.py
+++ b/hickoryloom/gateway/events.py
@@ -38,6 +38,11 @@
         """Bytes of the event that is not complete yet."""
         return self._incomplete
 
+    @property
+    def inside_event(self) -> bool:
+        """Whether part of an event has arrived; further blank lines belong to none."""
+        return bool(self._incomplete.strip(b"\r\n"))
+
     def feed(self, chunk: bytes) -> bytes:
         """Add a chunk and return the events that it completes.
 
--- a/hickoryloom/gateway/forwarding.py
+++ b/hickoryloom/gateway/forwarding.py
@@ -12,7 +12,15 @@
 from hickoryloom.gateway.events import EventSequenceError, EventSplitter
 from hickoryloom.gateway.messages import CallerRequest, Refusal, Reply
 from hickoryloom.placing import PlacementOutcome
-from hickoryloom.upstream import AttemptError, AttemptFailure, Exchange, FailureCause
+from hickoryloom.upstream import (
+    AttemptError,
+    AttemptFailure,
+    BodyFraming,
+    Exchange,
+    FailureCause,
+    ends_inside_event,
+    is_event_stream,
+)
 from hickoryloom.verdict import Verdict
 
 __all__ = ["RequestForwarder"]
@@ -25,6 +33,8 @@
 
 SERVER_ERROR = 500
 
+ENDED_INSIDE_EVENT = "stream ended inside an event"
+
 STREAM_TIMEOUT_GAPS = 6.0
 """Read timeout of a resumable stream, as a multiple of the route's maximum event gap. On expiry the
 stream is resumed at another backend server."""
@@ -92,12 +102,19 @@
             raise exchange.error(
                 FailureCause.STATUS, f"status {exchange.status} without a not-run confirmation"
             )
-        if _is_success(exchange) and self._route.kind is RequestKind.STREAM:
+        if self._is_streamed(exchange):
             return self._start_stream(attempt)
         if exchange.status >= SERVER_ERROR and self._attempts.retryable:
             raise exchange.error(FailureCause.STATUS, f"status {exchange.status}")
         return self._read_whole_response(attempt)
 
+    def _is_streamed(self, exchange: Exchange) -> bool:
+        """Return whether the response is a stream of events, as its route and type say."""
+        if not _is_success(exchange) or self._route.kind is not RequestKind.STREAM:
+            return False
+        content_type = exchange.header("content-type")
+        return not content_type or is_event_stream(content_type)
+
     def _read_head(self, attempt: Attempt) -> None:
         """Read and validate the response head, and record what it reports.
 
@@ -129,6 +146,8 @@
             size += len(chunk)
             if size > MAX_RESPONSE_BYTES:
                 raise exchange.error(FailureCause.TOO_LARGE, "response exceeds the size limit")
+        if is_event_stream(exchange.header("content-type")) and ends_inside_event(b"".join(chunks)):
+            raise exchange.error(FailureCause.CONNECTION_LOST, ENDED_INSIDE_EVENT)
         failed = status >= SERVER_ERROR
         self._attempts.complete(
             attempt, PlacementOutcome.FAILED if failed else PlacementOutcome.DONE, status
@@ -204,6 +223,10 @@
             if events:
                 self._attempts.log.record_gap(self._context.clock.monotonic() - wait_started_at)
                 return events
+        if splitter.inside_event:
+            raise exchange.error(FailureCause.CONNECTION_LOST, ENDED_INSIDE_EVENT)
+        if exchange.framing is BodyFraming.CLOSE and not attempt.first_event_received:
+            raise exchange.error(FailureCause.CONNECTION_LOST, "stream ended before an event")
         return b""
 
     def _resume(self, splitter: EventSplitter, failure: AttemptFailure) -> tuple[Attempt, bytes]:
