Check the end of event streams that the relay buffers

It is now a lost connection: retried where the call is idempotent, else refused with the verdict may-have-run. Streams of engines need their terminator and were safe. Once bytes of such a response are delivered, the entry aborts the connection in place of appending an error event, which would have become part of the cut one.

Two of the new tests fail before (short and large stream); the third, a complete stream, passes before and after.

--- a/hickoryloom/entry/request_handler.py
+++ b/hickoryloom/entry/request_handler.py
@@ -310,7 +310,7 @@
         yield from self._response
         error_block = self._handler.finish_stream(self._response)
         if error_block:
-            if not _is_event_stream(self._response):
+            if not self._response.delivers_whole_events:
                 raise ConnectionAbortedError("the response is incomplete")
             yield error_block
 
@@ -324,13 +324,6 @@
     return response.outcome
 
 
-def _is_event_stream(response: RelayedResponse) -> bool:
-    return any(
-        name.lower() == "content-type" and value.startswith("text/event-stream")
-        for name, value in response.headers
-    )
-
-
 def reply_with_error(response: ErrorResponse) -> Reply:
     """Return an error response as a complete reply."""
     return Reply(response.status, error_headers(response), [error_body(response)])
--- a/hickoryloom/relay/buffered.py
+++ b/hickoryloom/relay/buffered.py
@@ -15,12 +15,19 @@
 from hickoryloom.relay.attempts import Attempts
 from hickoryloom.relay.headers import caller_response_headers
 from hickoryloom.relay.response import RelayedResponse, read_count
-from hickoryloom.upstream import AttemptError, Exchange, FailureCause
+from hickoryloom.upstream import (
+    AttemptError,
+    Exchange,
+    FailureCause,
+    ends_inside_event,
+    is_event_stream,
+)
 
 __all__ = ["BufferedResponse"]
 
 BUFFERED_BYTES = 1024 * 1024
 MAX_COMPLETION_BYTES = 16 * 1024 * 1024
+TAIL_BYTES = 3
 
 
 class BufferedResponse(RelayedResponse):
@@ -41,6 +48,7 @@
         self._blocks: list[bytes] = []
         self._usage: dict[str, Any] = {}
         self._first_byte_at: float | None = None
+        self._tail = b""
         self._complete = False
 
     def prefetch(self) -> Result[None, Refused]:
@@ -69,8 +77,9 @@
         is_completion = self._attempts.for_engine and exchange.status == 200
         limit = MAX_COMPLETION_BYTES if is_completion else BUFFERED_BYTES
         self._blocks = []
+        self._tail = b""
         size = 0
-        while size <= limit and (block := exchange.read()):
+        while size <= limit and (block := self._read_block(exchange)):
             self._blocks.append(block)
             size += len(block)
             self._record_first_byte(attempt)
@@ -79,6 +88,22 @@
         if exchange.ended:
             self.headers += (("content-length", str(sum(map(len, self._blocks)))),)
 
+    def _read_block(self, exchange: Exchange) -> bytes:
+        """Return the next bytes of the body, or an empty string at its end.
+
+        Raises:
+            AttemptError: The response is truncated or malformed.
+        """
+        block = exchange.read()
+        self._tail = (self._tail + block)[-TAIL_BYTES:]
+        if exchange.ended:
+            self._check_end(exchange)
+        return block
+
+    def _check_end(self, exchange: Exchange) -> None:
+        if is_event_stream(exchange.header("content-type")) and ends_inside_event(self._tail):
+            raise exchange.error(FailureCause.CONNECTION_LOST, "stream ended inside an event")
+
     def _check_completion(self, attempt: Attempt, exchange: Exchange, size: int) -> None:
         if size > MAX_COMPLETION_BYTES:
             raise exchange.error(FailureCause.TOO_LARGE, "answer is too large")
@@ -106,7 +131,7 @@
             assert exchange is not None
             body, self._blocks = self._blocks, []
             yield from body
-            while block := exchange.read():
+            while block := self._read_block(exchange):
                 yield block
             self._complete = True
         except AttemptError as error:
--- a/hickoryloom/relay/response.py
+++ b/hickoryloom/relay/response.py
@@ -16,12 +16,15 @@
     """Iterates over the body of one response; `close` must be called in the end.
 
     Attributes:
+        delivers_whole_events: Whether an error event may follow the bytes delivered so far.
         status: HTTP status.
         headers: Headers for the caller, names in lower case.
         outcome: How the request ended; None while it is running.
         failure: Why the response is incomplete; None while it is running and when it is complete.
     """
 
+    delivers_whole_events = False
+
     def __init__(
         self, attempts: Attempts, status: int, headers: tuple[tuple[str, str], ...]
     ) -> None:
--- a/hickoryloom/relay/stream.py
+++ b/hickoryloom/relay/stream.py
@@ -42,6 +42,8 @@
         clock: Source of time.
     """
 
+    delivers_whole_events = True
+
     def __init__(
         self,
         attempts: Attempts,
--- a/hickoryloom/relay/task.py
+++ b/hickoryloom/relay/task.py
@@ -19,14 +19,13 @@
 from hickoryloom.relay.response import RelayedResponse
 from hickoryloom.relay.stream import StreamedResponse
 from hickoryloom.relay.watchdog import Watchdog
-from hickoryloom.upstream import ConnectionPool
+from hickoryloom.upstream import ConnectionPool, is_event_stream
 
 if TYPE_CHECKING:
     from hickoryloom.routing import Router
 
 __all__ = ["Relay"]
 
-EVENT_STREAM = "text/event-stream"
 SERVICE_TIMEOUT_S = 30.0
 CALLER_TIMEOUT_S = 60.0
 
@@ -131,7 +130,7 @@
     ) -> StreamedResponse | BufferedResponse:
         exchange = attempt.exchange
         assert exchange is not None
-        streams = exchange.header("content-type").startswith(EVENT_STREAM)
+        streams = is_event_stream(exchange.header("content-type"))
         if not (attempts.for_engine and exchange.status == 200 and streams):
             return BufferedResponse(attempts, request, call, self._clock)
         headers = caller_response_headers(exchange.headers)
--- a/hickoryloom/relay/tests/test_bad_streams.py
+++ b/hickoryloom/relay/tests/test_bad_streams.py
@@ -201,3 +201,29 @@
     assert not response.outcome.complete
     assert_nothing_leaked(relay)
     server.stop(timeout=0)
+
+
+@pytest.mark.parametrize("rest", [0, 2_000_000])
+def test_an_event_stream_of_a_service_that_ends_inside_an_event_is_incomplete(serve, rest):
+    stream = b"data: " + b"x" * rest + b"\n\ndata: y"
+    relay = build_relay(backend_view("s1", serve(HEAD + b"\r\n" + stream), pool="booking"))
+    request = admitted(idempotent=False, pool="booking", service="booking", stream=False)
+    opened = relay.open(request, service_call())
+    if opened.is_ok():
+        list(opened.unwrap())
+    failure = opened.unwrap_err() if opened.is_err() else opened.unwrap().failure
+    assert failure is not None
+    assert (failure.reason, failure.verdict) == (
+        RefusalReason.BACKEND_FAILED,
+        Verdict.MAY_HAVE_RUN,
+    )
+    assert_nothing_leaked(relay)
+
+
+def test_an_event_stream_of_a_service_that_ends_after_an_event_is_complete(serve):
+    stream = b"data: x\n\ndata: y\n\n"
+    relay = build_relay(backend_view("s1", serve(HEAD + b"\r\n" + stream), pool="booking"))
+    request = admitted(idempotent=False, pool="booking", service="booking", stream=False)
+    response = relay.open(request, service_call()).unwrap()
+    assert b"".join(response) == stream
+    assert response.outcome.complete
