Reset the connection of an HTTP/1.0 response that ends early

The gateway buffers such responses; the entry streams them. The server now resets the connection instead.

--- a/hickoryloom/http/server.py
+++ b/hickoryloom/http/server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import struct
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -225,6 +226,11 @@
         environ[SOCKET_KEY] = self.socket
         return environ
 
+    @property
+    def _ends_with_connection(self) -> bool:
+        """Whether only the end of the connection marks the end of the response (HTTP/1.0)."""
+        return not self.response_use_chunked and self.provided_content_length is None
+
     def log_request(self) -> None:
         """Write no access log, since each package logs its own events."""
 
@@ -232,10 +238,20 @@
         """Ignore connection errors and report others as pywsgi does."""
         if isinstance(value, OSError):
             self.close_connection = True
+            if self.headers_sent and self._ends_with_connection:
+                _reset_on_close(self.socket)
             return
         super().handle_error(type_, value, tb)
 
 
+def _reset_on_close(sock: Any) -> None:
+    """Make closing the socket reset its connection, which no caller takes for a complete end."""
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    except OSError as error:
+        log_event(log, "connection-gone", error=str(error))
+
+
 class _TrackedResponse:
     """A WSGI response that runs a callback once it has been sent or abandoned."""
 
