Eras of the store: versions and leases survive its return from an older copy

The store may come back from a copy some seconds old: acknowledged writes are gone and revisions are given out again. Versions now join the era and the revision, so that those of a later era are greater everywhere they are compared. The client drops answers of an ended era, sends no write and no watch with a version of an earlier one, and reports a write that succeeded in a later era than it was sent in as unknown.

Leases: a grant ends as soon as its process knows of a later era; a candidate waits for a full duration in the new era even if the copy holds a released lease; terms contain era and replaced version.

Catalog: an older catalog leaves the one in force, and the view is not confirmed by it until the store holds that version or a newer one again.

--- a/hickoryloom/catalog/follower.py
+++ b/hickoryloom/catalog/follower.py
@@ -42,6 +42,9 @@
 RETRY_S = 0.2
 """Pause after a failed read, during which the view keeps aging."""
 
+OLDER_PAUSE_S = 0.5
+"""Longest pause after a read of an older catalog, during which the view keeps aging as well."""
+
 Decode = Callable[[Any], Result[Catalog, str]]
 
 
@@ -94,6 +97,8 @@
         self._route_table = build_route_table(self._catalog)
         self._priority_scale = build_priority_scale(self._catalog)
         self._stored_version = 0
+        self._rejected_version = 0
+        self._rejected_pause_s = RETRY_S
         self._reachable = True
         self._loaded = Event()
         self._loop = TaskLoop(self._step, "catalog", log)
@@ -177,8 +182,11 @@
         stored = response.ok_value
         if stored.version < self._stored_version:
             return RETRY_S
+        if stored.version == self._rejected_version:
+            return self._rejected_pause_s
         if stored.version > self._stored_version and not self._apply(stored.value):
-            return self._read_pause_s
+            self._rejected_version = stored.version
+            return self._rejected_pause_s
         self._stored_version = stored.version
         self._view.confirm(sent_at)
         self._confirmed_by_store = Confirmation(stored.version, sent_at)
@@ -209,10 +217,13 @@
         decoded = self._decode(value)
         if isinstance(decoded, Err):
             log_event(log, "catalog-unreadable", key=self._key, detail=decoded.err_value)
+            self._rejected_pause_s = self._read_pause_s
             return False
         catalog = decoded.ok_value
         if catalog.version < self._catalog.version:
+            # A store that returned from an older copy holds it until it is written again.
             log_event(log, "catalog-older", version=catalog.version, kept=self._catalog.version)
+            self._rejected_pause_s = min(OLDER_PAUSE_S, self._read_pause_s)
             return False
         self._catalog = catalog
         self._route_table = build_route_table(catalog)
--- a/hickoryloom/duties/client.py
+++ b/hickoryloom/duties/client.py
@@ -42,6 +42,11 @@
         """Return the current grant to act, or None if the lease is not held."""
         return self._lease_manager.current_grant()
 
+    @property
+    def held_into_era(self) -> int:
+        """The latest era of the store that began while the lease was held; 0 if none did."""
+        return self._lease_manager.held_into_era
+
     def call(
         self, call: DutyCall, grant: LeaseGrant, read: Callable[[JsonResponse], DutyOutcome]
     ) -> DutyOutcome:
--- a/hickoryloom/gateway/process.py
+++ b/hickoryloom/gateway/process.py
@@ -285,6 +285,8 @@
             read_interval_s=settings.lease_s * CANDIDATE_READ_FACTOR,
             is_candidate=lambda: self._meter_task.rank < MAX_LEASE_CANDIDATES,
             instance=settings.instance,
+            era=lambda: self._client.era,
+            wall=self._meter.wall,
         )
         duty_client = DutyClient(settings.duties, lease_manager)
         tasks: list[UsageReporter | Scaler] = []
@@ -360,6 +362,8 @@
                 "requests_at_backend_servers": self._placer.in_flight,
                 "backend_connections_idle": self._connections.idle,
                 "instances": self._instances,
+                "store_era": self._client.era,
+                "store_era_changes": self._client.era_changes,
                 "usage_late_requests": (
                     self._usage_reporter.late_requests if self._usage_reporter else 0
                 ),
--- a/hickoryloom/http/client.py
+++ b/hickoryloom/http/client.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import attrs
@@ -28,11 +28,13 @@
         status: HTTP status.
         body: Decoded JSON value; None for an empty body.
         retry_after_s: Seconds from the `Retry-After` header, or 0.
+        headers: Values of the headers by name in lower case.
     """
 
     status: int
     body: Any
     retry_after_s: float = 0.0
+    headers: Mapping[str, str] = attrs.field(factory=dict)
 
 
 @attrs.frozen
@@ -145,7 +147,8 @@
         if len(raw) > MAX_RESPONSE_BYTES:
             raise ValueError("response is too large")
         body = json.loads(raw) if raw else None
-        return JsonResponse(response.status_code, body, _retry_after_s(response))
+        headers = {name.lower(): value for name, value in response.items()}
+        return JsonResponse(response.status_code, body, _retry_after_s(response), headers)
     finally:
         response.release()
 
--- a/hickoryloom/leases/manager.py
+++ b/hickoryloom/leases/manager.py
@@ -49,6 +49,8 @@
             duration.
         is_candidate: Returns whether this process is a candidate for the lease; None means always.
         instance: Instance of this process; see `LeaseState`.
+        era: Returns the latest known era of the store; None for a store without eras.
+        wall: Returns the Unix time at which a new era is noted, in seconds; no lease depends on it.
     """
 
     def __init__(
@@ -62,7 +64,11 @@
         read_interval_s: float | None = None,
         is_candidate: Callable[[], bool] | None = None,
         instance: str = "",
+        era: Callable[[], int] | None = None,
+        wall: Callable[[], float] | None = None,
     ) -> None:
+        self._era = era or (lambda: 0)
+        self._wall = wall or (lambda: 0.0)
         self._duty = duty
         self._key = f"leases/{duty}"
         self._client = client
@@ -88,7 +94,14 @@
 
     def current_grant(self) -> LeaseGrant | None:
         """Return the current grant to act, or None if the lease is not held."""
-        return self._state.current_grant(self._clock.monotonic())
+        now = self._clock.monotonic()
+        self._observe_era(now)
+        return self._state.current_grant(now)
+
+    @property
+    def held_into_era(self) -> int:
+        """The latest era of the store that began while this process held the lease; 0 if none."""
+        return self._state.held_into_era
 
     def now(self) -> float:
         """Return the time on the clock of `LeaseGrant.until`."""
@@ -115,6 +128,7 @@
     def stop(self) -> None:
         """Stop and release the lease, so that a successor need not wait for its expiry."""
         self._loop.stop()
+        self._observe_era(self._clock.monotonic())
         record = self._state.release()
         if record is None:
             return
@@ -123,6 +137,7 @@
 
     def _step(self) -> float:
         now = self._clock.monotonic()
+        self._observe_era(now)
         self._log_change(now)
         if (
             self._is_candidate is not None
@@ -147,6 +162,7 @@
     def _read(self) -> None:
         response = self._client.get(self._key)
         now = self._clock.monotonic()
+        self._observe_era(now)
         if isinstance(response, Ok):
             self._on_stored_record(now, response.ok_value)
         elif response.err_value.kind is ErrorKind.ABSENT:
@@ -168,6 +184,7 @@
         else:
             response = self._client.create(self._key, value)
         now = self._clock.monotonic()
+        self._observe_era(now)
         if isinstance(response, Err):
             self._on_failed_write(now, step, response.err_value)
             return
@@ -179,6 +196,11 @@
         else:
             self._state.on_write(now, step, error.applied)
 
+    def _observe_era(self, now: float) -> None:
+        era = self._era()
+        if era > self._state.era:
+            self._state.on_era(now, era, self._wall())
+
     def _log_change(self, now: float) -> None:
         grant = self._state.current_grant(now)
         term = grant.term if grant is not None else 0
@@ -202,6 +224,8 @@
             **{name: read(value[name]) for name, read in fields.items()},
             instance=str(value.get("instance", "")),
             previous_instance=str(value.get("previous_instance", "")),
+            era=int(value.get("era", 0)),
+            era_known_at=float(value.get("era_known_at", 0.0)),
         )
     except (KeyError, TypeError, ValueError):
         log_event(log, "lease-unreadable", value=str(value)[:100])
--- a/hickoryloom/leases/messages.py
+++ b/hickoryloom/leases/messages.py
@@ -25,6 +25,9 @@
             tell which of its writes took effect.
         instance: Instance of the holder, or of the last one after a release.
         previous_instance: The last other instance that held the lease before.
+        era: Era of the store in which it was written. A record of an earlier era comes from a copy
+            and may lack later holders.
+        era_known_at: Unix time at which the first holder of the era knew of it, in seconds.
     """
 
     holder: str
@@ -33,6 +36,8 @@
     renewals: int = 0
     instance: str = ""
     previous_instance: str = ""
+    era: int = 0
+    era_known_at: float = 0.0
 
 
 @attrs.frozen
@@ -42,10 +47,14 @@
     Attributes:
         term: Fencing token.
         until: Expiry on this process's monotonic clock, in seconds, with the margin deducted.
+        era: Era of the store in which the lease was written.
+        era_known_at: Unix time by which that era had begun, in seconds.
     """
 
     term: int
     until: float
+    era: int = 0
+    era_known_at: float = 0.0
 
 
 @attrs.frozen
--- a/hickoryloom/leases/state.py
+++ b/hickoryloom/leases/state.py
@@ -13,10 +13,15 @@
     WaitStep,
     WriteStep,
 )
+from hickoryloom.store import split_version
 from hickoryloom.verdict import Applied
 
 __all__ = ["LeaseState"]
 
+TERMS_PER_ERA = 2**40
+"""Greater than any difference between revisions of the store, so that terms of a later era exceed
+those of an earlier one, and small enough for terms to fit into 64 bits."""
+
 
 @attrs.define
 class LeaseState:
@@ -27,6 +32,12 @@
     last change. Both use only their own monotonic clock. Object versions in the platform decide
     every race, so a stale read causes at worst a write conflict.
 
+    A store that returns from an older copy begins a new era and has lost the lease. Grants of the
+    earlier era end as soon as the new one is known, and at the latest when they expire. So every
+    candidate waits for a full duration after it first read the lease in the new era, even if the
+    copy holds a released lease. Terms contain the era and the version that the holder replaced, so
+    that they increase although the copy may hold an older term.
+
     Args:
         incarnation: Incarnation of the candidate.
         times: Timing parameters of the lease.
@@ -50,12 +61,38 @@
     _retry_at: float = 0.0
     _released: bool = False
     _resigned_term: int = 0
+    _era: int = 0
+    _era_known_at: float = 0.0
+    _held_into_era: int = 0
 
     @property
     def record(self) -> LeaseRecord | None:
         """The lease record as last seen; None before the first read or if absent."""
         return self._record
 
+    @property
+    def era(self) -> int:
+        """The latest known era of the store; 0 if it is not known."""
+        return self._era
+
+    @property
+    def held_into_era(self) -> int:
+        """The latest era that began while this candidate held the lease; 0 if none did."""
+        return self._held_into_era
+
+    def on_era(self, now: float, era: int, wall: float) -> None:
+        """Handle the begin of a new era of the store; `wall` is the Unix time in seconds."""
+        if self.current_grant(now) is not None:
+            self._held_into_era = era
+        self._era = era
+        self._era_known_at = wall
+        self._grant = None
+        self._record = None
+        self._version = 0
+        self._changed_at = None
+        self._sent_at.clear()
+        self._must_read = True
+
     def current_grant(self, now: float) -> LeaseGrant | None:
         """Return the grant that is valid at `now`, or None."""
         if self._released or self._grant is None or now >= self._grant.until:
@@ -92,14 +129,14 @@
 
     def on_write(self, now: float, step: WriteStep, applied: Applied, version: int = 0) -> None:
         """Handle the outcome of a write; `version` is used only if it was applied."""
-        if applied is Applied.APPLIED:
+        if applied is Applied.APPLIED and step.record.era == self._era:
             self._version = version
             self._changed_at = now
             self._record = step.record
             self._highest_term = max(self._highest_term, step.record.term)
             self._update_grant(step.record)
             return
-        if applied is Applied.UNKNOWN:
+        if applied is not Applied.NOT_APPLIED:
             self._must_read = True
         self._retry_at = now + self.times.retry_s
 
@@ -153,11 +190,13 @@
         self._sent_at[renewals] = now
         record = LeaseRecord(
             holder=self.incarnation,
-            term=self._highest_term + 1,
+            term=self._next_term(),
             duration_s=self.times.duration_s,
             renewals=renewals,
             instance=self.instance,
             previous_instance=self._previous_instance(),
+            era=self._era,
+            era_known_at=self._era_start(),
         )
         return WriteStep(record, self._version)
 
@@ -166,11 +205,24 @@
         assert self._changed_at is not None
         if self._record is None:
             return self._changed_at + self._absence_wait_s()
-        if not self._record.holder and not self._returns_after_another():
+        released = not self._record.holder and self._record.era == self._era
+        if released and not self._returns_after_another():
             return self._changed_at
         duration_s = max(self._record.duration_s, self.times.duration_s)
         return self._changed_at + duration_s + self.times.margin_s
 
+    def _next_term(self) -> int:
+        if not self._era:
+            return self._highest_term + 1
+        revision = split_version(self._version)[1]
+        return max(self._highest_term, self._era * TERMS_PER_ERA + revision) + 1
+
+    def _era_start(self) -> float:
+        """Return the Unix time by which the current era had begun, according to its holders."""
+        if self._record is not None and self._record.era == self._era:
+            return self._record.era_known_at
+        return self._era_known_at
+
     def _previous_instance(self) -> str:
         """Return the last instance other than this one that held the lease."""
         if self._record is None:
@@ -187,18 +239,24 @@
         return self._record.previous_instance == self.instance
 
     def _absence_wait_s(self) -> float:
-        if self._highest_term == 0:
+        if self._highest_term == 0 and not self._era:
             return 0.0
         return self.times.duration_s + self.times.margin_s
 
     def _is_holder(self) -> bool:
         if self._record is None or self._record.term <= self._resigned_term:
             return False
+        if self._record.era != self._era:
+            return False
         return self._record.holder == self.incarnation
 
     def _update_grant(self, record: LeaseRecord) -> None:
         """Update the grant from a record that is known to be stored in the platform."""
-        if record.holder != self.incarnation or record.term <= self._resigned_term:
+        if (
+            record.holder != self.incarnation
+            or record.term <= self._resigned_term
+            or record.era != self._era
+        ):
             self._grant = None
             self._sent_at.clear()
             return
@@ -206,7 +264,7 @@
         if sent_at is None:
             return
         until = sent_at + self.times.duration_s - self.times.margin_s
-        self._grant = LeaseGrant(record.term, until)
+        self._grant = LeaseGrant(record.term, until, record.era, record.era_known_at)
         self._renewed_at = sent_at
         self._sent_at = {n: at for n, at in self._sent_at.items() if n > record.renewals}
 
--- a/hickoryloom/leases/tests/test_lease_machine.py
+++ b/hickoryloom/leases/tests/test_lease_machine.py
@@ -57,7 +57,7 @@
     @initialize(rates=st.permutations([1 - RATE_DIFFERENCE / 2, 1.0, 1 + RATE_DIFFERENCE / 2]))
     def start(self, rates):
         self.now = 0.0
-        self.store = Store()
+        self.store = self.build_store()
         self.in_flight = []
         self.holder_by_term = {}
         self.candidates = {
@@ -65,6 +65,9 @@
             for at, (name, rate) in enumerate(zip(CANDIDATE_NAMES, rates, strict=True))
         }
 
+    def build_store(self):
+        return Store()
+
     @rule(seconds=st.sampled_from([0.1, 0.6, 2.0, 4.5, 9.0, 12.0]))
     def advance_clock(self, seconds):
         self.now += seconds
--- a/hickoryloom/platform/objects.py
+++ b/hickoryloom/platform/objects.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import Any
 from urllib.parse import quote, urlencode
 
@@ -18,6 +19,8 @@
     PlatformError,
     Versioned,
     WatchBatch,
+    join_version,
+    split_version,
 )
 from hickoryloom.verdict import Applied
 
@@ -26,11 +29,16 @@
 MS_PER_S = 1000
 HISTORY_GONE = 410
 UNAVAILABLE_STATUSES = frozenset((429,))
+MAX_REVISION = 2**63 - 1
+ERA_HEADER = "store-era"
+ERA = re.compile(r"[0-9]{1,9}")
 ERROR_KINDS = {404: ErrorKind.ABSENT, 409: ErrorKind.CONFLICT, 429: ErrorKind.REJECTED}
 
 
 class PlatformObjects:
-    """A key is `kind/name`; the version of an object is the store revision of its last change."""
+    """A key is `kind/name`; the version of an object joins the store's era and the revision of its
+    last change.
+    """
 
     def get(self, key: str) -> ObjectCall:
         """Read one object."""
@@ -48,18 +56,27 @@
         if not if_version:
             body = {"metadata": {"name": name}, "spec": value}
             return ObjectCall("POST", f"/objects/{quote(kind)}", body)
-        body = {"metadata": {"name": name, "revision": if_version}, "spec": value}
+        revision = split_version(if_version)[1]
+        body = {"metadata": {"name": name, "revision": revision}, "spec": value}
         return ObjectCall("PUT", _path(key), body)
 
     def delete(self, key: str, if_version: int) -> ObjectCall:
         """Delete an object."""
-        return ObjectCall("DELETE", f"{_path(key)}?{urlencode({'revision': if_version})}")
+        return ObjectCall(
+            "DELETE", f"{_path(key)}?{urlencode({'revision': split_version(if_version)[1]})}"
+        )
 
     def watch(self, prefix: str, since: int, timeout_s: float) -> ObjectCall:
         """Wait for changes of objects of a kind."""
-        query = urlencode({"watch": since, "wait_ms": int(timeout_s * MS_PER_S)})
+        revision = split_version(since)[1]
+        query = urlencode({"watch": revision, "wait_ms": int(timeout_s * MS_PER_S)})
         return ObjectCall("GET", f"/objects/{quote(_kind(prefix))}?{query}")
 
+    def read_era(self, response: JsonResponse) -> int | None:
+        """Return the era of the store that a response tells; None if it tells none."""
+        value = response.headers.get(ERA_HEADER, "").strip()
+        return int(value) if ERA.fullmatch(value) else None
+
     def is_outage(self, response: JsonResponse) -> bool:
         """Return whether a response indicates that the store is unavailable to this instance."""
         return response.status >= 500 or response.status in UNAVAILABLE_STATUSES
@@ -71,7 +88,7 @@
         kind = ERROR_KINDS.get(response.status, ErrorKind.REJECTED)
         version = 0
         if kind is ErrorKind.CONFLICT:
-            version = _read_revision(response.body)
+            version = self._read_version(response)
         return Err(
             PlatformError(
                 kind,
@@ -87,7 +104,7 @@
     ) -> Result[Versioned[Any], PlatformError]:
         """Decode one object."""
         try:
-            return Ok(_read_object(_kind(key), response.body))
+            return Ok(_read_object(_kind(key), response.body, self._era(response)))
         except FieldError as error:
             return _decode_error(error, Applied.NOT_APPLIED)
 
@@ -95,19 +112,21 @@
         self, prefix: str, response: JsonResponse
     ) -> Result[ListingPage, PlatformError]:
         """Decode one page of a listing."""
-        kind = _kind(prefix)
+        kind, era = _kind(prefix), self._era(response)
         try:
-            items = tuple(_read_object(kind, item) for item in get_list(response.body, "items"))
+            items = tuple(
+                _read_object(kind, item, era) for item in get_list(response.body, "items")
+            )
             last_name = items[-1].key.removeprefix(f"{kind}/") if items else ""
             has_more = get_bool(response.body, "has_more", False)
-            revision = get_int(response.body, "at")
+            revision = join_version(era, _get_revision(response.body, "at"))
         except FieldError as error:
             return _decode_error(error, Applied.NOT_APPLIED)
         return Ok(ListingPage(Listing(revision, items), last_name if has_more else ""))
 
     def read_version(self, response: JsonResponse) -> Result[int, PlatformError]:
         """Decode the new version of a written object."""
-        version = _read_revision(response.body)
+        version = self._read_version(response)
         if version:
             return Ok(version)
         return _decode_error(FieldError("the response to a write has no revision"), Applied.UNKNOWN)
@@ -116,15 +135,23 @@
         """Decode the changes returned by a watch."""
         if response.status == HISTORY_GONE:
             return Ok(WatchBatch(0, (), reset=True))
-        kind = _kind(prefix)
+        kind, era = _kind(prefix), self._era(response)
         try:
             changes = tuple(
-                _read_change(kind, event) for event in get_list(response.body, "events")
+                _read_change(kind, event, era) for event in get_list(response.body, "events")
             )
-            return Ok(WatchBatch(get_int(response.body, "at"), changes))
+            return Ok(WatchBatch(join_version(era, _get_revision(response.body, "at")), changes))
         except FieldError as error:
             return _decode_error(error, Applied.NOT_APPLIED)
 
+    def _era(self, response: JsonResponse) -> int:
+        return self.read_era(response) or 0
+
+    def _read_version(self, response: JsonResponse) -> int:
+        """Return the version of the object in a response; 0 if there is none."""
+        revision = _read_revision(response.body)
+        return join_version(self._era(response), revision) if revision else 0
+
 
 def _kind(key: str) -> str:
     return key.partition("/")[0]
@@ -135,15 +162,15 @@
     return f"/objects/{quote(kind)}/{quote(name, safe='')}"
 
 
-def _read_object(kind: str, body: Any) -> Versioned[Any]:
+def _read_object(kind: str, body: Any, era: int) -> Versioned[Any]:
     metadata = body.get("metadata") if isinstance(body, dict) else None
     key = f"{kind}/{get_str(metadata, 'name')}"
-    return Versioned(key, get_int(metadata, "revision"), body.get("spec"))
+    return Versioned(key, join_version(era, _get_revision(metadata, "revision")), body.get("spec"))
 
 
-def _read_change(kind: str, event: Any) -> Change:
+def _read_change(kind: str, event: Any, era: int) -> Change:
     deleted = get_bool(event, "deleted", False)
-    changed = _read_object(kind, event.get("object"))
+    changed = _read_object(kind, event.get("object"), era)
     return Change(changed.key, changed.version, None if deleted else changed.value)
 
 
@@ -151,7 +178,14 @@
     """Return the revision of the object in a body; 0 if there is none."""
     metadata = body.get("metadata") if isinstance(body, dict) else None
     revision = metadata.get("revision") if isinstance(metadata, dict) else None
-    return revision if type(revision) is int else 0
+    return revision if type(revision) is int and 0 <= revision <= MAX_REVISION else 0
+
+
+def _get_revision(source: Any, name: str) -> int:
+    revision = get_int(source, name)
+    if revision < 0:
+        raise FieldError(f"field {name!r} is negative")
+    return revision
 
 
 def _decode_error(error: FieldError, applied: Applied) -> Err[PlatformError]:
--- a/hickoryloom/store/availability.py
+++ b/hickoryloom/store/availability.py
@@ -28,6 +28,10 @@
         if self.since is None:
             self.since = now if self._failed else float("-inf")
 
+    def restart(self, now: float) -> None:
+        """Record an outage that ended with a response received at `now`."""
+        self.since = now
+
     def record_failure(self, started_at: float) -> None:
         """Record a call without a usable response that started at `started_at`."""
         self._failed = True
--- a/hickoryloom/store/client.py
+++ b/hickoryloom/store/client.py
@@ -20,6 +20,7 @@
 from hickoryloom.store.breaker import MAX_DELAY_S, BreakerState, CircuitBreaker
 from hickoryloom.store.budget import CallBudget, CallKind, CallPriority
 from hickoryloom.store.codec import DefaultCodec, ObjectCall, ObjectCodec
+from hickoryloom.store.eras import EraChange, StoreEra, split_version
 from hickoryloom.store.messages import (
     ErrorKind,
     Listing,
@@ -46,6 +47,10 @@
 URGENT_PREFIXES = ("leases/", "intents/")
 BACKGROUND_PREFIXES = ("presence/", "status/")
 
+OUTDATED_VERSION = PlatformError(
+    ErrorKind.CONFLICT, Applied.NOT_APPLIED, "the version belongs to an earlier era of the store"
+)
+
 log = logbook.Logger("hickoryloom.store")
 
 Guard = Callable[[], bool]
@@ -102,6 +107,7 @@
         self._random = random or Random()
         self._breakers: dict[str, CircuitBreaker] = {}
         self._objects = Availability()
+        self._era = StoreEra()
         self._last_response_at: float | None = None
         self._http = JsonClient(address, timeout_s=SOCKET_TIMEOUT_S, connections=CONNECTIONS)
 
@@ -119,6 +125,21 @@
         """
         return self._objects.since
 
+    @property
+    def era(self) -> int:
+        """The latest era of the store that this process knows of; 0 if it is not known."""
+        return self._era.current
+
+    @property
+    def era_changes(self) -> int:
+        """Number of times that the store has returned from an older copy."""
+        return self._era.changes
+
+    def learn_era(self, era: int) -> None:
+        """Record the era of the store that another instance has seen."""
+        if self._era.observe(era) is EraChange.BEGUN:
+            self._begin_era()
+
     @property
     def budget(self) -> CallBudget:
         """Call budget of the process."""
@@ -152,6 +173,7 @@
     def _list_pages(self, prefix: str, priority: CallPriority) -> Result[Listing, PlatformError]:
         items: tuple[Versioned[Any], ...] = ()
         revision: int | None = None
+        era = 0
         page_token = ""
         while True:
             call = self._object_call(self._codec.list(prefix, page_token), CallKind.READ, priority)
@@ -161,6 +183,10 @@
             if isinstance(result, Err):
                 return result
             page = result.ok_value
+            if revision is not None and split_version(page.listing.revision)[0] != era:
+                detail = "the listing spans two eras of the store"
+                return Err(PlatformError(ErrorKind.UNAVAILABLE, Applied.NOT_APPLIED, detail))
+            era = split_version(page.listing.revision)[0]
             items += page.listing.items
             revision = page.listing.revision if revision is None else revision
             if not page.next_token or page.next_token == page_token:
@@ -182,6 +208,8 @@
         priority: CallPriority | None = None,
     ) -> Result[Versioned[Any], PlatformError]:
         """Replace an object's value; fails with `CONFLICT` if its version is not `if_version`."""
+        if self._era.is_outdated(if_version):
+            return Err(OUTDATED_VERSION)
         request = self._codec.update(key, value, if_version)
         call = self._object_call(request, CallKind.WRITE, priority or _priority(key), guard)
         stored = self._call(call).and_then(self._codec.read_version)
@@ -191,12 +219,19 @@
         self, key: str, if_version: int, priority: CallPriority | None = None
     ) -> Result[None, PlatformError]:
         """Delete an object; fails with `CONFLICT` if its version is not `if_version`."""
+        if self._era.is_outdated(if_version):
+            return Err(OUTDATED_VERSION)
         request = self._codec.delete(key, if_version)
         call = self._object_call(request, CallKind.WRITE, priority or _priority(key))
         return self._call(call).map(lambda _: None)
 
     def watch(self, prefix: str, since: int, timeout_s: float) -> Result[WatchBatch, PlatformError]:
-        """Wait up to `timeout_s` seconds for changes after revision `since`."""
+        """Wait up to `timeout_s` seconds for changes after revision `since`.
+
+        The batch is a reset if the revision belongs to an earlier era than the store's answer.
+        """
+        if self._era.is_outdated(since):
+            return Ok(WatchBatch(0, (), reset=True))
         if self._breaker(OBJECTS_INTERFACE).state is not BreakerState.CLOSED:
             # The call may become the probe of the circuit breaker, which has to end quickly.
             timeout_s = 0.0
@@ -205,7 +240,10 @@
             self._object_call(request, CallKind.WATCH, _priority(prefix)),
             timeout_s=timeout_s + self._watch_margin_s,
         )
-        return self._call(call).and_then(lambda response: self._codec.read_batch(prefix, response))
+        batch = self._call(call).and_then(lambda response: self._codec.read_batch(prefix, response))
+        return batch.map(
+            lambda found: WatchBatch(0, (), reset=True) if self._era.is_outdated(since) else found
+        )
 
     def _object_call(
         self,
@@ -294,6 +332,7 @@
         now = self._clock.monotonic()
         if not breaker.try_start(now):
             return Err(responses.unavailable("the circuit breaker is open", breaker.wait_s(now)))
+        era_changes = self._era.changes
         try:
             result = self._http.call(
                 call.method, call.path, call.body, timeout_s=call.timeout_s, guard=call.guard
@@ -304,13 +343,30 @@
         if result.is_err():
             return Err(self._record_failure(call, breaker, result.unwrap_err(), now))
         response = result.unwrap()
+        if call.interface == OBJECTS_INTERFACE and not self._observe_era(response):
+            breaker.record_cancelled(self._clock.monotonic())
+            return Err(_outdated_answer(call))
         if self._codec.is_outage(response):
             detail = f"status {response.status}"
             failure = CallError(Applied.UNKNOWN, detail)
             return Err(self._record_failure(call, breaker, failure, now))
         self._record_response(call, breaker)
+        if call.kind is CallKind.WRITE and self._era.changes != era_changes:
+            return Err(_outdated_answer(call))
         return self._codec.check_status(response)
 
+    def _observe_era(self, response: JsonResponse) -> bool:
+        """Record the era that a response tells; return False if that era has ended."""
+        change = self._era.observe(self._codec.read_era(response))
+        if change is EraChange.BEGUN:
+            self._begin_era()
+        return change is not EraChange.ENDED
+
+    def _begin_era(self) -> None:
+        """Treat the loss of writes like an outage, after which registrations may be missing."""
+        self._objects.restart(self._clock.monotonic())
+        log_event(log, "store-era-begun", era=self._era.current)
+
     def _record_response(self, call: _Call, breaker: CircuitBreaker) -> None:
         now = self._clock.monotonic()
         self._last_response_at = now
@@ -342,6 +398,14 @@
         return PlatformError(ErrorKind.UNAVAILABLE, applied, failure.detail, wait_s)
 
 
+def _outdated_answer(call: _Call) -> PlatformError:
+    """Return the error for an answer that a change of the era has made useless."""
+    log_event(log, "store-answer-outdated", method=call.method, path=call.path)
+    applied = Applied.UNKNOWN if call.kind is CallKind.WRITE else Applied.NOT_APPLIED
+    detail = "the store has returned from an older copy"
+    return PlatformError(ErrorKind.UNAVAILABLE, applied, detail)
+
+
 def _priority(key: str) -> CallPriority:
     if key.startswith(URGENT_PREFIXES):
         return CallPriority.URGENT
--- a/hickoryloom/store/codec.py
+++ b/hickoryloom/store/codec.py
@@ -56,6 +56,9 @@
     def watch(self, prefix: str, since: int, timeout_s: float) -> ObjectCall:
         """Wait for changes after revision `since`."""
 
+    def read_era(self, response: JsonResponse) -> int | None:
+        """Return the era of the store that a response tells; None if it tells none."""
+
     def is_outage(self, response: JsonResponse) -> bool:
         """Return whether a response indicates that the store is unavailable."""
 
@@ -104,6 +107,10 @@
         query = urlencode({"prefix": prefix, "since": since, "timeout": timeout_s})
         return ObjectCall("GET", f"/watch?{query}")
 
+    def read_era(self, response: JsonResponse) -> int | None:
+        """Return None, as this protocol has no eras."""
+        return None
+
     def is_outage(self, response: JsonResponse) -> bool:
         """Return whether a response indicates that the store is unavailable."""
         return responses.is_outage(response)
