Withhold backend servers that only an older copy of the store lists

After the store's return a copy may list servers that have left since, or an earlier start of one that lives. They are withheld until the store has removed the registrations of silent ones; registrations that the copy lacks are missing, not gone, as after an outage. Announced leaving stays with the start of a server.

--- a/hickoryloom/discovery/task.py
+++ b/hickoryloom/discovery/task.py
@@ -147,6 +147,7 @@
             removed: Ids of removed backend servers; None if `servers` lists all.
         """
         self._shared = True
+        self._state.on_era(self._client.era, self._clock.monotonic())
         before = self._notified
         if removed is None:
             removed = [server.id for server in self._state.servers if server.id not in servers]
@@ -158,6 +159,12 @@
         self._state.expire(self._clock.monotonic())
         self._notify(before)
 
+    def mark_leaving(self, server: BackendServer) -> None:
+        """Use a backend server no more that has announced its leaving in a response."""
+        if self._state.mark_leaving(server.id, server.started_ms):
+            log_event(log, "backend-server-leaving", id=server.id, service=server.service)
+            self._notify(self._notified)
+
     def read_store(self) -> None:
         """Track the registrations in the store from now on."""
         if self._shared:
@@ -214,7 +221,7 @@
         if self._shared:
             return True
         now = self._clock.monotonic()
-        self._state.on_available(self._client.objects_available_since)
+        self._observe_store(now)
         decoded = [self._decode_item(item.key, item.value) for item in response.ok_value.items]
         self._state.replace([server for server in decoded if server is not None], now)
         self._revision = response.ok_value.revision
@@ -234,7 +241,7 @@
             # Another instance has sent newer registrations meanwhile.
             return True
         now = self._clock.monotonic()
-        self._state.on_available(self._client.objects_available_since)
+        self._observe_store(now)
         batch = response.ok_value
         if batch.reset:
             self._listed_at = None
@@ -249,6 +256,10 @@
         self._confirmed_at = sent_at
         return True
 
+    def _observe_store(self, now: float) -> None:
+        self._state.on_available(self._client.objects_available_since)
+        self._state.on_era(self._client.era, now)
+
     def _decode_item(self, key: str, value: Any) -> BackendServer | None:
         id = key.removeprefix(self._prefix)
         server = self._decode(id, value)
--- a/hickoryloom/discovery/tests/test_task.py
+++ b/hickoryloom/discovery/tests/test_task.py
@@ -43,6 +43,8 @@
 class ScriptedClient:
     """Store client that advances the clock as calls take their time."""
 
+    era = 0
+
     def __init__(self, clock, script, on_tick):
         self.clock = clock
         self.script = script
