Report no window a second time after the store has lost that it was sealed

A store that returns from an older copy may lack sealed windows that were reported; a successor would seal them again from counts that have changed, and report other figures. Processes that know a sealed window create it again in the new era; a window that nobody stored again is sealed only if it ended after the era began, or if this process held the lease into the era and had not come to it. Otherwise it is skipped, with a log line and a count. Without that rule two of the new tests fail, the state machine among them.

--- a/hickoryloom/gateway/process.py
+++ b/hickoryloom/gateway/process.py
@@ -301,6 +301,7 @@
                 settings.usage_window_s,
                 lambda: self._meter_task.write_interval_s,
                 settings.usage_late_s,
+                lambda: self._client.era,
             )
             tasks.append(self._usage_reporter)
         if settings.orders_servers:
--- a/hickoryloom/metering/reporter.py
+++ b/hickoryloom/metering/reporter.py
@@ -12,15 +12,16 @@
 from hickoryloom.duties import DutyClient, DutyOutcome, LeasedTask
 from hickoryloom.leases import LeaseGrant
 from hickoryloom.logs import log_event
+from hickoryloom.loops import TaskLoop
 from hickoryloom.metering.messages import InstanceCounts, UsageCodec
 from hickoryloom.metering.meter import RETAINED_WINDOWS, UsageMeter
+from hickoryloom.metering.sealed import SEALED_PREFIX, SealedWindows
 from hickoryloom.metering.task import COUNTS_PREFIX, read_all_counts
 from hickoryloom.metering.totals import find_unconfirmed, sum_window
 from hickoryloom.store import CallPriority, ErrorKind, PlatformClient
 
 __all__ = ["UsageReporter"]
 
-SEALED_PREFIX = "sealed/"
 SETTLE_MARGIN_S = 1.0
 """Extra wait after the longest interval between an instance's writes, for slow responses and clock
 skew."""
@@ -50,6 +51,12 @@
     or when the report would otherwise be late. Counts that arrive later are logged and counted,
     but not reported.
 
+    A store that returned from an older copy may have lost sealed windows that were reported. The
+    process that sealed them creates them again. A window that nobody stored again is sealed only if
+    it can't have been sealed before the return: it ended later, or this process held the lease at
+    that time and had not come to it. Otherwise it stays unreported, since a second report could
+    differ from the first.
+
     Args:
         client: Client of the store.
         clock: Source of time.
@@ -60,6 +67,7 @@
         window_s: Length of a window in seconds.
         write_interval_s: Returns the seconds between an instance's writes of its counts.
         late_s: Seconds after the end of a window within which its report must arrive.
+        era: Returns the latest known era of the store; None for a store without eras.
     """
 
     def __init__(
@@ -73,7 +81,13 @@
         window_s: float,
         write_interval_s: Callable[[], float],
         late_s: float,
+        era: Callable[[], int] | None = None,
     ) -> None:
+        self._era = era or (lambda: 0)
+        self._held_era = 0
+        self._first_unsealed: int | None = None
+        self._sealed = SealedWindows(client)
+        self._skipped_windows = 0
         self._late_s = late_s
         self._write_interval_s = write_interval_s
         self._client = client
@@ -94,20 +108,32 @@
             "usage-report",
             log,
         )
+        self._restore_task = TaskLoop(self._restore, "sealed-windows", log)
 
     @property
     def late_requests(self) -> int:
         """Number of requests whose counts arrived after their window was sealed."""
         return self._late_requests
 
+    @property
+    def skipped_windows(self) -> int:
+        """Number of windows left unreported because the store lost whether they were reported."""
+        return self._skipped_windows
+
     def start(self) -> None:
         """Start reporting windows that are due."""
         self._task.start()
+        self._restore_task.start()
 
     def stop(self) -> None:
         """Stop reporting."""
+        self._restore_task.stop()
         self._task.stop()
 
+    def _restore(self) -> float:
+        self._sealed.restore(self._era())
+        return CHECK_INTERVAL_S
+
     def _report_if_due(self, grant: LeaseGrant) -> float:
         window = self._next_window
         seal_limit = self._end(window) + max(0.0, self._late_s - REPORT_RESERVE_S)
@@ -115,7 +141,12 @@
         now = self._meter.wall()
         if now < min(due_at, seal_limit):
             return CHECK_INTERVAL_S
-        counts = self._seal(window, final=now >= seal_limit)
+        counts = self._seal(window, grant, final=now >= seal_limit)
+        if counts is None and now >= seal_limit and not self._may_seal(window, grant):
+            log_event(log, "usage-window-skipped", window=window, era=grant.era)
+            self._skipped_windows += 1
+            self._next_window += 1
+            return 0.0
         if counts is None:
             return min(RETRY_INTERVAL_S, max(CHECK_INTERVAL_S, seal_limit - now))
         if not self._report(window, counts, grant):
@@ -128,15 +159,26 @@
         """Return the Unix time at which a window ends."""
         return (window + 1) * self._window_s
 
-    def _find_next_window(self, _grant: LeaseGrant) -> bool:
+    def _may_seal(self, window: int, grant: LeaseGrant) -> bool:
+        """Return whether a window can't have been sealed before the current era of the store."""
+        if not grant.era or self._end(window) >= grant.era_known_at:
+            return True
+        return self._first_unsealed is not None and window >= self._first_unsealed
+
+    def _find_next_window(self, grant: LeaseGrant) -> bool:
         """Start with the last sealed window, whose report may not have been accepted."""
+        if grant.era > self._held_era:
+            held = self._duty_client.held_into_era == grant.era
+            self._first_unsealed = self._next_window if held and self._next_window else None
+            self._held_era = grant.era
         listing = self._client.list(SEALED_PREFIX)
         if isinstance(listing, Err):
             return False
         sealed = [_window_from_key(item.key) for item in listing.ok_value.items]
         current = self._meter.window_at(self._clock.monotonic())
         oldest = current - RETAINED_WINDOWS + 1
-        last = max((window for window in sealed if window is not None), default=current)
+        first = current if self._first_unsealed is None else self._first_unsealed
+        last = max((window for window in sealed if window is not None), default=first)
         self._next_window = max(oldest, min(last, current))
         return True
 
@@ -154,19 +196,29 @@
         )
         return outcome is DutyOutcome.DONE
 
-    def _seal(self, window: int, final: bool) -> dict[str, int] | None:
+    def _seal(self, window: int, grant: LeaseGrant, final: bool) -> dict[str, int] | None:
         """Return the sealed counts of a window, or None if it is not sealed yet.
 
         Args:
             window: Number of the window.
+            grant: The current grant.
             final: Whether to seal it although counts of live instances may be missing.
         """
         key = f"{SEALED_PREFIX}{window}"
         stored = self._client.get(key, CallPriority.URGENT)
         if isinstance(stored, Ok):
-            return _read_sealed_counts(stored.ok_value.value)
+            counts = _read_sealed_counts(stored.ok_value.value)
+            if counts is not None:
+                self._sealed.remember(window, counts, self._era())
+            return counts
         if stored.err_value.kind is not ErrorKind.ABSENT:
             return None
+        if self._sealed.holds(window):
+            # The store has lost it; the next call reads it.
+            self._sealed.restore(self._era(), window)
+            return None
+        if not self._may_seal(window, grant):
+            return None
         found = read_all_counts(self._client)
         if isinstance(found, Err):
             return None
@@ -181,6 +233,7 @@
         if created.is_err():
             # Another process may have created it; the next call reads it.
             return None
+        self._sealed.remember(window, counts, self._era())
         self._sealed_requests[window] = _requests_by_key(all_counts, window)
         return counts
 
