--- a/hickoryloom/discovery/task.py
+++ b/hickoryloom/discovery/task.py
@@ -111,6 +111,11 @@
         """Seconds between polls that keep registrations of another instance recent enough."""
         return SHARED_INTERVAL_FRACTION * self._leave_s
 
+    @property
+    def store_era(self) -> int:
+        """Latest era of the store that this process knows of; 0 if it is not known."""
+        return self._client.era
+
     @property
     def confirmed_at(self) -> float | None:
         """Monotonic time as of which the registrations are known to be complete, in seconds."""
@@ -133,6 +138,16 @@
         """Return the monotonic time at which each missing backend server is dropped, by id."""
         return self._state.expiries
 
+    def learn_era(self, era: int) -> bool:
+        """Record the era of the store that another instance knows of.
+
+        Returns:
+            False if it is older than the known one, so that the other instance's registrations
+            may be those of a copy's past.
+        """
+        self._client.learn_era(era)
+        return era >= self._client.era
+
     def apply_shared(
         self,
         servers: Mapping[str, BackendServer],
--- a/hickoryloom/sharing/messages.py
+++ b/hickoryloom/sharing/messages.py
@@ -76,6 +76,7 @@
         servers: Backend servers, or those that changed since the sequence number asked for.
         removed: Ids of backend servers that were removed since then.
         loads: Mean of the loads of the reader and its followers, by service.
+        store_era: Latest era of the store that the reader knows of.
     """
 
     epoch: str
@@ -87,6 +88,7 @@
     servers: tuple[SharedServer, ...] = ()
     removed: tuple[str, ...] = ()
     loads: dict[str, float] = attrs.field(factory=dict)
+    store_era: int = 0
 
 
 def read_poll(value: Any) -> Result[Poll, str]:
--- a/hickoryloom/sharing/server.py
+++ b/hickoryloom/sharing/server.py
@@ -95,6 +95,7 @@
             servers=servers,
             removed=() if complete else removed,
             loads=loads,
+            store_era=self._discovery.store_era,
         )
 
     def __call__(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
--- a/hickoryloom/sharing/task.py
+++ b/hickoryloom/sharing/task.py
@@ -151,14 +151,17 @@
         # The reader computed the age after `sent_at`, so its view is at least this recent.
         confirmed_at = sent_at - update.config_age_s
         confirmation = Confirmation(update.config_version, confirmed_at)
-        is_recent = self._discovery.is_recent(sent_at - update.servers_age_s)
-        if not is_recent or not self._catalog.apply_confirmation(confirmation):
+        is_current = self._discovery.learn_era(update.store_era) and self._discovery.is_recent(
+            sent_at - update.servers_age_s
+        )
+        if not is_current or not self._catalog.apply_confirmation(confirmation):
             log_event(
                 log,
                 "reader-stale",
                 reader=self.reader,
                 config_age_s=update.config_age_s,
                 servers_age_s=update.servers_age_s,
+                store_era=update.store_era,
             )
             return False
         if update.complete or update.epoch != self._epoch or update.sequence != self._sequence:
--- a/hickoryloom/sharing/tests/test_sharing.py
+++ b/hickoryloom/sharing/tests/test_sharing.py
@@ -70,6 +70,9 @@
     def objects_available_since(self):
         return self.availability.since
 
+    def learn_era(self, era):
+        self.era = max(self.era, era)
+
     def _call(self, value):
         self.calls += 1
         now = self.world.clock.now
@@ -244,6 +247,20 @@
     assert system.follower.follower.reader == ""
 
 
+def test_a_reader_that_does_not_know_the_era_of_the_store_is_left():
+    system = System()
+    system.follower.client.era = 2
+    system.run(2.0)
+    assert system.follower.follower.reader == ""
+
+
+def test_a_follower_learns_the_era_of_the_store_from_its_reader():
+    system = System()
+    system.reader.client.era = 2
+    system.run(2.0)
+    assert system.follower.client.era == 2
+
+
 def test_a_reader_that_is_cut_off_from_the_store_is_left():
     system = System()
     system.reader.client.cut = True
