--- a/hickoryloom/platform/tests/standin.py
+++ b/hickoryloom/platform/tests/standin.py
@@ -26,6 +26,7 @@
         self.history = []
         self.forgotten_revision = 0
         self.calls = []
+        self.era = 1
         self.down = False
         self.fault = ""
         self.lose_writes = 0
@@ -61,6 +62,20 @@
         stored = {**stored, "metadata": {**stored["metadata"], "revision": self.revision}}
         self._record_change(kind, stored, True)
 
+    def copy(self):
+        """Return a copy of the contents, to which the store can return."""
+        return dict(self.objects), self.revision
+
+    def return_from(self, copy):
+        """Lose all writes since a copy; their revisions are given out again."""
+        objects, self.revision = copy
+        self.objects = dict(objects)
+        self.history.clear()
+        self.forgotten_revision = self.revision
+        self.era += 1
+        self._changed.set()
+        self._changed.clear()
+
     def discard_history(self):
         self.forgotten_revision = self.revision
         self.history.clear()
@@ -79,7 +94,7 @@
         raw = environ["wsgi.input"].read()
         self.calls.append((method, environ["PATH_INFO"], query))
         if self.down:
-            return _reply(start_response, 503, {})
+            return self._reply(start_response, 503, {})
         if self.fault in FAULTS_BEFORE_PROCESSING:
             return self._fail(start_response)
         kind, name = path[1], unquote(path[2]) if len(path) > 2 else ""
@@ -90,7 +105,7 @@
             raise ConnectionAbortedError("response lost")
         if method != "GET" and self.fault == "lose-writes":
             raise ConnectionResetError(errno.ECONNRESET, "response lost")
-        return _reply(start_response, status, response)
+        return self._reply(start_response, status, response)
 
     def _fail(self, start_response):
         """Reject the request, send no response, or reset the connection."""
@@ -98,7 +113,7 @@
             raise ConnectionResetError(errno.ECONNRESET, "store unreachable")
         while self.fault == "silent":
             gevent.sleep(0.05)
-        return _reply(start_response, 503, {})
+        return self._reply(start_response, 503, {})
 
     def _get(self, kind, name, query, body):
         if "watch" in query:
@@ -113,12 +128,13 @@
         return 200, response
 
     def _watch(self, kind, since, wait_ms):
-        if since < self.forgotten_revision:
+        if since < self.forgotten_revision or since > self.revision:
             return 410, {}
+        era = self.era
         with gevent.Timeout(wait_ms / 1000, False):
             while not self._events(kind, since):
                 self._changed.wait()
-                if since < self.forgotten_revision:
+                if since < self.forgotten_revision or self.era != era:
                     return 410, {}
         return 200, {"events": self._events(kind, since), "at": self.revision}
 
@@ -149,6 +165,9 @@
         self.remove(kind, name)
         return 200, {}
 
+    def _reply(self, start_response, status, body):
+        return _reply(start_response, status, body, [("Store-Era", str(self.era))])
+
 
 class Duties:
     """Accepts usage reports and orders; rejects calls with an old fencing token."""
@@ -299,10 +318,10 @@
 LAST_CHUNK = b"0\r\n\r\n"
 
 
-def _reply(start_response, status, body):
+def _reply(start_response, status, body, headers=()):
     raw = json.dumps(body).encode()
     start_response(
         f"{status} Status",
-        [("Content-Type", "application/json"), ("Content-Length", str(len(raw)))],
+        [("Content-Type", "application/json"), ("Content-Length", str(len(raw))), *headers],
     )
     return [raw]
