Honour the leaving and the pauses that backend servers announce in their responses

A response that announces its server's leaving takes that server out at once, for this start of it, whatever its registration says then or later. A 503 with Retry-After gives the server a pause: nothing is sent to it until the end, also over a new registration, and the load comes back in steps (1, 2, 4, ... in flight over 2 s). It counts as full, not as broken. Where all servers pause, callers are refused at once, with a time to return after the first pause, spread as other refusals. Values that are no sound number of seconds are bounded and logged.

--- a/hickoryloom/gateway/attempts.py
+++ b/hickoryloom/gateway/attempts.py
@@ -19,7 +19,13 @@
 from hickoryloom.gateway.request_log import RequestLog
 from hickoryloom.metering import UsageMeter
 from hickoryloom.metrics import MetricsRecorder
-from hickoryloom.placing import Placement, PlacementOutcome, PlacementRequest, Placer
+from hickoryloom.placing import (
+    Placement,
+    PlacementOutcome,
+    PlacementRequest,
+    Placer,
+    parse_pause,
+)
 from hickoryloom.upstream import (
     AttemptError,
     AttemptFailure,
@@ -166,7 +172,7 @@
             )
             if placement is None:
                 context.meter.record_refused(self._placement_request.service)
-                return Err(self.refuse("no-backend-server"))
+                return Err(self._refuse_unplaced(now))
             server = placement.server
             try:
                 exchange = self._open(placement)
@@ -180,7 +186,8 @@
                     placement, self._progress.sends, "unreachable", error.failure.detail
                 )
                 continue
-            if not context.discovery.is_usable(server):
+            resting = context.placer.rest_s(server, context.clock.monotonic()) > 0
+            if resting or not context.discovery.is_usable(server):
                 context.connections.close(exchange)
                 self._progress.excluded.add(server.id)
                 continue
@@ -269,11 +276,20 @@
         return min(self._deadline, attempt.sent + timeout_s)
 
     def record_head(self, attempt: Attempt, head: ResponseHead) -> None:
-        """Record the load and the idle timeout that a response head reports."""
+        """Record what a response head reports: load, idle timeout, leaving, a requested pause."""
         attempt.exchange.keep_alive_s = head.keep_alive_s
-        if head.load is not None and not head.misdirected:
-            now = self._context.clock.monotonic()
-            self._context.placer.apply_load_report(attempt.placement.server.id, head.load, now)
+        if head.misdirected:
+            return
+        server = attempt.placement.server
+        now = self._context.clock.monotonic()
+        if head.load is not None:
+            self._context.placer.apply_load_report(server.id, head.load, now)
+        if head.leaving:
+            self._context.discovery.mark_leaving(server)
+        if head.pause:
+            pause_s, sound = parse_pause(head.pause)
+            self._context.placer.request_pause(server, pause_s, now)
+            self._log.log_pause(server, pause_s, "" if sound else head.pause)
 
     def record_accepted(self) -> None:
         """Record that a backend server has accepted the request for execution."""
@@ -318,15 +334,22 @@
         """Log the end of the request."""
         self._log.log_end(outcome, status, self._progress.verdict, self._progress.sends, detail)
 
-    def refuse(self, reason: str = "") -> Refusal:
+    def _refuse_unplaced(self, now: float) -> Refusal:
+        rest_s = self._context.placer.shortest_rest_s(self._placement_request.service, now)
+        return self.refuse("backend-servers-full" if rest_s else "no-backend-server", rest_s)
+
+    def refuse(self, reason: str = "", wait_s: float = 0.0) -> Refusal:
         """Return the final refusal, with the execution verdict over all attempts so far.
 
         Args:
             reason: Short name of the cause; the cause of the last failure when empty.
+            wait_s: Seconds before which a further request is pointless.
         """
         left_s = self._caller_deadline - self._context.clock.monotonic()
         progress = self._progress
-        return refuse(0, reason or progress.cause, progress.verdict, left_s, self._context.rng)
+        return refuse(
+            0, reason or progress.cause, progress.verdict, left_s, self._context.rng, wait_s
+        )
 
 
 def _outcome_of(failure: AttemptFailure) -> PlacementOutcome:
--- a/hickoryloom/gateway/messages.py
+++ b/hickoryloom/gateway/messages.py
@@ -62,6 +62,9 @@
         load: Load reported by the backend server; None if not reported.
         keep_alive_s: Idle timeout of the backend server's connections, in seconds; None if not
             stated.
+        leaving: Whether the backend server announces that it leaves.
+        pause: For how long a backend server that turned the request away wants none, as stated;
+            empty if not stated.
     """
 
     not_run: bool
@@ -69,6 +72,8 @@
     signed: bool
     load: ReportedLoad | None
     keep_alive_s: float | None
+    leaving: bool = False
+    pause: str = ""
 
 
 @attrs.frozen
--- a/hickoryloom/gateway/refusals.py
+++ b/hickoryloom/gateway/refusals.py
@@ -31,6 +31,7 @@
     verdict: Verdict,
     left_s: float = 0.0,
     rng: random.Random | None = None,
+    wait_s: float = 0.0,
 ) -> Refusal:
     """Return the refusal that matches a verdict.
 
@@ -40,6 +41,7 @@
         verdict: Whether a backend server may have run the request.
         left_s: Remaining time of the caller, in seconds.
         rng: Random number generator for the `Retry-After` jitter.
+        wait_s: Seconds before which a further request is pointless.
     """
     if status:
         return Refusal(status, reason, verdict)
@@ -48,6 +50,7 @@
         return Refusal(TIMEOUT_STATUS if timeout else FAILED_STATUS, reason, verdict)
     draw = rng.random() if rng is not None else 0.5
     retry_s = min(
-        MIN_RETRY_AFTER_S + RETRY_AFTER_JITTER_S * draw, max(0.0, MAX_RETRY_AFTER_FRACTION * left_s)
+        max(MIN_RETRY_AFTER_S, wait_s) + RETRY_AFTER_JITTER_S * draw,
+        max(0.0, MAX_RETRY_AFTER_FRACTION * left_s),
     )
     return Refusal(NOT_RUN_STATUS, reason, verdict, retry_s)
--- a/hickoryloom/gateway/request_log.py
+++ b/hickoryloom/gateway/request_log.py
@@ -6,6 +6,7 @@
 
 from hickoryloom.catalog import CatalogFollower, Customer, Route
 from hickoryloom.clock import Clock
+from hickoryloom.discovery import BackendServer
 from hickoryloom.logs import log_event
 from hickoryloom.metering import UsageMeter
 from hickoryloom.metrics import Measure, MetricsRecorder
@@ -15,6 +16,8 @@
 
 __all__ = ["RequestLog"]
 
+MAX_LOGGED_VALUE_CHARS = 60
+
 log = logbook.Logger("hickoryloom.gateway")
 
 
@@ -94,6 +97,17 @@
             detail=detail,
         )
 
+    def log_pause(self, server: BackendServer, seconds: float, unsound: str) -> None:
+        """Log the pause that a backend server asked for, and its value if that is unsound."""
+        log_event(
+            log,
+            "pause-requested",
+            request=self._request_id,
+            backend_server=server.id,
+            seconds=seconds,
+            unsound=unsound[:MAX_LOGGED_VALUE_CHARS] or None,
+        )
+
     def log_end(
         self, outcome: str, status: int, verdict: Verdict, attempts: int, detail: str = ""
     ) -> None:
--- a/hickoryloom/gateway/tests/test_forwarding.py
+++ b/hickoryloom/gateway/tests/test_forwarding.py
@@ -111,6 +111,7 @@
         self.runs = 0
         self.resumptions = []
         self.interrupted = []
+        self.left = []
         self.rejecting = self.unsigned = False
         self.load = None
         placer = Placer("d", random.Random(1))
@@ -148,6 +149,9 @@
     def is_usable(self, server):
         return True
 
+    def mark_leaving(self, server):
+        self.left.append(server.id)
+
     def allows_keys(self, now):
         return True
 
--- a/hickoryloom/placing/__init__.py
+++ b/hickoryloom/placing/__init__.py
@@ -1,9 +1,17 @@
 """Selection of the backend server for a request."""
 
-from hickoryloom.placing import messages, placer, prefill, short_prompts, tracked
+from hickoryloom.placing import (
+    messages,
+    placer,
+    prefill,
+    requested_pause,
+    short_prompts,
+    tracked,
+)
 from hickoryloom.placing.messages import *  # noqa: F403
 from hickoryloom.placing.placer import *  # noqa: F403
 from hickoryloom.placing.prefill import *  # noqa: F403
+from hickoryloom.placing.requested_pause import *  # noqa: F403
 from hickoryloom.placing.short_prompts import *  # noqa: F403
 from hickoryloom.placing.tracked import *  # noqa: F403
 
@@ -11,6 +19,7 @@
     *messages.__all__,
     *placer.__all__,
     *prefill.__all__,
+    *requested_pause.__all__,
     *short_prompts.__all__,
     *tracked.__all__,
 ]
--- a/hickoryloom/placing/placer.py
+++ b/hickoryloom/placing/placer.py
@@ -16,6 +16,7 @@
 from hickoryloom.discovery import BackendServer
 from hickoryloom.placing.messages import Placement, PlacementOutcome, PlacementRequest, ReportedLoad
 from hickoryloom.placing.prefill import PrefillRate
+from hickoryloom.placing.requested_pause import RequestedPause
 from hickoryloom.placing.short_prompts import LONG_PROMPT_TOKENS, ShortPromptEngines, rank
 from hickoryloom.placing.tracked import TrackedServer
 
@@ -62,6 +63,7 @@
         self._rates: dict[str, PrefillRate] = {}
         self._short_prompts: dict[str, ShortPromptEngines] = {}
         self._instances = 1
+        self._pauses: dict[tuple[str, int], RequestedPause] = {}
 
     @property
     def in_flight(self) -> int:
@@ -110,7 +112,8 @@
     ) -> Placement | None:
         """Return the best backend server for a request, or None if there is none.
 
-        Paused backend servers are considered only if all usable ones are paused.
+        A backend server that asked for a pause gets nothing until its end. Others that are paused
+        after failures are considered only if all usable ones are paused.
 
         Args:
             request: The request.
@@ -120,8 +123,11 @@
         usable = [
             tracked
             for tracked in self._by_service.get(request.service, ())
-            if not tracked.server.leaving and tracked.server.id not in exclude
+            if not tracked.server.leaving
+            and tracked.server.id not in exclude
+            and not self.rest_s(tracked.server, now)
         ]
+        usable = [tracked for tracked in usable if self._is_allowed(tracked, now)] or usable
         unpaused = [tracked for tracked in usable if tracked.paused_until <= now]
         candidates = unpaused or usable
         if not candidates:
@@ -130,6 +136,27 @@
             return self._choose_engine(request, candidates, now)
         return self._choose_plain(candidates, now)
 
+    def request_pause(self, server: BackendServer, seconds: float, now: float) -> None:
+        """Send a backend server no request for some seconds, as it asked for."""
+        self._pauses = {key: pause for key, pause in self._pauses.items() if not pause.is_over(now)}
+        key = (server.id, server.started_ms)
+        self._pauses.setdefault(key, RequestedPause(now)).extend(now + seconds)
+
+    def rest_s(self, server: BackendServer, now: float) -> float:
+        """Return the seconds for which a backend server wants no request; 0 if it takes some."""
+        pause = self._pauses.get((server.id, server.started_ms))
+        return 0.0 if pause is None else pause.rest_s(now)
+
+    def shortest_rest_s(self, service: str, now: float) -> float:
+        """Return the seconds until the first of a service's pausing servers takes requests."""
+        servers = [tracked.server for tracked in self._by_service.get(service, ())]
+        rests = [self.rest_s(server, now) for server in servers if not server.leaving]
+        return min((rest_s for rest_s in rests if rest_s), default=0.0)
+
+    def _is_allowed(self, tracked: TrackedServer, now: float) -> bool:
+        pause = self._pauses.get((tracked.server.id, tracked.server.started_ms))
+        return pause is None or pause.allows(tracked.in_flight, now)
+
     def prefill_s(self, service: str, tokens: float) -> float:
         """Return the estimated prefill time of `tokens` at an engine of a service, in seconds."""
         return tokens / self._rate(service).tokens_per_s
--- a/hickoryloom/platform/backends.py
+++ b/hickoryloom/platform/backends.py
@@ -11,8 +11,11 @@
 
 MS_PER_S = 1000
 MISDIRECTED = 421
+TURNED_AWAY = 503
 SIGNATURE_HEADER = "replica-signature"
-INTERNAL_RESPONSE_HEADERS = frozenset(("not-executed", "replica-load", "replica-id"))
+INTERNAL_RESPONSE_HEADERS = frozenset(
+    ("not-executed", "replica-load", "replica-id", "server-leaving")
+)
 
 
 class PlatformBackends:
@@ -55,6 +58,8 @@
             signed=bool(values.get(SIGNATURE_HEADER)),
             load=_read_load(values.get("replica-load", "")),
             keep_alive_s=_read_keep_alive(values.get("keep-alive", "")),
+            leaving=values.get("server-leaving", "").strip() == "1",
+            pause=values.get("retry-after", "") if status == TURNED_AWAY else "",
         )
 
     def response_headers(self, headers: Headers) -> Headers:
