Close the connection after a request whose body could not be read

One connection got two answers 400 for a malformed chunk size, the first without Connection: close: the entry went on to read the rest of the body as the next request (the gateway was right). Five sizes, all fail before.

--- a/hickoryloom/entry/app.py
+++ b/hickoryloom/entry/app.py
@@ -6,6 +6,7 @@
 import uuid
 from typing import Any
 
+import attrs
 import falcon
 import logbook
 from result import Err
@@ -44,7 +45,9 @@
     def _serve(self, environ: dict[str, Any], request_id: str) -> Reply:
         read = read_call(environ)
         if isinstance(read, Err):
-            return _reply_with_client_error(read.err_value, request_id)
+            # The rest of the body must not be read as the next request.
+            reply = _reply_with_client_error(read.err_value, request_id)
+            return attrs.evolve(reply, headers=[*reply.headers, ("Connection", "close")])
         call = read.ok_value
         snapshot = self._components.follower.snapshot
         now = self._components.clock.monotonic()
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -74,6 +74,17 @@
             return b""
 
 
+def exchange_to_end(site, request, timeout_s=10.0):
+    """Send raw bytes; return all bytes received until the entry closes the connection."""
+    host, _, port = site.listen("entry-1").rpartition(":")
+    received = b""
+    with socket.create_connection((host, int(port)), timeout=timeout_s) as sock:
+        sock.sendall(request)
+        while data := sock.recv(65536):
+            received += data
+    return received
+
+
 @pytest.mark.parametrize(
     "body, status",
     [
@@ -138,6 +149,17 @@
     assert_no_resources_held(site)
 
 
+@pytest.mark.parametrize("size", [b"0x5", b"5g", b"-5", b"", b"\xb2"])
+def test_a_malformed_chunk_size_gets_one_response_and_ends_the_connection(site, size):
+    head = (
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
+        f"Authorization: Bearer {site.key}\r\nTransfer-Encoding: chunked\r\n\r\n"
+    ).encode()
+    answer = exchange_to_end(site, head + size + b"\r\nhello\r\n0\r\n\r\n" + head)
+    assert answer.startswith(b"HTTP/1.1 400 ") and answer.count(b"HTTP/1.1") == 1
+    assert b"connection: close" in answer.lower()
+
+
 @settings(max_examples=40)
 @given(st.binary(max_size=300))
 def test_random_bytes_do_not_stop_the_entry(site, random_bytes):
