Departures without a known start are not remembered; no work for pauses while there are none

Read-through: a server that doesn't tell its start could not be told from its next start; the list of sealed windows may change while one is stored; choosing among 70 servers asked each for its pause.

--- a/hickoryloom/discovery/state.py
+++ b/hickoryloom/discovery/state.py
@@ -120,7 +120,7 @@
             if same_start and departure.announced:
                 server = attrs.evolve(server, leaving=True)
             elif self._returned_at is not None and (
-                server.started_ms < departure.started_ms
+                0 < server.started_ms < departure.started_ms
                 or (same_start and departure.era < (self._era or 0))
             ):
                 self._withheld[server.id] = server
@@ -151,7 +151,7 @@
         if self._withheld and now >= (self._returned_at or 0.0) + COPY_GRACE_S:
             withheld, self._withheld = self._withheld, {}
             for id, server in withheld.items():
-                del self._departed[id]
+                self._departed.pop(id, None)
                 self.put(server)
         for id in [id for id, expiry in self._missing.items() if now >= expiry]:
             self._drop(id)
@@ -183,6 +183,9 @@
             self._remember(id, _Departure(server.started_ms, server.leaving, self._era or 0))
 
     def _remember(self, id: str, departure: _Departure) -> None:
+        if not departure.started_ms:
+            # Nothing tells this start of the server from a later one.
+            return
         self._departed.pop(id, None)
         self._departed[id] = departure
         if len(self._departed) > MAX_DEPARTED:
--- a/hickoryloom/metering/sealed.py
+++ b/hickoryloom/metering/sealed.py
@@ -49,14 +49,13 @@
         """
         if window is not None:
             self._stored_era[window] = -1
-        for number in sorted(self._counts):
-            if self._stored_era[number] >= era:
+        for number, counts in sorted(self._counts.items()):
+            if self._stored_era.get(number, era) >= era:
                 continue
-            created = self._client.create(
-                f"{SEALED_PREFIX}{number}", {"counts": self._counts[number]}
-            )
+            created = self._client.create(f"{SEALED_PREFIX}{number}", {"counts": counts})
             if isinstance(created, Ok):
                 log_event(log, "sealed-window-restored", window=number, era=era)
             elif created.err_value.kind is not ErrorKind.CONFLICT:
                 return
-            self._stored_era[number] = era
+            if number in self._counts:
+                self._stored_era[number] = era
--- a/hickoryloom/placing/placer.py
+++ b/hickoryloom/placing/placer.py
@@ -123,11 +123,11 @@
         usable = [
             tracked
             for tracked in self._by_service.get(request.service, ())
-            if not tracked.server.leaving
-            and tracked.server.id not in exclude
-            and not self.rest_s(tracked.server, now)
+            if not tracked.server.leaving and tracked.server.id not in exclude
         ]
-        usable = [tracked for tracked in usable if self._is_allowed(tracked, now)] or usable
+        if self._pauses:
+            usable = [tracked for tracked in usable if not self.rest_s(tracked.server, now)]
+            usable = [tracked for tracked in usable if self._is_allowed(tracked, now)] or usable
         unpaused = [tracked for tracked in usable if tracked.paused_until <= now]
         candidates = unpaused or usable
         if not candidates:
