--- a/hickoryloom/platform/tests/standin.py
+++ b/hickoryloom/platform/tests/standin.py
@@ -5,6 +5,7 @@
 import errno
 import json
 import struct
+import time
 from urllib.parse import parse_qs, unquote
 
 import gevent
@@ -170,9 +171,16 @@
 
 
 class Duties:
-    """Accepts usage reports and orders; rejects calls with an old fencing token."""
+    """Accepts usage reports and orders; rejects calls with an old fencing token.
+
+    Attributes:
+        checks_tokens: Whether it rejects them.
+        calls: Time, holder and fencing token of each call.
+    """
 
     def __init__(self):
+        self.checks_tokens = True
+        self.calls = []
         self.usage = []
         self.orders = []
         self.highest_token = 0
@@ -186,7 +194,8 @@
     def _serve(self, environ, start_response):
         body = json.loads(environ["wsgi.input"].read())
         token = int(environ["HTTP_FENCING_TOKEN"])
-        if token < self.highest_token:
+        self.calls.append((time.monotonic(), environ["HTTP_DUTY_HOLDER"], token))
+        if self.checks_tokens and token < self.highest_token:
             return _reply(start_response, 409, {"error": "a higher fence was seen"})
         self.highest_token = token
         accepted = self.usage if environ["PATH_INFO"] == "/usage" else self.orders
