Report usage from the start of the process where no window was sealed yet

Cause: since candidates wait before an absent lease of a store with eras, the first holder begins 3.3 s after its start, and began with the window of that moment, so the usage of the first seconds of a new system was never reported.

--- a/hickoryloom/metering/reporter.py
+++ b/hickoryloom/metering/reporter.py
@@ -98,6 +98,7 @@
         self._instance = instance
         self._window_s = window_s
         self._next_window = 0
+        self._start_window = meter.window_at(clock.monotonic())
         self._sealed_requests: dict[int, dict[str, int]] = {}
         self._late_requests = 0
         self._task = LeasedTask(
@@ -166,7 +167,10 @@
         return self._first_unsealed is not None and window >= self._first_unsealed
 
     def _find_next_window(self, grant: LeaseGrant) -> bool:
-        """Start with the last sealed window, whose report may not have been accepted."""
+        """Start with the last sealed window, whose report may not have been accepted.
+
+        If none was sealed, start with the window in which this process began.
+        """
         if grant.era > self._held_era:
             held = self._duty_client.held_into_era == grant.era
             self._first_unsealed = self._next_window if held and self._next_window else None
@@ -177,7 +181,7 @@
         sealed = [_window_from_key(item.key) for item in listing.ok_value.items]
         current = self._meter.window_at(self._clock.monotonic())
         oldest = current - RETAINED_WINDOWS + 1
-        first = current if self._first_unsealed is None else self._first_unsealed
+        first = self._start_window if self._first_unsealed is None else self._first_unsealed
         last = max((window for window in sealed if window is not None), default=first)
         self._next_window = max(oldest, min(last, current))
         return True
