One check of the end of an event stream, of a lease's owner, of a server's pause

Read-through, no change of behaviour. The gateway and the relay wrote the same check of a buffered event stream, with the same text: check_end_of_events serves both, and looks at the last bytes in place of joining the body. LeaseState asked in two places, in two forms, whether a record is its own; Placer looked up a pause twice; LiveList computed the end of withholding twice.

--- a/hickoryloom/discovery/state.py
+++ b/hickoryloom/discovery/state.py
@@ -80,7 +80,7 @@
         """
         expiries = list(self._missing.values())
         if self._withheld:
-            expiries.append((self._returned_at or 0.0) + COPY_GRACE_S)
+            expiries.append(self._withheld_until)
         return min(expiries, default=None)
 
     @property
@@ -148,7 +148,7 @@
 
     def expire(self, now: float) -> None:
         """Drop backend servers still missing, and use withheld ones, after the grace periods."""
-        if self._withheld and now >= (self._returned_at or 0.0) + COPY_GRACE_S:
+        if self._withheld and now >= self._withheld_until:
             withheld, self._withheld = self._withheld, {}
             for id, server in withheld.items():
                 self._departed.pop(id, None)
@@ -176,6 +176,11 @@
         for id in ids:
             self._drop(id)
 
+    @property
+    def _withheld_until(self) -> float:
+        """Monotonic time from which withheld backend servers are used."""
+        return (self._returned_at or 0.0) + COPY_GRACE_S
+
     def _drop(self, id: str) -> None:
         server = self._servers.pop(id, None)
         self._missing.pop(id, None)
--- a/hickoryloom/gateway/forwarding.py
+++ b/hickoryloom/gateway/forwarding.py
@@ -13,12 +13,14 @@
 from hickoryloom.gateway.messages import CallerRequest, Refusal, Reply
 from hickoryloom.placing import PlacementOutcome
 from hickoryloom.upstream import (
+    ENDED_INSIDE_EVENT,
+    TAIL_BYTES,
     AttemptError,
     AttemptFailure,
     BodyFraming,
     Exchange,
     FailureCause,
-    ends_inside_event,
+    check_end_of_events,
     is_event_stream,
 )
 from hickoryloom.verdict import Verdict
@@ -33,8 +35,6 @@
 
 SERVER_ERROR = 500
 
-ENDED_INSIDE_EVENT = "stream ended inside an event"
-
 STREAM_TIMEOUT_GAPS = 6.0
 """Read timeout of a resumable stream, as a multiple of the route's maximum event gap. On expiry the
 stream is resumed at another backend server."""
@@ -146,8 +146,7 @@
             size += len(chunk)
             if size > MAX_RESPONSE_BYTES:
                 raise exchange.error(FailureCause.TOO_LARGE, "response exceeds the size limit")
-        if is_event_stream(exchange.header("content-type")) and ends_inside_event(b"".join(chunks)):
-            raise exchange.error(FailureCause.CONNECTION_LOST, ENDED_INSIDE_EVENT)
+        check_end_of_events(exchange, b"".join(chunks[-TAIL_BYTES:]))
         failed = status >= SERVER_ERROR
         self._attempts.complete(
             attempt, PlacementOutcome.FAILED if failed else PlacementOutcome.DONE, status
--- a/hickoryloom/leases/state.py
+++ b/hickoryloom/leases/state.py
@@ -244,19 +244,19 @@
         return self.times.duration_s + self.times.margin_s
 
     def _is_holder(self) -> bool:
-        if self._record is None or self._record.term <= self._resigned_term:
-            return False
-        if self._record.era != self._era:
-            return False
-        return self._record.holder == self.incarnation
+        return self._record is not None and self._is_own(self._record)
+
+    def _is_own(self, record: LeaseRecord) -> bool:
+        """Return whether a record entitles this candidate to act in the current era."""
+        return (
+            record.holder == self.incarnation
+            and record.term > self._resigned_term
+            and record.era == self._era
+        )
 
     def _update_grant(self, record: LeaseRecord) -> None:
         """Update the grant from a record that is known to be stored in the platform."""
-        if (
-            record.holder != self.incarnation
-            or record.term <= self._resigned_term
-            or record.era != self._era
-        ):
+        if not self._is_own(record):
             self._grant = None
             self._sent_at.clear()
             return
--- a/hickoryloom/placing/placer.py
+++ b/hickoryloom/placing/placer.py
@@ -144,7 +144,7 @@
 
     def rest_s(self, server: BackendServer, now: float) -> float:
         """Return the seconds for which a backend server wants no request; 0 if it takes some."""
-        pause = self._pauses.get((server.id, server.started_ms))
+        pause = self._pause_of(server)
         return 0.0 if pause is None else pause.rest_s(now)
 
     def shortest_rest_s(self, service: str, now: float) -> float:
@@ -154,9 +154,12 @@
         return min((rest_s for rest_s in rests if rest_s), default=0.0)
 
     def _is_allowed(self, tracked: TrackedServer, now: float) -> bool:
-        pause = self._pauses.get((tracked.server.id, tracked.server.started_ms))
+        pause = self._pause_of(tracked.server)
         return pause is None or pause.allows(tracked.in_flight, now)
 
+    def _pause_of(self, server: BackendServer) -> RequestedPause | None:
+        return self._pauses.get((server.id, server.started_ms))
+
     def prefill_s(self, service: str, tokens: float) -> float:
         """Return the estimated prefill time of `tokens` at an engine of a service, in seconds."""
         return tokens / self._rate(service).tokens_per_s
--- a/hickoryloom/relay/buffered.py
+++ b/hickoryloom/relay/buffered.py
@@ -16,18 +16,17 @@
 from hickoryloom.relay.headers import caller_response_headers
 from hickoryloom.relay.response import RelayedResponse, read_count
 from hickoryloom.upstream import (
+    TAIL_BYTES,
     AttemptError,
     Exchange,
     FailureCause,
-    ends_inside_event,
-    is_event_stream,
+    check_end_of_events,
 )
 
 __all__ = ["BufferedResponse"]
 
 BUFFERED_BYTES = 1024 * 1024
 MAX_COMPLETION_BYTES = 16 * 1024 * 1024
-TAIL_BYTES = 3
 
 
 class BufferedResponse(RelayedResponse):
@@ -97,13 +96,9 @@
         block = exchange.read()
         self._tail = (self._tail + block)[-TAIL_BYTES:]
         if exchange.ended:
-            self._check_end(exchange)
+            check_end_of_events(exchange, self._tail)
         return block
 
-    def _check_end(self, exchange: Exchange) -> None:
-        if is_event_stream(exchange.header("content-type")) and ends_inside_event(self._tail):
-            raise exchange.error(FailureCause.CONNECTION_LOST, "stream ended inside an event")
-
     def _check_completion(self, attempt: Attempt, exchange: Exchange, size: int) -> None:
         if size > MAX_COMPLETION_BYTES:
             raise exchange.error(FailureCause.TOO_LARGE, "answer is too large")
