Tests: one site fixture and one plain script for the gateway's process tests

The fixture stood in five files, the script in four; two tests of resumed streams shared their loop and four of the reporter their set-up. Assertions are the same; the only lines that go are second copies.

--- a/hickoryloom/metering/tests/test_reporter.py
+++ b/hickoryloom/metering/tests/test_reporter.py
@@ -162,12 +162,18 @@
     assert list(harness.meter.counts().windows) == ["200"]
 
 
-def test_a_window_waits_for_an_instance_that_is_cut_off_from_the_store(harness):
+def begin_with_a_cut_off_instance(harness, written=FIRST_END - 4.0, final=False):
+    """Return a client and its reporter; instance b has written nothing since `written`."""
     client = FakeDutyClient()
     reporter = harness.reporter(client)
     reporter._task.step()
     harness.write("a", FIRST_END + 0.3, w200=3)
-    harness.write("b", FIRST_END - 4.0, w200=1)
+    harness.write("b", written, final=final, w200=1)
+    return client, reporter
+
+
+def test_a_window_waits_for_an_instance_that_is_cut_off_from_the_store(harness):
+    client, reporter = begin_with_a_cut_off_instance(harness)
     harness.clock.advance(WINDOW_S + 5.0)
     reporter._task.step()
     assert client.sent == []
@@ -177,11 +183,7 @@
 
 
 def test_a_window_is_reported_in_time_without_an_instance_that_stays_cut_off(harness):
-    client = FakeDutyClient()
-    reporter = harness.reporter(client)
-    reporter._task.step()
-    harness.write("a", FIRST_END + 0.3, w200=3)
-    harness.write("b", FIRST_END - 4.0, w200=1)
+    client, reporter = begin_with_a_cut_off_instance(harness)
     harness.clock.advance(WINDOW_S + LATE_S - REPORT_RESERVE_S)
     reporter._task.step()
     assert client.sent == [(200, {"one": 4}, 1)]
@@ -191,22 +193,14 @@
     ("written", "final"), [(FIRST_END - 4.0, True), (FIRST_END - LIVENESS_TIMEOUT_S - 0.1, False)]
 )
 def test_a_process_that_has_ended_delays_no_window(harness, written, final):
-    client = FakeDutyClient()
-    reporter = harness.reporter(client)
-    reporter._task.step()
-    harness.write("a", FIRST_END + 0.3, w200=3)
-    harness.write("b", written, final=final, w200=1)
+    client, reporter = begin_with_a_cut_off_instance(harness, written, final)
     harness.clock.advance(WINDOW_S + WRITE_INTERVAL_S + SETTLE_MARGIN_S)
     reporter._task.step()
     assert client.sent == [(200, {"one": 4}, 1)]
 
 
 def test_counts_that_arrive_after_sealing_are_counted_as_late_and_not_reported(harness):
-    client = FakeDutyClient()
-    reporter = harness.reporter(client)
-    reporter._task.step()
-    harness.write("a", FIRST_END + 0.3, w200=3)
-    harness.write("b", FIRST_END - 4.0, w200=1)
+    client, reporter = begin_with_a_cut_off_instance(harness)
     harness.clock.advance(WINDOW_S + LATE_S - REPORT_RESERVE_S)
     reporter._task.step()
     harness.clock.advance(0.5)
--- a/hickoryloom/platform/tests/standin.py
+++ b/hickoryloom/platform/tests/standin.py
@@ -307,6 +307,11 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
 
+def respond(request):
+    """Script of a backend server that answers each request with success."""
+    yield build_response(request)
+
+
 def build_stream_head(request, chunked=True):
     """Return status line and headers of a stream, which ends with its connection if not chunked."""
     return (
--- a/hickoryloom/platform/tests/test_framing_processes.py
+++ b/hickoryloom/platform/tests/test_framing_processes.py
@@ -4,13 +4,13 @@
 
 import pytest
 
-from hickoryloom.platform.tests.site import HOST, KEY, Site
+from hickoryloom.platform.tests.site import HOST, KEY
 from hickoryloom.platform.tests.standin import (
     LAST_CHUNK,
     Backend,
     build_event,
-    build_response,
     build_stream_head,
+    respond,
 )
 
 pytestmark = pytest.mark.processes
@@ -18,18 +18,6 @@
 MAX_BODY_BYTES = 100_000
 
 
-@pytest.fixture
-def site(tmp_path):
-    site = Site(tmp_path)
-    site.configure()
-    yield site
-    site.stop()
-
-
-def respond(request):
-    yield build_response(request)
-
-
 def request_head(path="/once/x", version="1.1", **headers):
     lines = [f"POST {path} HTTP/{version}", f"Host: {HOST}", f"X-Api-Key: {KEY}"]
     lines += ["Attempt-Id: a1", "Deadline-Ms: 4000"]
--- a/hickoryloom/platform/tests/test_gateway_processes.py
+++ b/hickoryloom/platform/tests/test_gateway_processes.py
@@ -7,13 +7,14 @@
 import gevent
 import pytest
 
-from hickoryloom.platform.tests.site import HOST, KEY, Site
+from hickoryloom.platform.tests.site import HOST, KEY
 from hickoryloom.platform.tests.standin import (
     LAST_CHUNK,
     Backend,
     build_event,
     build_response,
     build_stream_head,
+    respond,
 )
 
 pytestmark = [pytest.mark.processes, pytest.mark.seconds(62)]
@@ -21,18 +22,6 @@
 ENGINE_HEADERS = {"Token_Count": "100,50", "Prompt_Prefix": "aa:40,bb:30,cc:30", "Model": "m"}
 
 
-@pytest.fixture
-def site(tmp_path):
-    site = Site(tmp_path)
-    site.configure()
-    yield site
-    site.stop()
-
-
-def respond(request):
-    yield build_response(request)
-
-
 def reject_unexecuted(request):
     yield build_response(request, b"", 503, signed=False, Not_Executed="1")
 
@@ -196,9 +185,8 @@
     assert gateway.call("/once/x")[0] == 502
 
 
-def test_a_resumable_stream_continues_without_a_gap(site):
-    site.add_backend(Backend("i-1", "llm", truncated_after(3)))
-    site.add_backend(Backend("i-2", "llm", stream(8)))
+def check_streams_are_whole(site):
+    """Check that streams of eight events are whole, and that all backend servers had some."""
     gateway = site.start()
     for number in range(8):
         session = {**ENGINE_HEADERS, "Prompt_Prefix": f"aa:40,b{number}:30,cc:30"}
@@ -208,6 +196,12 @@
     assert all(backend.requests for backend in site.backends)
 
 
+def test_a_resumable_stream_continues_without_a_gap(site):
+    site.add_backend(Backend("i-1", "llm", truncated_after(3)))
+    site.add_backend(Backend("i-2", "llm", stream(8)))
+    check_streams_are_whole(site)
+
+
 STREAM_REQUEST = (
     f"POST /answer/x HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: a\r\nDeadline-Ms: 4000\r\n"
     f"X-Api-Key: {KEY}\r\nToken-Count: 100,50\r\nContent-Length: 0\r\n\r\n"
@@ -233,13 +227,7 @@
 def test_a_stream_that_ends_inside_an_event_continues_at_another_backend_server(site):
     site.add_backend(Backend("i-1", "llm", unframed(3, b"id: 4\ndata: x4\n")))
     site.add_backend(Backend("i-2", "llm", unframed(8)))
-    gateway = site.start()
-    for number in range(8):
-        session = {**ENGINE_HEADERS, "Prompt_Prefix": f"aa:40,b{number}:30,cc:30"}
-        status, _, body = gateway.call("/draft/x", id=f"r{number}", **session)
-        assert status == 200
-        assert ids_of(body) == list(range(1, 9))
-    assert all(backend.requests for backend in site.backends)
+    check_streams_are_whole(site)
 
 
 @pytest.mark.parametrize("count", [0, 3])
--- a/hickoryloom/platform/tests/test_operations_page.py
+++ b/hickoryloom/platform/tests/test_operations_page.py
@@ -6,7 +6,7 @@
 import gevent
 import pytest
 
-from hickoryloom.platform.tests.site import KEY, Site
+from hickoryloom.platform.tests.site import KEY
 from hickoryloom.platform.tests.standin import (
     Backend,
     build_event,
@@ -19,14 +19,6 @@
 PAGE = Path(__file__).resolve().parents[3] / "docs" / "OPERATIONS.md"
 
 
-@pytest.fixture
-def site(tmp_path):
-    site = Site(tmp_path)
-    site.configure()
-    yield site
-    site.stop()
-
-
 def grep(gateway, id, name=""):
     """Return the fields of the log lines that the commands of the page match."""
     lines = [line for line in gateway.log().splitlines() if f"request={id} " in line]
--- a/hickoryloom/platform/tests/test_store_era_processes.py
+++ b/hickoryloom/platform/tests/test_store_era_processes.py
@@ -3,8 +3,8 @@
 import gevent
 import pytest
 
-from hickoryloom.platform.tests.site import KEY, Site
-from hickoryloom.platform.tests.standin import Backend, build_response
+from hickoryloom.platform.tests.site import KEY
+from hickoryloom.platform.tests.standin import Backend, respond
 from tests.harness import wait_until
 
 pytestmark = [pytest.mark.processes, pytest.mark.seconds(45)]
@@ -13,15 +13,9 @@
 
 
 @pytest.fixture
-def site(tmp_path):
-    site = Site(tmp_path)
+def site(site):
     site.configure(version=5, keys=(KEY, OTHER_KEY))
-    yield site
-    site.stop()
-
-
-def respond(request):
-    yield build_response(request)
+    return site
 
 
 def in_force(gateway, version):
--- a/hickoryloom/platform/tests/test_turned_away_processes.py
+++ b/hickoryloom/platform/tests/test_turned_away_processes.py
@@ -5,8 +5,7 @@
 import gevent
 import pytest
 
-from hickoryloom.platform.tests.site import Site
-from hickoryloom.platform.tests.standin import Backend, build_response
+from hickoryloom.platform.tests.standin import Backend, build_response, respond
 from tests.harness import wait_until
 
 pytestmark = [pytest.mark.processes, pytest.mark.seconds(30)]
@@ -14,18 +13,6 @@
 PAUSE_S = 2.0
 
 
-@pytest.fixture
-def site(tmp_path):
-    site = Site(tmp_path)
-    site.configure()
-    yield site
-    site.stop()
-
-
-def respond(request):
-    yield build_response(request)
-
-
 def announce_leaving(request):
     yield build_response(request, Server_Leaving="1")
 
--- a/hickoryloom/platform/tests/test_unfenced_duties.py
+++ b/hickoryloom/platform/tests/test_unfenced_duties.py
@@ -5,8 +5,7 @@
 import gevent
 import pytest
 
-from hickoryloom.platform.tests.site import Site
-from hickoryloom.platform.tests.standin import Backend, build_response
+from hickoryloom.platform.tests.standin import Backend, respond
 from tests.harness import wait_until
 
 pytestmark = [pytest.mark.processes, pytest.mark.seconds(60)]
@@ -15,13 +14,10 @@
 
 
 @pytest.fixture
-def site(tmp_path):
-    site = Site(tmp_path)
-    site.configure()
+def site(site):
     site.duties.checks_tokens = False
-    site.add_backend(Backend("i-1", "app", lambda request: [build_response(request)]))
-    yield site
-    site.stop()
+    site.add_backend(Backend("i-1", "app", respond))
+    return site
 
 
 def holders(site):
