--- a/hickoryloom/gateway/attempts.py
+++ b/hickoryloom/gateway/attempts.py
@@ -71,6 +71,7 @@
         placement: The chosen backend server and the reason for the choice.
         exchange: The HTTP exchange with the backend server.
         sent: Monotonic time of the send, in seconds.
+        accepted: Whether a response head has arrived that doesn't deny the execution.
         first_event_received: Whether the first event of its stream has arrived.
         ended: Whether its connection has been released.
     """
@@ -78,9 +79,17 @@
     placement: Placement
     exchange: Exchange
     sent: float
+    accepted: bool = False
     first_event_received: bool = False
     ended: bool = False
 
+    @property
+    def received(self) -> str:
+        """How much of the response has arrived: `nothing`, `head` or `events`."""
+        if self.first_event_received:
+            return "events"
+        return "head" if self.accepted else "nothing"
+
 
 class Attempts:
     """Sends one request to backend servers and decides whether a retry is allowed.
@@ -291,8 +300,9 @@
             self._context.placer.request_pause(server, pause_s, now)
             self._log.log_pause(server, pause_s, "" if sound else head.pause)
 
-    def record_accepted(self) -> None:
+    def record_accepted(self, attempt: Attempt) -> None:
         """Record that a backend server has accepted the request for execution."""
+        attempt.accepted = True
         self._progress.record_accepted()
 
     def complete(self, attempt: Attempt, outcome: PlacementOutcome, status: int) -> None:
@@ -308,9 +318,15 @@
         progress.record_failed(attempt.placement.server.id, failure)
         if failure.verdict is not Verdict.NOT_RUN and failure.cause is not FailureCause.CANCELLED:
             self._log.record_start(attempt.sent)
+        in_flight = self._context.placer.in_flight_at(attempt.placement.server.id)
         self.close(attempt, _outcome_of(failure))
-        self._log.log_attempt(
-            attempt.placement, progress.sends, failure.cause.value, failure.detail
+        self._log.log_failed_attempt(
+            attempt.placement,
+            progress.sends,
+            failure,
+            self._placement_request.shared,
+            attempt.received,
+            in_flight,
         )
 
     def may_retry(self, failure: AttemptFailure) -> bool:
--- a/hickoryloom/gateway/forwarding.py
+++ b/hickoryloom/gateway/forwarding.py
@@ -129,7 +129,7 @@
         if head.not_run or head.misdirected:
             detail = f"status {exchange.status}"
             raise AttemptError(AttemptFailure(FailureCause.NOT_RUN, Verdict.NOT_RUN, detail))
-        self._attempts.record_accepted()
+        self._attempts.record_accepted(attempt)
         if _is_success(exchange) and not (head.signed and exchange.id_confirmed):
             raise exchange.error(FailureCause.MALFORMED, "response has no signature or request id")
         if exchange.header("content-encoding"):
--- a/hickoryloom/gateway/request_log.py
+++ b/hickoryloom/gateway/request_log.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+
 import logbook
 
 from hickoryloom.catalog import CatalogFollower, Customer, Route
@@ -10,13 +12,14 @@
 from hickoryloom.logs import log_event
 from hickoryloom.metering import UsageMeter
 from hickoryloom.metrics import Measure, MetricsRecorder
-from hickoryloom.placing import Placement
-from hickoryloom.upstream import BodyFraming
+from hickoryloom.placing import Placement, PromptSegment
+from hickoryloom.upstream import AttemptFailure, BodyFraming
 from hickoryloom.verdict import Verdict
 
 __all__ = ["RequestLog"]
 
 MAX_LOGGED_VALUE_CHARS = 60
+MAX_LOGGED_SEGMENTS = 12
 
 log = logbook.Logger("hickoryloom.gateway")
 
@@ -83,8 +86,10 @@
         """Record what marks the end of the latest response body; None if there is none."""
         self._framing = framing
 
-    def log_attempt(self, placement: Placement, number: int, outcome: str, detail: str) -> None:
-        """Log an attempt or its failure."""
+    def log_attempt(
+        self, placement: Placement, number: int, outcome: str, detail: str, **fields: object
+    ) -> None:
+        """Log an attempt or its failure, with further fields of the failure."""
         log_event(
             log,
             "attempt",
@@ -95,6 +100,37 @@
             attempt=number,
             outcome=outcome,
             detail=detail,
+            **fields,
+        )
+
+    def log_failed_attempt(
+        self,
+        placement: Placement,
+        number: int,
+        failure: AttemptFailure,
+        shared: Sequence[PromptSegment],
+        progress: str,
+        in_flight: int,
+    ) -> None:
+        """Log the failure of an attempt that was sent.
+
+        Args:
+            placement: The placement of the attempt.
+            number: Number of the attempt.
+            failure: The failure.
+            shared: Segments of the prompt that other prompts may share.
+            progress: How much of the response had arrived: `nothing`, `head` or `events`.
+            in_flight: Requests that this instance had at the backend server.
+        """
+        self.log_attempt(
+            placement,
+            number,
+            failure.cause.value,
+            failure.detail,
+            received=progress,
+            server_started=placement.server.started_ms or None,
+            in_flight=in_flight,
+            prompt=",".join(part.id for part in shared[:MAX_LOGGED_SEGMENTS]) or None,
         )
 
     def log_pause(self, server: BackendServer, seconds: float, unsound: str) -> None:
--- a/hickoryloom/placing/placer.py
+++ b/hickoryloom/placing/placer.py
@@ -70,6 +70,11 @@
         """Number of requests of this instance at backend servers."""
         return sum(tracked.in_flight for tracked in self._tracked.values())
 
+    def in_flight_at(self, id: str) -> int:
+        """Return the number of requests of this instance at a backend server."""
+        tracked = self._tracked.get(id)
+        return 0 if tracked is None else tracked.in_flight
+
     def set_servers(self, servers: Iterable[BackendServer]) -> None:
         """Replace the list of live backend servers.
 
