Hold back prompts with a part under which backend servers crash, at all instances

Cause: a cut connection was one failure of one server to the instance that saw it. Nothing connected the failures by what the requests had in common, and no instance learned of the others' failures. Class of fault: a bound over all instances, guarded by what one of them sees.

Fix: instances report ends and answers as records that spread in datagrams (hickoryloom/evidence); a part that is in three ends of different servers at different moments, without an answer since and not explained by another part, is held back at all instances before the first byte is sent (hickoryloom/quarantine). Ruled out: store objects and watches (price of calls), direct calls to all (square of the fleet); see docs/design/shared-evidence.md.

--- /dev/null
+++ b/hickoryloom/evidence/tests/test_records.py
@@ -0,0 +1,114 @@
+"""Records of several instances, exchanged in any order."""
+
+import json
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hickoryloom.evidence import InstanceRanking, Record, SharedRecords, Topic
+from hickoryloom.evidence.messages import MAX_DATAGRAM_BYTES, DatagramKind, decode, pack
+from hickoryloom.evidence.records import MAX_RECORDS_PER_TOPIC
+
+TOPIC = Topic("t", 60.0)
+
+OBSERVATIONS = st.lists(
+    st.tuples(
+        st.sampled_from(["a", "b", "c"]),
+        st.sampled_from(["k1", "k2"]),
+        st.sampled_from(["0", "1"]),
+        st.integers(0, 40),
+    ),
+    max_size=12,
+)
+
+
+@given(OBSERVATIONS, st.randoms())
+def test_all_instances_end_up_with_the_same_records(observations, rng):
+    holders = {name: SharedRecords(name, [TOPIC]) for name in "abc"}
+    sent = []
+    for name, key, value, tenths in sorted(observations, key=lambda item: item[3]):
+        holders[name].put(TOPIC, key, value, tenths / 2)
+        sent += holders[name].take_changes()
+    for holder in holders.values():
+        holder.merge(rng.sample(sent, len(sent)), 21.0)
+        holder.merge(rng.sample(sent, len(sent)), 21.0)
+    assert len({holder.digest(21.0) for holder in holders.values()}) == 1
+
+
+def test_records_end_after_their_lifetime():
+    records = SharedRecords("a", [TOPIC])
+    records.put(TOPIC, "k", "v", 100.0)
+    assert records.get(TOPIC, "k", 159.0) is not None
+    assert records.get(TOPIC, "k", 160.0) is None
+    assert records.all(160.0) == []
+    records.merge([Record("t", "k", "v", "b.1", 99.0)], 160.0)
+    assert records.all(160.0) == []
+
+
+def test_an_unchanged_observation_is_recorded_once_a_second():
+    records = SharedRecords("a", [TOPIC])
+    for hundredths in range(300):
+        records.put(TOPIC, "k", "v", hundredths / 100)
+        records.take_changes()
+    assert records.get(TOPIC, "k", 3.0).id == "a.00000003"
+
+
+def test_the_number_of_records_is_bounded():
+    records = SharedRecords("a", [TOPIC])
+    for number in range(10 * MAX_RECORDS_PER_TOPIC):
+        records.put(TOPIC, f"k{number}", "v", 1.0)
+    assert len(records.all(1.0)) == MAX_RECORDS_PER_TOPIC
+
+
+def test_records_of_another_topic_or_beyond_bounds_are_dropped():
+    records = SharedRecords("a", [TOPIC])
+    records.merge(
+        [
+            Record("other", "k", "v", "b.1", 1.0),
+            Record("t", "k" * 1000, "v", "b.2", 1.0),
+            Record("t", "k", "v" * 1000, "b.3", 1.0),
+        ],
+        1.0,
+    )
+    assert records.all(1.0) == []
+
+
+def test_records_are_divided_among_datagrams_and_carry_their_age():
+    records = [Record("t", f"k{number}", "v" * 50, f"b.{number}", 90.0) for number in range(60)]
+    packed = list(pack(DatagramKind.REPLY, "127.0.0.1:1", "d", records, 100.0))
+    assert all(len(data) <= MAX_DATAGRAM_BYTES for data in packed)
+    datagrams = [decode(data).ok_value for data in packed]
+    assert [datagram.kind for datagram in datagrams[:-1]] == [DatagramKind.RECORDS] * (
+        len(packed) - 1
+    )
+    assert datagrams[-1].kind is DatagramKind.REPLY
+    assert [item for datagram in datagrams for item in datagram.records] == [
+        ("t", f"k{number}", "v" * 50, f"b.{number}", 10.0) for number in range(60)
+    ]
+
+
+@given(
+    st.binary(max_size=60)
+    | st.builds(
+        lambda value: json.dumps(value).encode(),
+        st.lists(st.text(max_size=5) | st.floats() | st.none(), max_size=4),
+    )
+)
+def test_no_datagram_raises(data):
+    decode(data)
+
+
+def test_ranks_agree_among_instances_that_know_each_other():
+    addresses = [f"10.0.0.{number}:1" for number in range(30)]
+    rankings = [InstanceRanking(address) for address in addresses]
+    assert rankings[0].rank("key") is None
+    for ranking in rankings:
+        ranking.set_others(addresses)
+    assert sorted(ranking.rank("key") for ranking in rankings) == list(range(30))
+    firsts = [
+        next(a for a, r in zip(addresses, rankings, strict=True) if r.rank(key) == 0)
+        for key in map(str, range(200))
+    ]
+    assert len(set(firsts)) > 20
+    assert random.Random(1).choice(rankings).instances == 30
--- a/hickoryloom/gateway/attempts.py
+++ b/hickoryloom/gateway/attempts.py
@@ -26,6 +26,7 @@
     Placer,
     parse_pause,
 )
+from hickoryloom.quarantine import Quarantine, part_keys
 from hickoryloom.upstream import (
     AttemptError,
     AttemptFailure,
@@ -46,6 +47,13 @@
 """The same for requests to model engines, where a late first token usually means queueing rather
 than a fault."""
 
+ANSWERED_S = 0.1
+"""Time after the first event of a stream from which a further one shows that the prompt does not
+crash the engine: it would have ended while it wrote the first one."""
+
+QUARANTINE_JITTER = 0.5
+"""Largest random fraction added to the `Retry-After` of a prompt in quarantine."""
+
 
 @attrs.frozen
 class GatewayContext:
@@ -61,6 +69,7 @@
     meter: UsageMeter
     metrics: MetricsRecorder
     retries: Callable[[str], SharedRetryBudget]
+    quarantine: Quarantine
 
 
 @attrs.define
@@ -73,6 +82,9 @@
         sent: Monotonic time of the send, in seconds.
         accepted: Whether a response head has arrived that doesn't deny the execution.
         first_event_received: Whether the first event of its stream has arrived.
+        first_event_at: Monotonic time of that event, in seconds.
+        answered: Whether the backend server has responded for long enough to show that the prompt
+            does not crash it.
         ended: Whether its connection has been released.
     """
 
@@ -81,6 +93,8 @@
     sent: float
     accepted: bool = False
     first_event_received: bool = False
+    first_event_at: float = 0.0
+    answered: bool = False
     ended: bool = False
 
     @property
@@ -124,6 +138,7 @@
         self._deadline = arrived + min(caller_timeout_s, route.timeout_s)
         shared = request.prompt_segments[:-1]
         self._placement_request = PlacementRequest(service, request.prompt_tokens, shared)
+        self._parts = part_keys(service, (part.id for part in shared))
         self._progress = RequestProgress(route, self._deadline)
         self._attempt: Attempt | None = None
         self._log = RequestLog(
@@ -229,6 +244,7 @@
         self._attempt = attempt
         context.meter.record_demand(self._placement_request.service, placement.prefill_tokens)
         context.placer.start_attempt(placement, self._placement_request, now)
+        context.quarantine.record_sent(self._parts, now)
         headers = context.backends.request_headers(
             self._request,
             placement.server,
@@ -263,6 +279,10 @@
         reason = self._progress.blocking_reason(now)
         if reason:
             return self.refuse(reason)
+        quarantined_s = self._context.quarantine.wait_s(self._parts, now)
+        if quarantined_s:
+            self._context.quarantine.record_refused(self._parts, now)
+            return self._refuse_quarantined(quarantined_s)
         if self._customer is None:
             return None
         catalog = self._context.catalog
@@ -305,8 +325,26 @@
         attempt.accepted = True
         self._progress.record_accepted()
 
+    def record_event(self, attempt: Attempt) -> None:
+        """Record the arrival of an event of a stream."""
+        now = self._context.clock.monotonic()
+        if not attempt.first_event_received:
+            attempt.first_event_received = True
+            attempt.first_event_at = now
+            self._context.placer.record_first_token(attempt.placement, now - attempt.sent)
+            self._log.record_first_event(now)
+        elif now - attempt.first_event_at >= ANSWERED_S:
+            self._record_answered(attempt)
+
+    def _record_answered(self, attempt: Attempt) -> None:
+        if not attempt.answered:
+            attempt.answered = True
+            self._context.quarantine.record_answer(self._parts, self._context.clock.monotonic())
+
     def complete(self, attempt: Attempt, outcome: PlacementOutcome, status: int) -> None:
         """Finish the request after its response was read completely."""
+        if outcome is PlacementOutcome.DONE:
+            self._record_answered(attempt)
         self._progress.record_completed()
         self._log.record_start(attempt.sent)
         self.close(attempt, outcome)
@@ -318,6 +356,8 @@
         progress.record_failed(attempt.placement.server.id, failure)
         if failure.verdict is not Verdict.NOT_RUN and failure.cause is not FailureCause.CANCELLED:
             self._log.record_start(attempt.sent)
+        if failure.cause is FailureCause.CONNECTION_LOST and not attempt.answered:
+            self._record_end(attempt)
         in_flight = self._context.placer.in_flight_at(attempt.placement.server.id)
         self.close(attempt, _outcome_of(failure))
         self._log.log_failed_attempt(
@@ -329,6 +369,18 @@
             in_flight,
         )
 
+    def _record_end(self, attempt: Attempt) -> None:
+        """Record that the backend server may have crashed, if it had the whole request."""
+        if attempt.exchange.last_wait_started_at is None:
+            return
+        server = attempt.placement.server
+        self._context.quarantine.record_end(
+            f"{server.id}|{server.started_ms}",
+            self._parts,
+            attempt.accepted,
+            self._context.clock.monotonic(),
+        )
+
     def may_retry(self, failure: AttemptFailure) -> bool:
         """Return whether the request may be retried after this failure."""
         return self._progress.may_retry(failure)
@@ -354,6 +406,15 @@
         rest_s = self._context.placer.shortest_rest_s(self._placement_request.service, now)
         return self.refuse("backend-servers-full" if rest_s else "no-backend-server", rest_s)
 
+    def _refuse_quarantined(self, wait_s: float) -> Refusal:
+        """Return the refusal of a prompt with a part under which backend servers crash."""
+        refusal = self.refuse("prompt-in-quarantine")
+        if refusal.retry_after_s is None:
+            return refusal
+        # Callers must not return sooner, even if that is beyond the time that they have left.
+        spread = 1.0 + QUARANTINE_JITTER * self._context.rng.random()
+        return attrs.evolve(refusal, retry_after_s=wait_s * spread)
+
     def refuse(self, reason: str = "", wait_s: float = 0.0) -> Refusal:
         """Return the final refusal, with the execution verdict over all attempts so far.
 
--- a/hickoryloom/gateway/forwarding.py
+++ b/hickoryloom/gateway/forwarding.py
@@ -163,17 +163,10 @@
         status, headers = exchange.status, exchange.headers
         splitter = EventSplitter(self._request.resume_after)
         first = self._read_events(attempt, splitter)
-        self._record_first_event(attempt)
+        self._attempts.record_event(attempt)
         caller_headers = self._context.backends.response_headers(headers)
         return Reply(status, caller_headers, self._stream(attempt, splitter, first))
 
-    def _record_first_event(self, attempt: Attempt) -> None:
-        now = self._context.clock.monotonic()
-        if not attempt.first_event_received:
-            attempt.first_event_received = True
-            self._context.placer.record_first_token(attempt.placement, now - attempt.sent)
-        self._attempts.log.record_first_event(now)
-
     def _stream(self, attempt: Attempt, splitter: EventSplitter, first: bytes) -> Iterator[bytes]:
         """Yield all events, resuming at another backend server where the route allows it."""
         current = attempt
@@ -183,6 +176,8 @@
                 yield events
                 try:
                     events = self._read_events(current, splitter)
+                    if events:
+                        self._attempts.record_event(current)
                 except AttemptError as error:
                     self._attempts.fail(current, error.failure)
                     current, events = self._resume(splitter, error.failure)
@@ -251,7 +246,7 @@
                 self._attempts.fail(attempt, error.failure)
                 failure = error.failure
                 continue
-            self._record_first_event(attempt)
+            self._attempts.record_event(attempt)
             return attempt, events
         self._attempts.log_end(
             "abandoned" if self._attempts.caller_disconnected else "broken-off", 200, failure.detail
--- a/hickoryloom/gateway/process.py
+++ b/hickoryloom/gateway/process.py
@@ -14,6 +14,7 @@
 from hickoryloom.clock import Clock, SystemClock
 from hickoryloom.discovery import Discovery
 from hickoryloom.duties import DutyClient
+from hickoryloom.evidence import EvidenceExchange, InstanceRanking, SharedRecords
 from hickoryloom.gateway.app import ProxyApp
 from hickoryloom.gateway.attempts import GatewayContext
 from hickoryloom.gateway.budget import DEFAULT_INSTANCES, SharedRetryBudget
@@ -26,6 +27,7 @@
 from hickoryloom.metering import InstanceCounts, MeterTask, UsageMeter, UsageReporter
 from hickoryloom.metrics import MetricsRecorder
 from hickoryloom.placing import Placer
+from hickoryloom.quarantine import QUARANTINE_TOPICS, Quarantine
 from hickoryloom.scaling import Scaler
 from hickoryloom.sharing import VIEW_PATH, Peer, ViewFollower, ViewServer
 from hickoryloom.store import CallBudget, PlatformClient
@@ -114,6 +116,10 @@
             clock, dialect.backends.id_header, CONNECT_TIMEOUT_S, UNACKNOWLEDGED_TIMEOUT_S
         )
         self._meter = UsageMeter(clock, settings.usage_window_s or 60.0)
+        self._ranking = InstanceRanking(settings.operators)
+        records = SharedRecords(self._incarnation, QUARANTINE_TOPICS)
+        self._quarantine = Quarantine(settings.instance, records, self._ranking)
+        self._evidence = EvidenceExchange(settings.operators, clock, rng, records)
         self._view_server = ViewServer(
             self._incarnation, clock, self._catalog, self._discovery, self._placer
         )
@@ -147,6 +153,7 @@
             meter=self._meter,
             metrics=self._metrics,
             retries=self._retry_budget,
+            quarantine=self._quarantine,
         )
         self._app = ProxyApp(context, dialect.callers)
         self._proxy_server = Server(self._app, settings.listen)
@@ -215,6 +222,7 @@
         self._readiness_server.start()
         if self._operators_server is not None:
             self._operators_server.start()
+        self._evidence.start()
         self._meter_task.start()
         self._view_follower.start()
         self._sweeper.start()
@@ -239,6 +247,7 @@
         end = started_at + self._settings.stop_s - STOP_MARGIN_S
         self._proxy_server.wait_idle(max(0.0, end - self._clock.monotonic()))
         self._view_follower.stop()
+        self._evidence.stop()
         self._meter_task.stop(until=end)
         log_event(log, "stopped", open_requests=self._proxy_server.active)
 
@@ -334,6 +343,9 @@
             for key, counts in live.items()
             if counts.address
         )
+        addresses = [counts.address for counts in live.values() if counts.address]
+        self._ranking.set_others(addresses)
+        self._evidence.set_peers(addresses)
         self._placer.set_instances(count)
         for budget in self._retry_budgets.values():
             budget.instances = count
@@ -363,6 +375,7 @@
                 "requests_at_backend_servers": self._placer.in_flight,
                 "backend_connections_idle": self._connections.idle,
                 "instances": self._instances,
+                "prompt_parts_quarantined": self._quarantine.parts,
                 "store_era": self._client.era,
                 "store_era_changes": self._client.era_changes,
                 "usage_late_requests": (
--- a/hickoryloom/gateway/tests/test_forwarding.py
+++ b/hickoryloom/gateway/tests/test_forwarding.py
@@ -14,12 +14,14 @@
     build_priority_scale,
 )
 from hickoryloom.discovery import BackendServer
+from hickoryloom.evidence import InstanceRanking, SharedRecords
 from hickoryloom.gateway.attempts import HEAD_TIMEOUT_TARGETS, GatewayContext
 from hickoryloom.gateway.budget import SharedRetryBudget
 from hickoryloom.gateway.forwarding import RequestForwarder
 from hickoryloom.gateway.messages import CallerRequest, Refusal, ResponseHead
 from hickoryloom.metrics import MetricsRecorder
 from hickoryloom.placing import Placer, ReportedLoad
+from hickoryloom.quarantine import QUARANTINE_TOPICS, Quarantine
 from hickoryloom.upstream import AttemptError, AttemptFailure, FailureCause
 from hickoryloom.verdict import Verdict
 
@@ -68,6 +70,7 @@
             self.status = 503
         self.headers = ()
         self.framing = None
+        self.last_wait_started_at = None
         self._body = None
 
     def interrupt(self, cause):
@@ -139,6 +142,9 @@
             meter=self,
             metrics=MetricsRecorder(),
             retries=lambda service: budget,
+            quarantine=Quarantine(
+                "edge-1", SharedRecords("edge-1", QUARANTINE_TOPICS), InstanceRanking("")
+            ),
         )
         self.view = self.catalog = self
         self.priority_scale = build_priority_scale(Catalog())
