Hold back prompts that crash servers at the entry as well

The entry's prompts name no parts, so the hashes of their beginning and of the whole prompt stand in for them. Evidence travels with the heartbeats. Ends within 0.25 s now count apart if the prompt was sent after the end before, as retries are.

--- a/hickoryloom/admission/messages.py
+++ b/hickoryloom/admission/messages.py
@@ -28,6 +28,7 @@
         prompt_tokens: Estimated length of the prompt.
         max_tokens: The caller's limit on the response length in tokens; 0 for none.
         prefix_hash: Hash of the beginning of the prompt, for cache affinity; empty for none.
+        prompt_hash: Hash of the whole prompt; empty for none.
         idempotency_key: The caller's key for at-most-once execution; empty for none.
         stream: Whether the caller requested server-sent events.
     """
@@ -44,6 +45,7 @@
     prompt_tokens: int = 0
     max_tokens: int = 0
     prefix_hash: str = ""
+    prompt_hash: str = ""
     idempotency_key: str = ""
     stream: bool = False
 
@@ -72,6 +74,7 @@
     EXPECTED_LATE = "expected-late"
     CUSTOMER_LIMIT = "customer-limit"
     NO_BACKEND = "no-backend-server"
+    QUARANTINED = "prompt-in-quarantine"
     PREEMPTED = "preempted"
     STALE_VIEW = "stale-view"
     PLATFORM_UNAVAILABLE = "platform-unavailable"
--- a/hickoryloom/entry/process.py
+++ b/hickoryloom/entry/process.py
@@ -21,6 +21,14 @@
 from hickoryloom.entry.decisions import DecisionLog, add_explain_route
 from hickoryloom.entry.messages import ClassSummary
 from hickoryloom.entry.request_handler import EntryComponents
+from hickoryloom.evidence import (
+    AgedRecord,
+    InstanceRanking,
+    Record,
+    SharedRecords,
+    record_with_age,
+    record_with_time,
+)
 from hickoryloom.fleet import DemandMeter, add_demand_routes
 from hickoryloom.http import Server
 from hickoryloom.http.admin import build_admin_app
@@ -28,6 +36,7 @@
 from hickoryloom.logs import log_event
 from hickoryloom.membership import Heartbeat, Membership, Peer
 from hickoryloom.metrics import Attainment, Measure, MetricsRecorder
+from hickoryloom.quarantine import QUARANTINE_TOPICS, Quarantine
 from hickoryloom.relay import Relay
 from hickoryloom.routing import BackendDirectory, BackendView, Router
 from hickoryloom.store import PlatformClient
@@ -40,6 +49,9 @@
 IDLE_CONNECTION_GRACE_S = 0.5
 UNKNOWN_AGE_S = 1e9
 
+MAX_EVIDENCE_RECORDS = 50
+"""Records in one heartbeat, about 5 KB."""
+
 log = logbook.Logger("hickoryloom.entry")
 
 
@@ -76,7 +88,7 @@
             settings.seeds,
             settings.peer_secret,
             rng,
-            settings.advertise or self._peer_server.address,
+            self._own_address,
         )
         self._membership = Membership(
             self._settings, self._incarnation, clock, self._client, self._build_heartbeat
@@ -91,7 +103,10 @@
         self._directory = BackendDirectory(
             self._client, clock, rng, self._router.apply_load_report, self._router.apply_cache_event
         )
-        self._relay = Relay(self._router, clock, settings.backend_credential)
+        self._ranking = InstanceRanking(self._own_address)
+        self._evidence = SharedRecords(self._incarnation, QUARANTINE_TOPICS)
+        quarantine = Quarantine(self._incarnation, self._evidence, self._ranking)
+        self._relay = Relay(self._router, clock, settings.backend_credential, quarantine=quarantine)
         self._claims = Claims(self._client, clock, self._incarnation, self._is_live)
         self._usage = UsageCounter(
             self._client,
@@ -239,6 +254,7 @@
         self._directory.subscribe(self._apply_views)
         self._membership.subscribe(self._apply_peers)
         self._admission.on_heartbeat_needed(self._membership.request_exchange)
+        self._evidence.on_change = self._request_evidence_exchange
 
     def _apply_snapshot(self, old: Snapshot, new: Snapshot) -> None:
         self._directory.set_snapshot(new)
@@ -254,13 +270,21 @@
     def _apply_peers(self, peers: tuple[Peer, ...]) -> None:
         self._admission.set_peers(peers, self._membership.missing)
         self._directory.apply_peers(peers)
+        self._ranking.set_others(peer.heartbeat.address for peer in peers)
+        now = self._clock.monotonic()
+        for peer in peers:
+            # The age was stated when the heartbeat was sent.
+            received = (
+                record_with_time(sent, peer.received_at) for sent in peer.heartbeat.evidence
+            )
+            self._evidence.merge(received, now)
         self._configuration_peers.set_peers(peers, self._membership.missing)
 
     def _build_heartbeat(self) -> Heartbeat:
         freshness = self._follower.freshness
         return Heartbeat(
             incarnation=self._incarnation,
-            address=self._settings.advertise or self._peer_server.address,
+            address=self._own_address,
             failure_domain=self._settings.failure_domain,
             generation=freshness.generation,
             revision=freshness.revision,
@@ -268,8 +292,22 @@
             pools=self._admission.summaries(),
             leaving=self._directory.leaving,
             stopping=self._stopping,
+            evidence=self._latest_evidence(),
         )
 
+    @property
+    def _own_address(self) -> str:
+        return self._settings.advertise or self._peer_server.address
+
+    def _latest_evidence(self) -> tuple[AgedRecord, ...]:
+        now = self._clock.monotonic()
+        latest = self._evidence.latest(MAX_EVIDENCE_RECORDS, now)
+        return tuple(record_with_age(record, now) for record in latest)
+
+    def _request_evidence_exchange(self, record: Record) -> None:
+        if self._evidence.is_own(record):
+            self._membership.request_exchange()
+
     def _is_live(self, incarnation: str) -> bool:
         """Return whether an entry is live, or silent without being known to have ended."""
         known = {peer.heartbeat.incarnation for peer in self._membership.peers()}
--- a/hickoryloom/entry/requests.py
+++ b/hickoryloom/entry/requests.py
@@ -63,6 +63,7 @@
     chosen_class = _choose_class(call, identity, snapshot)
     if isinstance(chosen_class, Err):
         return chosen_class
+    prompt = _read_prompt(body)
     return Ok(
         Request(
             id=request_id,
@@ -76,7 +77,8 @@
             deadline=now + chosen_class.ok_value.first_token_ms / MS_PER_S,
             prompt_tokens=len(call.body) // BYTES_PER_TOKEN + 1,
             max_tokens=body.get("max_tokens") or 0,
-            prefix_hash=_hash_prefix(body),
+            prefix_hash=_hash_text(prompt[:PREFIX_CHARACTERS]),
+            prompt_hash=_hash_text(prompt),
             stream=bool(body.get("stream", False)),
         )
     )
@@ -217,11 +219,13 @@
     )
 
 
-def _hash_prefix(body: dict[str, Any]) -> str:
-    """Hash the start of the prompt, in the same way as engines do for their cache events."""
+def _read_prompt(body: dict[str, Any]) -> str:
     if "messages" in body:
-        prompt = "\n".join(str(message.get("content", "")) for message in body["messages"])
-    else:
-        prompt = body["prompt"]
-    head = prompt[:PREFIX_CHARACTERS].encode("utf-8", "surrogatepass")
-    return hashlib.sha256(head).hexdigest()[:PREFIX_HASH_CHARACTERS]
+        return "\n".join(str(message.get("content", "")) for message in body["messages"])
+    return str(body["prompt"])
+
+
+def _hash_text(text: str) -> str:
+    """Hash the start of a prompt, or a whole one, as engines do for their cache events."""
+    digest = hashlib.sha256(text.encode("utf-8", "surrogatepass")).hexdigest()
+    return digest[:PREFIX_HASH_CHARACTERS]
--- a/hickoryloom/evidence/exchange.py
+++ b/hickoryloom/evidence/exchange.py
@@ -18,7 +18,13 @@
 from result import Err
 
 from hickoryloom.clock import Clock
-from hickoryloom.evidence.messages import DatagramKind, Record, decode, pack
+from hickoryloom.evidence.messages import (
+    DatagramKind,
+    Record,
+    decode,
+    pack,
+    record_with_time,
+)
 from hickoryloom.evidence.records import SharedRecords
 from hickoryloom.logs import log_event
 from hickoryloom.loops import TaskLoop
@@ -72,7 +78,7 @@
         self._socket: Any = None
         self._reader: gevent.Greenlet | None = None
         self._sender = TaskLoop(self._step, "evidence", log)
-        records.on_change = self._wake.set
+        records.on_change = lambda record: self._wake.set()
 
     def set_peers(self, addresses: Iterable[str]) -> None:
         """Replace the addresses of the other live instances."""
@@ -157,13 +163,7 @@
         datagram, now = decoded.ok_value, self._clock.monotonic()
         if len(self._heard) < MAX_HEARD and datagram.address != self._address:
             self._heard[datagram.address] = now
-        self._records.merge(
-            (
-                Record(topic, key, value, id, now - max(0.0, age_s))
-                for topic, key, value, id, age_s in datagram.records
-            ),
-            now,
-        )
+        self._records.merge((record_with_time(sent, now) for sent in datagram.records), now)
         if datagram.kind is DatagramKind.RECORDS or datagram.digest == self._records.digest(now):
             return
         is_summary = datagram.kind is DatagramKind.SUMMARY
--- a/hickoryloom/evidence/messages.py
+++ b/hickoryloom/evidence/messages.py
@@ -5,13 +5,23 @@
 import enum
 import json
 from collections.abc import Iterable, Iterator
-from typing import Any
 
 import attrs
 import cattrs
 from result import Err, Ok, Result
 
-__all__ = ["Datagram", "DatagramKind", "Record", "Topic", "decode", "encode", "pack"]
+__all__ = [
+    "AgedRecord",
+    "Datagram",
+    "DatagramKind",
+    "Record",
+    "Topic",
+    "decode",
+    "encode",
+    "pack",
+    "record_with_age",
+    "record_with_time",
+]
 
 MAX_DATAGRAM_BYTES = 1_200
 """Fits into one packet of common networks, so that a datagram is not lost in fragments."""
@@ -49,6 +59,22 @@
     at: float
 
 
+AgedRecord = tuple[str, str, str, str, float]
+"""Topic, key, value, id and age in seconds of a record, as it is sent."""
+
+
+def record_with_age(record: Record, now: float) -> AgedRecord:
+    """Return a record in the form in which it is sent."""
+    age_s = round(max(0.0, now - record.at), 3)
+    return record.topic, record.key, record.value, record.id, age_s
+
+
+def record_with_time(sent: AgedRecord, now: float) -> Record:
+    """Return a received record with its time on the clock of this process."""
+    topic, key, value, id, age_s = sent
+    return Record(topic, key, value, id, now - max(0.0, age_s))
+
+
 class DatagramKind(enum.Enum):
     """What the receiver of a datagram does besides merging its records.
 
@@ -71,13 +97,13 @@
         kind: What it asks for.
         address: `host:port` at which the sender receives datagrams.
         digest: Digest of all records of the sender.
-        records: Topic, key, value, id and age in seconds of each record.
+        records: The records.
     """
 
     kind: DatagramKind
     address: str
     digest: str
-    records: tuple[tuple[str, str, str, str, float], ...] = ()
+    records: tuple[AgedRecord, ...] = ()
 
 
 def encode(datagram: Datagram) -> bytes:
@@ -105,11 +131,10 @@
         records: The records.
         now: Monotonic time in seconds.
     """
-    batch: list[Any] = []
+    batch: list[AgedRecord] = []
     room = limit = MAX_DATAGRAM_BYTES - len(encode(Datagram(kind, address, digest)))
     for record in records:
-        age_s = round(max(0.0, now - record.at), 3)
-        item = (record.topic, record.key, record.value, record.id, age_s)
+        item = record_with_age(record, now)
         size = len(json.dumps(item)) + 1
         if batch and size > room:
             yield encode(Datagram(DatagramKind.RECORDS, address, digest, tuple(batch)))
--- a/hickoryloom/evidence/records.py
+++ b/hickoryloom/evidence/records.py
@@ -47,7 +47,7 @@
         self._listeners: dict[str, list[Listener]] = {name: [] for name in self._topics}
         self._changes: dict[tuple[str, str], Record] = {}
         self._number = 0
-        self.on_change: Callable[[], None] | None = None
+        self.on_change: Listener | None = None
 
     def subscribe(self, topic: Topic, listener: Listener) -> None:
         """Call `listener` with each new record of a topic, from this and from other instances."""
@@ -97,12 +97,20 @@
         ids = sorted(record.id for record in self.all(now))
         return blake2b("\n".join(ids).encode(), digest_size=8).hexdigest() if ids else ""
 
+    def latest(self, number: int, now: float) -> list[Record]:
+        """Return up to `number` live records, those with the latest observations."""
+        return sorted(self.all(now), key=lambda record: record.at)[-number:]
+
     def take_changes(self) -> list[Record]:
         """Return the records that are new since the last call."""
         changes = list(self._changes.values())
         self._changes.clear()
         return changes
 
+    def is_own(self, record: Record) -> bool:
+        """Return whether this process made the observation."""
+        return record.id.startswith(f"{self._process}.")
+
     def _store(self, record: Record) -> None:
         records = self._records[record.topic]
         records[record.key] = record
@@ -113,7 +121,7 @@
         for listener in self._listeners[record.topic]:
             listener(record)
         if self.on_change is not None:
-            self.on_change()
+            self.on_change(record)
 
 
 def _is_later(record: Record, known: Record) -> bool:
--- a/hickoryloom/gateway/attempts.py
+++ b/hickoryloom/gateway/attempts.py
@@ -378,6 +378,7 @@
             f"{server.id}|{server.started_ms}",
             self._parts,
             attempt.accepted,
+            attempt.sent,
             self._context.clock.monotonic(),
         )
 
--- a/hickoryloom/membership/messages.py
+++ b/hickoryloom/membership/messages.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from hickoryloom.evidence import AgedRecord
+
 __all__ = ["Heartbeat", "Peer", "PoolSummary", "Presence"]
 
 
@@ -66,6 +68,7 @@
         leaving: Ids of backend servers known to be leaving.
         stopping: Whether the process is in a planned stop.
         sequence: Sequence number of the heartbeat.
+        evidence: Latest evidence that the process has or passes on.
         seen: Latest sequence number received from a peer, by the peer's incarnation.
     """
 
@@ -79,6 +82,7 @@
     leaving: tuple[str, ...] = ()
     stopping: bool = False
     sequence: int = 0
+    evidence: tuple[AgedRecord, ...] = ()
     seen: dict[str, int] = attrs.field(factory=dict)
 
 
--- a/hickoryloom/quarantine/state.py
+++ b/hickoryloom/quarantine/state.py
@@ -47,6 +47,8 @@
 TRIALS = Topic("part-tried", MEMORY_S)
 QUARANTINE_TOPICS = (ENDS, ANSWERS, QUARANTINES, TRIALS)
 
+MS_PER_S = 1000.0
+MAX_RAN_DIGITS = 9
 RELEASED = "0"
 RESPONDING = "responding"
 QUEUED = "queued"
@@ -104,13 +106,16 @@
                 self._records.put(TRIALS, part, str(number), now)
                 self._records.put(QUARANTINES, part, str(self._levels[part]), now)
 
-    def record_end(self, server: str, parts: Sequence[str], responding: bool, now: float) -> None:
+    def record_end(
+        self, server: str, parts: Sequence[str], responding: bool, sent_at: float, now: float
+    ) -> None:
         """Record that a server cut off a prompt before it had sent an event of its response.
 
         Args:
             server: Identifies the server and its start.
             parts: Parts of the prompt that other prompts may share.
             responding: Whether the server had begun to respond.
+            sent_at: Monotonic time at which the prompt was sent, in seconds.
             now: Monotonic time in seconds.
         """
         if not parts:
@@ -125,8 +130,10 @@
             if known.responding == responding:
                 cut_off.update(dict.fromkeys(sorted(known.parts)))
             now = known.at
+            sent_at = max(sent_at, known.sent_at)
         ids = [part.partition("/")[2] for part in list(cut_off)[:MAX_PARTS]]
-        value = " ".join([RESPONDING if responding else QUEUED, *ids])
+        ran_ms = str(max(0, int((now - sent_at) * MS_PER_S)))
+        value = " ".join([RESPONDING if responding else QUEUED, ran_ms, *ids])
         self._records.put(ENDS, key, value, now)
 
     def record_answer(self, parts: Sequence[str], now: float) -> None:
@@ -201,12 +208,14 @@
     def _on_end(self, record: Record) -> None:
         service, _, rest = record.key.partition("|")
         server, _, _ = rest.rpartition("|")
-        state, *ids = record.value.split(" ")
-        if not server or state not in (RESPONDING, QUEUED):
+        state, _, listed = record.value.partition(" ")
+        ran_ms, *ids = listed.split(" ")
+        if not server or state not in (RESPONDING, QUEUED) or not ran_ms.isdecimal():
             log_event(log, "evidence-unreadable", topic=record.topic, key=record.key)
             return
         parts = frozenset(f"{service}/{id}" for id in ids)
-        end = ServerEnd(f"{service}|{server}", record.at, state == RESPONDING, parts)
+        sent_at = record.at - int(ran_ms[:MAX_RAN_DIGITS]) / MS_PER_S
+        end = ServerEnd(f"{service}|{server}", record.at, sent_at, state == RESPONDING, parts)
         self._ends[record.key] = end
         self._new_ends.append(end)
 
--- a/hickoryloom/quarantine/suspicion.py
+++ b/hickoryloom/quarantine/suspicion.py
@@ -25,14 +25,20 @@
 apart."""
 
 SAME_MOMENT_S = 0.25
-"""Ends within this time count as one: many servers that end at once have another cause, such as
-the loss of a failure domain."""
+"""Ends within this time count as one, unless the prompt was sent after the end before: many servers
+that end at once have another cause, such as the loss of a failure domain."""
 
 MAX_PARTS = 32
 """Parts of one prompt that are considered."""
 
 MAX_ID_CHARS = 16
 
+AGE_ERROR_S = 0.005
+"""Error of times that were sent as ages in milliseconds."""
+
+_Times = tuple[float, float]
+"""Times at which a server ended and at which a prompt that it cut off was sent."""
+
 
 @attrs.frozen
 class ServerEnd:
@@ -41,12 +47,14 @@
     Attributes:
         server: Identifies the server and its start.
         at: Monotonic time in seconds.
+        sent_at: Monotonic time at which the latest of the prompts was sent, in seconds.
         responding: Whether the server had begun to respond to the prompts with these parts.
         parts: Keys of the shared parts of the prompts that were cut off before an event arrived.
     """
 
     server: str
     at: float
+    sent_at: float
     responding: bool
     parts: frozenset[str]
 
@@ -77,7 +85,7 @@
     return frozenset(part for part in candidates if _is_cause(part, candidates))
 
 
-def _is_cause(part: str, candidates: Mapping[str, Mapping[str, float]]) -> bool:
+def _is_cause(part: str, candidates: Mapping[str, Mapping[str, _Times]]) -> bool:
     """Return whether a part is in enough ends that no part with more ends explains."""
     times = candidates[part]
     explained: set[str] = set()
@@ -87,33 +95,34 @@
             explained.update(other_times)
         elif other != part and other_times.keys() == times.keys():
             required = MIN_ENDS_SHARED
-    return _count_moments(at for end, at in times.items() if end not in explained) >= required
+    unexplained = [end for server, end in times.items() if server not in explained]
+    return _count_moments(unexplained) >= required
 
 
 def _times_by_part(
     ends: Iterable[ServerEnd], answered: Mapping[str, float]
-) -> dict[str, dict[str, float]]:
-    """Return the time of each server's end by part and server, without ends before an answer.
+) -> dict[str, dict[str, _Times]]:
+    """Return the times of each server's end by part and server, without ends before an answer.
 
     Prompts that a server had not begun to respond to count only if it had begun none.
     """
     by_server: dict[str, list[ServerEnd]] = {}
     for end in ends:
         by_server.setdefault(end.server, []).append(end)
-    times: dict[str, dict[str, float]] = {}
+    times: dict[str, dict[str, _Times]] = {}
     for server, seen in by_server.items():
         at = min(end.at for end in seen)
         for end in [end for end in seen if end.responding] or seen:
             for part in end.parts:
                 if at > answered.get(part, float("-inf")):
-                    times.setdefault(part, {})[server] = at
+                    times.setdefault(part, {})[server] = (at, end.sent_at)
     return times
 
 
-def _count_moments(times: Iterable[float]) -> int:
+def _count_moments(times: Iterable[_Times]) -> int:
     count, last = 0, float("-inf")
-    for at in sorted(times):
-        if at - last >= SAME_MOMENT_S:
+    for at, sent_at in sorted(times):
+        if at - last >= SAME_MOMENT_S or sent_at >= last - AGE_ERROR_S:
             count, last = count + 1, at
     return count
 
--- a/hickoryloom/quarantine/tests/test_quarantine.py
+++ b/hickoryloom/quarantine/tests/test_quarantine.py
@@ -37,11 +37,12 @@
                     if records is not source:
                         records.merge(new, self.now)
 
-    def end(self, server, *prompts, by=0, responding=True, after_s=1.0):
+    def end(self, server, *prompts, by=0, responding=True, after_s=1.0, ran_s=0.5):
         """Let a server end that was running some prompts."""
         self.now += after_s
         for prompt in prompts:
-            self.members[by].record_end(server, prompt, responding, self.now)
+            sent_at = self.now - ran_s
+            self.members[by].record_end(server, prompt, responding, sent_at, self.now)
         self.exchange()
 
     def answer(self, prompt, by=0):
@@ -112,6 +113,12 @@
     assert not fleet.holds_back(PROMPT)
 
 
+def test_one_request_that_ends_one_server_after_the_other_is_held_back(fleet):
+    for index in range(5):
+        fleet.end(f"s{index}", PROMPT, after_s=0.01, ran_s=0.005)
+    assert fleet.holds_back(PROMPT)
+
+
 def test_one_server_that_cuts_off_again_and_again_makes_no_part_the_cause(fleet):
     for _ in range(10):
         fleet.end("s0", PROMPT)
@@ -198,7 +205,7 @@
 def test_an_instance_that_knows_no_others_makes_no_trial():
     alone = Quarantine("i", SharedRecords("p", QUARANTINE_TOPICS), InstanceRanking("a:1"))
     for index in range(5):
-        alone.record_end(f"s{index}", (BAD,), True, 10.0 + index)
+        alone.record_end(f"s{index}", (BAD,), True, 9.5 + index, 10.0 + index)
     for second in range(16, 600):
         assert alone.wait_s((BAD,), second) > 0
         alone.record_refused((BAD,), second)
@@ -216,7 +223,7 @@
     for index in range(400):
         fleet.now += 0.3
         parts = part_keys("llm", (f"{index:x}{part:04x}" for part in range(300)))
-        member.record_end(f"s{index}", parts, True, fleet.now)
+        member.record_end(f"s{index}", parts, True, fleet.now, fleet.now)
         member.wait_s(parts, fleet.now)
         fleet._records[0].take_changes()
     assert len(member._ends) <= 301
--- a/hickoryloom/relay/attempt.py
+++ b/hickoryloom/relay/attempt.py
@@ -23,6 +23,8 @@
         first_token_at: Monotonic time of the first bytes of the body, in seconds.
         first_position: Event position at which its stream starts.
         tokens: Tokens received.
+        answered: Whether the response has gone on for long enough to show that the prompt does not
+            crash the server.
         stall_detector: Evaluates status probes while the connection is silent.
         cancelling: Whether a cancel has been scheduled for the engine.
     """
@@ -34,6 +36,7 @@
     first_token_at: float | None = None
     first_position: int = 0
     tokens: int = 0
+    answered: bool = False
     stall_detector: StallDetector = attrs.field(factory=StallDetector)
     cancelling: bool = False
 
--- a/hickoryloom/relay/attempts.py
+++ b/hickoryloom/relay/attempts.py
@@ -14,6 +14,7 @@
 from hickoryloom.clock import Clock
 from hickoryloom.http import Call
 from hickoryloom.logs import log_event
+from hickoryloom.quarantine import Quarantine, part_keys
 from hickoryloom.relay.attempt import Attempt, attempt_id
 from hickoryloom.relay.engine import EngineControl
 from hickoryloom.relay.headers import (
@@ -51,6 +52,10 @@
 Returns None on readmission, else the refusal.
 """
 
+ANSWERED_S = 0.1
+"""Time after the first token from which a further one shows that the prompt does not crash the
+engine."""
+
 BUDGET_EXEMPT_CAUSES = frozenset((FailureCause.CONNECT, FailureCause.CONNECTION_LOST))
 """Failures of the connection, whose retries are not charged to the retry budget."""
 
@@ -64,6 +69,7 @@
     connections: ConnectionPool
     engine: EngineControl
     credential: str
+    quarantine: Quarantine
     open: dict[str, Attempts] = attrs.field(factory=dict)
 
 
@@ -89,6 +95,8 @@
         self._request = request
         self._call = call
         self._for_engine = is_engine_call(call)
+        hashes = (request.prefix_hash, request.prompt_hash)
+        self._parts = part_keys(request.pool, (hash for hash in hashes if hash))
         self._tried_backend_ids: set[str] = set()
         self._attempt_count = 0
         self._resumed_count = 0
@@ -155,6 +163,9 @@
             The attempt whose response can be read, or a refusal.
         """
         while True:
+            quarantined_s = self._quarantined_s()
+            if quarantined_s:
+                return Err(self._refuse_quarantined(quarantined_s))
             attempt = self._choose_backend(first_position)
             if attempt is None:
                 return Err(self.refusal(RefusalReason.NO_BACKEND, "no backend server is left"))
@@ -180,6 +191,8 @@
         assert attempt is not None
         if failure.verdict is not Verdict.NOT_RUN:
             self._verdict = Verdict.MAY_HAVE_RUN
+        if failure.cause is FailureCause.CONNECTION_LOST and not attempt.answered:
+            self._record_server_end(attempt)
         self._log_failure(attempt, failure)
         self._finish_attempt(attempt, _attempt_end(failure))
         if failure.cause is not FailureCause.PREEMPTED:
@@ -194,6 +207,8 @@
         assert attempt is not None and attempt.exchange is not None
         is_server_error = attempt.exchange.status >= SERVER_ERROR
         self._verdict = Verdict.MAY_HAVE_RUN if is_server_error else Verdict.RAN
+        if not is_server_error:
+            self._record_answered(attempt)
         self._finish_attempt(attempt, AttemptEnd.FAILED if is_server_error else AttemptEnd.DONE)
 
     def abandon(self) -> None:
@@ -203,6 +218,14 @@
                 self._verdict = Verdict.MAY_HAVE_RUN
             self._finish_attempt(self.current, AttemptEnd.ABANDONED)
 
+    def record_progress(self) -> None:
+        """Record that further tokens of the current attempt's stream have arrived."""
+        attempt = self.current
+        if attempt is None or attempt.answered or attempt.first_token_at is None:
+            return
+        if self._context.clock.monotonic() - attempt.first_token_at >= ANSWERED_S:
+            self._record_answered(attempt)
+
     def mark_ran(self) -> None:
         """Record that a backend server ran the request, as its response shows."""
         self._verdict = Verdict.RAN
@@ -233,6 +256,31 @@
             **figures,  # type: ignore[arg-type]
         )
 
+    def _quarantined_s(self) -> float:
+        return self._context.quarantine.wait_s(self._parts, self._context.clock.monotonic())
+
+    def _refuse_quarantined(self, wait_s: float) -> Refused:
+        now = self._context.clock.monotonic()
+        self._context.quarantine.record_refused(self._parts, now)
+        return attrs.evolve(self.refusal(RefusalReason.QUARANTINED, ""), retry_after_s=wait_s)
+
+    def _record_answered(self, attempt: Attempt) -> None:
+        if not attempt.answered:
+            attempt.answered = True
+            self._context.quarantine.record_answer(self._parts, self._context.clock.monotonic())
+
+    def _record_server_end(self, attempt: Attempt) -> None:
+        exchange = attempt.exchange
+        if exchange is None or exchange.last_wait_started_at is None:
+            return
+        self._context.quarantine.record_end(
+            attempt.choice.backend.id,
+            self._parts,
+            exchange.status != 0,
+            attempt.started,
+            self._context.clock.monotonic(),
+        )
+
     def _choose_backend(self, first_position: int) -> Attempt | None:
         router = self._context.router
         choice = router.choose(self._request, frozenset(self._tried_backend_ids))
@@ -264,6 +312,10 @@
         elif self._readmit is not None:
             exchange.interrupt(FailureCause.PREEMPTED)
         self._check_send_permission()
+        if self._quarantined_s():
+            detail = "prompt was put in quarantine"
+            raise AttemptError(AttemptFailure(FailureCause.NOT_RUN, Verdict.NOT_RUN, detail))
+        self._context.quarantine.record_sent(self._parts, self._context.clock.monotonic())
         exchange.send(head, body)
         exchange.read_head()
         exchange.check_id()
--- a/hickoryloom/relay/stream.py
+++ b/hickoryloom/relay/stream.py
@@ -128,6 +128,7 @@
         elif now - self._last_token_at > self._worst_gap_s:
             self._worst_gap_s = now - self._last_token_at
         self._last_token_at = now
+        self._attempts.record_progress()
 
     def _describe_fault(self, fault: StreamFault) -> AttemptFailure:
         cause = FAULT_CAUSES.get(fault, FailureCause.MALFORMED)
--- a/hickoryloom/relay/task.py
+++ b/hickoryloom/relay/task.py
@@ -9,7 +9,9 @@
 
 from hickoryloom.admission.messages import Admitted, RefusalReason, Refused, Request
 from hickoryloom.clock import Clock
+from hickoryloom.evidence import InstanceRanking, SharedRecords
 from hickoryloom.http import Call
+from hickoryloom.quarantine import QUARANTINE_TOPICS, Quarantine
 from hickoryloom.relay.assembly import StreamAssembler
 from hickoryloom.relay.attempt import Attempt
 from hickoryloom.relay.attempts import Attempts, ReadmitCallback, RelayContext
@@ -40,6 +42,8 @@
         service_timeout_s: Seconds without a byte after which a call to a service is aborted.
         caller_timeout_s: Seconds after which the request of a caller that reads nothing is
             cancelled.
+        quarantine: Holds back prompts that crash backend servers; None for one of this relay
+            alone.
     """
 
     def __init__(
@@ -49,12 +53,20 @@
         credential: str = "",
         service_timeout_s: float = SERVICE_TIMEOUT_S,
         caller_timeout_s: float = CALLER_TIMEOUT_S,
+        quarantine: Quarantine | None = None,
     ) -> None:
         self._router = router
         self._clock = clock
         self._connections = ConnectionPool(clock)
         engine = EngineControl(credential)
-        self._context = RelayContext(router, clock, self._connections, engine, credential)
+        self._context = RelayContext(
+            router,
+            clock,
+            self._connections,
+            engine,
+            credential,
+            quarantine or _build_local_quarantine(),
+        )
         self._watchdog = Watchdog(self._context, service_timeout_s, caller_timeout_s)
 
     @property
@@ -136,3 +148,8 @@
         headers = caller_response_headers(exchange.headers)
         assembler = StreamAssembler(request.id)
         return StreamedResponse(attempts, assembler, call, headers, self._router, self._clock)
+
+
+def _build_local_quarantine() -> Quarantine:
+    """Return a quarantine that shares nothing with other instances."""
+    return Quarantine("", SharedRecords("", QUARANTINE_TOPICS), InstanceRanking(""))
