--- a/hickoryloom/gateway/messages.py
+++ b/hickoryloom/gateway/messages.py
@@ -65,6 +65,8 @@
         leaving: Whether the backend server announces that it leaves.
         pause: For how long a backend server that turned the request away wants none, as stated;
             empty if not stated.
+        limit: Requests per second that the backend server takes from all instances together, as
+            stated; empty if not stated.
     """
 
     not_run: bool
@@ -74,6 +76,7 @@
     keep_alive_s: float | None
     leaving: bool = False
     pause: str = ""
+    limit: str = ""
 
 
 @attrs.frozen
--- a/hickoryloom/gateway/request_log.py
+++ b/hickoryloom/gateway/request_log.py
@@ -144,6 +144,16 @@
             unsound=unsound[:MAX_LOGGED_VALUE_CHARS] or None,
         )
 
+    def log_limit(self, server: BackendServer, limit: str) -> None:
+        """Log the limit that a backend server has begun to name, or that it names none any more."""
+        log_event(
+            log,
+            "limit-named",
+            request=self._request_id,
+            backend_server=server.id,
+            limit=limit[:MAX_LOGGED_VALUE_CHARS] or None,
+        )
+
     def log_end(
         self, outcome: str, status: int, verdict: Verdict, attempts: int, detail: str = ""
     ) -> None:
--- a/hickoryloom/placing/placer.py
+++ b/hickoryloom/placing/placer.py
@@ -147,6 +147,14 @@
         key = (server.id, server.started_ms)
         self._pauses.setdefault(key, RequestedPause(now)).extend(now + seconds)
 
+    def note_limit(self, server: BackendServer, limit: str) -> bool:
+        """Note the limit that a server names; return whether it differs from the one before."""
+        tracked = self._tracked.get(server.id)
+        if tracked is None or tracked.named_limit == limit:
+            return False
+        tracked.named_limit = limit
+        return True
+
     def rest_s(self, server: BackendServer, now: float) -> float:
         """Return the seconds for which a backend server wants no request; 0 if it takes some."""
         pause = self._pause_of(server)
--- a/hickoryloom/placing/tracked.py
+++ b/hickoryloom/placing/tracked.py
@@ -42,6 +42,7 @@
         failure_rate: Moving average of the fraction of attempts that failed.
         paused_until: Monotonic time until which it is paused, in seconds; it is then selected only
             if all usable backend servers are paused.
+        named_limit: The limit that its latest response names; empty for none.
     """
 
     server: BackendServer
@@ -49,6 +50,7 @@
     unread_tokens: int = 0
     failure_rate: float = 0.0
     paused_until: float = 0.0
+    named_limit: str = ""
     _consecutive_failures: int = 0
     _pauses: int = 0
     _load: ReportedLoad | None = None
--- a/hickoryloom/platform/backends.py
+++ b/hickoryloom/platform/backends.py
@@ -14,7 +14,7 @@
 TURNED_AWAY = 503
 SIGNATURE_HEADER = "replica-signature"
 INTERNAL_RESPONSE_HEADERS = frozenset(
-    ("not-executed", "replica-load", "replica-id", "server-leaving")
+    ("not-executed", "replica-load", "replica-id", "server-leaving", "server-limit")
 )
 
 
@@ -59,6 +59,7 @@
             load=_read_load(values.get("replica-load", "")),
             keep_alive_s=_read_keep_alive(values.get("keep-alive", "")),
             leaving=values.get("server-leaving", "").strip() == "1",
+            limit=values.get("server-limit", "").strip(),
             pause=values.get("retry-after", "") if status == TURNED_AWAY else "",
         )
 
