Keep to the limit that a backend server names, over all instances

Cause: no instance read the limit.

Fix: instances share what servers name (hickoryloom/evidence). Placing leaves the server out beyond the share, also for requests that waited for a connection.

--- a/hickoryloom/gateway/attempts.py
+++ b/hickoryloom/gateway/attempts.py
@@ -313,7 +313,7 @@
         now = self._context.clock.monotonic()
         if head.load is not None:
             self._context.placer.apply_load_report(server.id, head.load, now)
-        if self._context.placer.note_limit(server, head.limit):
+        if self._context.placer.note_limit(server, head.limit, attempt.sent, now):
             self._log.log_limit(server, head.limit)
         if head.leaving:
             self._context.discovery.mark_leaving(server)
--- a/hickoryloom/gateway/process.py
+++ b/hickoryloom/gateway/process.py
@@ -26,7 +26,7 @@
 from hickoryloom.loops import TaskLoop
 from hickoryloom.metering import InstanceCounts, MeterTask, UsageMeter, UsageReporter
 from hickoryloom.metrics import MetricsRecorder
-from hickoryloom.placing import Placer
+from hickoryloom.placing import LIMITS, NamedLimits, Placer
 from hickoryloom.quarantine import QUARANTINE_TOPICS, Quarantine
 from hickoryloom.scaling import Scaler
 from hickoryloom.sharing import VIEW_PATH, Peer, ViewFollower, ViewServer
@@ -109,17 +109,19 @@
             settings.catch_up_s,
             settings.leave_s,
         )
-        self._placer = Placer(settings.failure_domain, rng)
+        identity = settings.operators or self._incarnation
+        self._ranking = InstanceRanking(identity)
+        records = SharedRecords(self._incarnation, (*QUARANTINE_TOPICS, LIMITS))
+        self._evidence = EvidenceExchange(settings.operators, clock, rng, records)
+        self._quarantine = Quarantine(settings.instance, records, self._ranking)
+        self._limits = NamedLimits(records, self._ranking)
+        self._placer = Placer(settings.failure_domain, rng, self._limits)
         self._discovery.subscribe(self._placer.set_servers)
         self._catalog.subscribe(self._apply_catalog)
         self._connections = ConnectionPool(
             clock, dialect.backends.id_header, CONNECT_TIMEOUT_S, UNACKNOWLEDGED_TIMEOUT_S
         )
         self._meter = UsageMeter(clock, settings.usage_window_s or 60.0)
-        self._ranking = InstanceRanking(settings.operators)
-        records = SharedRecords(self._incarnation, QUARANTINE_TOPICS)
-        self._quarantine = Quarantine(settings.instance, records, self._ranking)
-        self._evidence = EvidenceExchange(settings.operators, clock, rng, records)
         self._view_server = ViewServer(
             self._incarnation, clock, self._catalog, self._discovery, self._placer
         )
@@ -343,9 +345,8 @@
             for key, counts in live.items()
             if counts.address
         )
-        addresses = [counts.address for counts in live.values() if counts.address]
-        self._ranking.set_others(addresses)
-        self._evidence.set_peers(addresses)
+        self._ranking.set_others(counts.address or key for key, counts in live.items())
+        self._evidence.set_peers(counts.address for counts in live.values() if counts.address)
         self._placer.set_instances(count)
         for budget in self._retry_budgets.values():
             budget.instances = count
@@ -376,6 +377,7 @@
                 "backend_connections_idle": self._connections.idle,
                 "instances": self._instances,
                 "prompt_parts_quarantined": self._quarantine.parts,
+                "backend_servers_limited": self._limits.servers,
                 "store_era": self._client.era,
                 "store_era_changes": self._client.era_changes,
                 "usage_late_requests": (
--- a/hickoryloom/placing/__init__.py
+++ b/hickoryloom/placing/__init__.py
@@ -2,6 +2,7 @@
 
 from hickoryloom.placing import (
     messages,
+    named_limit,
     placer,
     prefill,
     requested_pause,
@@ -9,6 +10,7 @@
     tracked,
 )
 from hickoryloom.placing.messages import *  # noqa: F403
+from hickoryloom.placing.named_limit import *  # noqa: F403
 from hickoryloom.placing.placer import *  # noqa: F403
 from hickoryloom.placing.prefill import *  # noqa: F403
 from hickoryloom.placing.requested_pause import *  # noqa: F403
@@ -17,6 +19,7 @@
 
 __all__ = [
     *messages.__all__,
+    *named_limit.__all__,
     *placer.__all__,
     *prefill.__all__,
     *requested_pause.__all__,
--- a/hickoryloom/placing/placer.py
+++ b/hickoryloom/placing/placer.py
@@ -14,7 +14,9 @@
 from collections.abc import Iterable, Mapping
 
 from hickoryloom.discovery import BackendServer
+from hickoryloom.evidence import InstanceRanking, SharedRecords
 from hickoryloom.placing.messages import Placement, PlacementOutcome, PlacementRequest, ReportedLoad
+from hickoryloom.placing.named_limit import LIMITS, NamedLimits
 from hickoryloom.placing.prefill import PrefillRate
 from hickoryloom.placing.requested_pause import RequestedPause
 from hickoryloom.placing.short_prompts import LONG_PROMPT_TOKENS, ShortPromptEngines, rank
@@ -53,9 +55,12 @@
     Args:
         failure_domain: Failure domain of the instance.
         rng: Source of random numbers for tie-breaking and jitter.
+        limits: Limits that backend servers name; None for those that this instance alone sees.
     """
 
-    def __init__(self, failure_domain: str, rng: random.Random) -> None:
+    def __init__(
+        self, failure_domain: str, rng: random.Random, limits: NamedLimits | None = None
+    ) -> None:
         self._failure_domain = failure_domain
         self._rng = rng
         self._tracked: dict[str, TrackedServer] = {}
@@ -63,6 +68,7 @@
         self._rates: dict[str, PrefillRate] = {}
         self._short_prompts: dict[str, ShortPromptEngines] = {}
         self._instances = 1
+        self._limits = limits or _build_own_limits()
         self._pauses: dict[tuple[str, int], RequestedPause] = {}
 
     @property
@@ -117,7 +123,8 @@
     ) -> Placement | None:
         """Return the best backend server for a request, or None if there is none.
 
-        A backend server that asked for a pause gets nothing until its end. Others that are paused
+        A backend server that asked for a pause gets nothing until its end, and one that names a
+        limit gets nothing beyond this instance's share. Others that are paused
         after failures are considered only if all usable ones are paused.
 
         Args:
@@ -130,7 +137,7 @@
             for tracked in self._by_service.get(request.service, ())
             if not tracked.server.leaving and tracked.server.id not in exclude
         ]
-        if self._pauses:
+        if self._pauses or self._limits.servers:
             usable = [tracked for tracked in usable if not self.rest_s(tracked.server, now)]
             usable = [tracked for tracked in usable if self._is_allowed(tracked, now)] or usable
         unpaused = [tracked for tracked in usable if tracked.paused_until <= now]
@@ -147,8 +154,19 @@
         key = (server.id, server.started_ms)
         self._pauses.setdefault(key, RequestedPause(now)).extend(now + seconds)
 
-    def note_limit(self, server: BackendServer, limit: str) -> bool:
-        """Note the limit that a server names; return whether it differs from the one before."""
+    def note_limit(self, server: BackendServer, limit: str, sent_at: float, now: float) -> bool:
+        """Note the limit that a response names.
+
+        Args:
+            server: The backend server.
+            limit: The limit as stated; empty for none.
+            sent_at: Monotonic time at which the request was sent, in seconds.
+            now: Monotonic time in seconds.
+
+        Returns:
+            Whether it differs from that of the response before.
+        """
+        self._limits.note(server, limit, sent_at, now)
         tracked = self._tracked.get(server.id)
         if tracked is None or tracked.named_limit == limit:
             return False
@@ -156,12 +174,13 @@
         return True
 
     def rest_s(self, server: BackendServer, now: float) -> float:
-        """Return the seconds for which a backend server wants no request; 0 if it takes some."""
+        """Return the seconds for which a backend server must get no request; 0 if it takes some."""
         pause = self._pause_of(server)
-        return 0.0 if pause is None else pause.rest_s(now)
+        limited_s = self._limits.rest_s(server, now)
+        return limited_s if pause is None else max(limited_s, pause.rest_s(now))
 
     def shortest_rest_s(self, service: str, now: float) -> float:
-        """Return the seconds until the first of a service's pausing servers takes requests."""
+        """Return the seconds until the first of a service's resting servers takes requests."""
         servers = [tracked.server for tracked in self._by_service.get(service, ())]
         rests = [self.rest_s(server, now) for server in servers if not server.leaving]
         return min((rest_s for rest_s in rests if rest_s), default=0.0)
@@ -183,6 +202,7 @@
             prefill_s = self._rate(request.service).seconds(placement.prefill_tokens)
             engines = self._short_prompt_engines(request.service)
             engines.started(_is_short(request), prefill_s, now)
+        self._limits.record_sent(placement.server, now)
         tracked = self._tracked.get(placement.server.id)
         if tracked is not None:
             tracked.on_start(request, placement.prefill_tokens)
@@ -296,5 +316,12 @@
         return self._rates.setdefault(service, PrefillRate())
 
 
+def _build_own_limits() -> NamedLimits:
+    """Return limits that are shared with no other instance."""
+    ranking = InstanceRanking("")
+    ranking.set_others(())
+    return NamedLimits(SharedRecords("", (LIMITS,)), ranking)
+
+
 def _is_short(request: PlacementRequest) -> bool:
     return request.prompt_tokens <= LONG_PROMPT_TOKENS
