End responses whose chunk extensions or trailers have no end

Callers saw: a response with an endless chunk extension kept all callers waiting, here for 8 s, until they left: the read deadline was a time-out of each read, and none expires while bytes keep coming.

--- a/hickoryloom/upstream/exchange.py
+++ b/hickoryloom/upstream/exchange.py
@@ -20,6 +20,13 @@
 END_READ_TIMEOUT_S = 0.2
 MIN_READ_TIMEOUT_S = 0.001
 
+READY_GRACE_S = 0.25
+"""Time after the read deadline for which bytes are still read that have already arrived."""
+
+MAX_FRAMING_BYTES = 16 * 1024
+MAX_FRAMING_RATIO = 8
+"""Bytes between the chunks of a body, for each byte of it: a chunk of one byte takes five."""
+
 
 class AttemptError(Exception):
     """Ends a failed attempt; handled by the code that makes the attempts."""
@@ -127,6 +134,8 @@
         self._monotonic = clock.monotonic
         self._response = _Response(method)
         self._message = _Message()
+        self._received_bytes = 0
+        self._body_bytes = 0
         self._interruption: FailureCause | None = None
         self._closed = False
 
@@ -229,11 +238,24 @@
             if message.complete:
                 return b""
             self._receive()
+            self._check_framing(message)
         chunks = message.chunks
         chunk = chunks[0] if len(chunks) == 1 else b"".join(chunks)
         chunks.clear()
+        self._body_bytes += len(chunk)
         return chunk
 
+    def _check_framing(self, message: _Message) -> None:
+        """Check that the response does not consist of chunk extensions or trailers.
+
+        Raises:
+            AttemptError: Too much was received for the body that it contains.
+        """
+        body = self._body_bytes + sum(map(len, message.chunks))
+        framing = self._received_bytes - body
+        if framing > MAX_HEADER_BYTES + MAX_FRAMING_BYTES + MAX_FRAMING_RATIO * body:
+            raise self.error(FailureCause.TOO_LARGE, "too many bytes that are not of the body")
+
     def read_remainder(self) -> None:
         """Read the rest of a response after its last event, so that its connection is reusable.
 
@@ -280,6 +302,8 @@
         self.wait_started_at = self.last_wait_started_at = self._monotonic()
         try:
             if self.read_deadline is not None:
+                if self.last_wait_started_at > self.read_deadline + READY_GRACE_S:
+                    raise TimeoutError
                 self._sock.settimeout(
                     max(MIN_READ_TIMEOUT_S, self.read_deadline - self.last_wait_started_at)
                 )
@@ -292,6 +316,7 @@
             self.wait_started_at = None
         if not data:
             return self._handle_peer_close()
+        self._received_bytes += len(data)
         try:
             self._response.feed(data)
         except (HTTPParseError, ValueError) as error:
