Bound the responses to control calls, and let other tasks run while they are read

The same class elsewhere: the HTTP library of the JSON client has no bound on heads, and while bytes came without a pause no other greenlet ran, not even the timeout of the call.

--- a/hickoryloom/http/client.py
+++ b/hickoryloom/http/client.py
@@ -61,14 +61,19 @@
         address: `host:port`.
         timeout_s: Timeout in seconds, separately for connecting and for each read.
         connections: Maximum number of connections.
+        max_response_bytes: Largest response, with its head.
     """
 
     def __init__(
-        self, address: str, timeout_s: float = DEFAULT_TIMEOUT_S, connections: int = 8
+        self,
+        address: str,
+        timeout_s: float = DEFAULT_TIMEOUT_S,
+        connections: int = 8,
+        max_response_bytes: int = MAX_RESPONSE_BYTES,
     ) -> None:
         host, _, port = address.rpartition(":")
         self._timeout_s = timeout_s
-        self._http = GuardedClient(host, int(port), timeout_s, connections)
+        self._http = GuardedClient(host, int(port), timeout_s, connections, max_response_bytes)
 
     def call(
         self,
--- a/hickoryloom/http/pool.py
+++ b/hickoryloom/http/pool.py
@@ -11,12 +11,16 @@
 from typing import Any
 
 import attrs
+import gevent
 from gevent import getcurrent
 from geventhttpclient import HTTPClient
 from geventhttpclient.connectionpool import ConnectionPool
 
 __all__ = ["Attempt", "GuardRefused", "GuardedClient"]
 
+YIELD_BYTES = 64 * 1024
+"""Bytes after which other greenlets run, though more have arrived."""
+
 Guard = Callable[[], bool]
 
 
@@ -53,9 +57,12 @@
         port: Port to connect to.
         timeout_s: Timeout in seconds, separately for connecting and for each read.
         connections: Maximum number of connections.
+        max_response_bytes: Largest response, with its head.
     """
 
-    def __init__(self, host: str, port: int, timeout_s: float, connections: int) -> None:
+    def __init__(
+        self, host: str, port: int, timeout_s: float, connections: int, max_response_bytes: int
+    ) -> None:
         super().__init__(host, port)
         self._connection_pool = _Pool(
             host,
@@ -66,6 +73,7 @@
             connection_timeout=timeout_s,
             network_timeout=timeout_s,
         )
+        self._connection_pool.max_response_bytes = max_response_bytes
 
     def begin(self, guard: Guard | None) -> Attempt:
         """Start an attempt for the call of the current greenlet."""
@@ -80,7 +88,46 @@
         self._connection_pool.close_idle()
 
 
+class _BoundedSocket:
+    """A socket that fails once a response is too large, as the HTTP library sets no bound.
+
+    Args:
+        sock: The connected socket.
+        max_response_bytes: Largest response, with its head.
+    """
+
+    def __init__(self, sock: Any, max_response_bytes: int) -> None:
+        self._sock = sock
+        self._max_response_bytes = max_response_bytes
+        self._received_bytes = 0
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._sock, name)
+
+    def sendall(self, data: bytes) -> None:
+        """Send a request, whose response is counted from its start."""
+        self._received_bytes = 0
+        self._sock.sendall(data)
+
+    def recv(self, size: int) -> bytes:
+        """Receive bytes; other greenlets run in between, also if bytes come without a pause.
+
+        Raises:
+            ConnectionError: The response exceeds the limit.
+        """
+        data = self._sock.recv(size)
+        before = self._received_bytes // YIELD_BYTES
+        self._received_bytes += len(data)
+        if self._received_bytes > self._max_response_bytes:
+            raise ConnectionError(f"response exceeds {self._max_response_bytes} bytes")
+        if self._received_bytes // YIELD_BYTES > before:
+            gevent.sleep(0)
+        return bytes(data)
+
+
 class _Pool(ConnectionPool):
+    max_response_bytes = 0
+
     def __init__(self, *arguments: Any, **options: Any) -> None:
         super().__init__(*arguments, **options)
         self._attempts: dict[Any, Attempt] = {}
@@ -116,7 +163,7 @@
     def _create_socket(self) -> Any:
         sock = super()._create_socket()
         self._attempts[getcurrent()].is_new_connection = True
-        return sock
+        return _BoundedSocket(sock, self.max_response_bytes)
 
     def return_socket(self, sock: Any) -> None:
         if self._untrack(sock):
--- a/hickoryloom/relay/engine.py
+++ b/hickoryloom/relay/engine.py
@@ -16,6 +16,9 @@
 PROBE_TIMEOUT_S = 1.0
 CANCEL_TIMEOUT_S = 2.0
 
+MAX_CONTROL_BYTES = 16 * 1024
+"""Largest response to a control call; ordinary ones have a hundred bytes."""
+
 
 class RequestState(enum.Enum):
     """State of a request as reported by an engine."""
@@ -63,7 +66,7 @@
         self, address: str, method: str, path: str, body: object, timeout_s: float
     ) -> dict[str, Any]:
         headers = bearer_headers(self.credential)
-        client = JsonClient(address, timeout_s, connections=1)
+        client = JsonClient(address, timeout_s, connections=1, max_response_bytes=MAX_CONTROL_BYTES)
         try:
             response = client.call(method, path, body, timeout_s, headers)
         finally:
