Bound the memory of all buffered responses of a process together

Responses reserve what they buffer beyond 64 KB out of 24 MB for the process, at the gateway and in the relay, until it is sent. Streams that are buffered for HTTP/1.0 callers had no bound at all, nor had calls of the entry that run at most once: the first reserve as well, the second end at 16 MB.

--- a/hickoryloom/entry/request_handler.py
+++ b/hickoryloom/entry/request_handler.py
@@ -30,6 +30,9 @@
 
 log = logbook.Logger("hickoryloom.entry")
 
+MAX_CLAIMED_BODY_BYTES = 16 * 1024 * 1024
+"""Largest body of a call that runs at most once; it is read whole before any of it is delivered."""
+
 INTERNAL_ERROR_RETRY_S = 1.0
 PREEMPTED_RETRY_S = 1.0
 READMISSION_WAIT_S = 15.0
@@ -225,7 +228,7 @@
             self._end_claim(claim, opened.err_value.verdict)
             return self._refuse(opened.err_value)
         response = opened.ok_value
-        body = b"".join(response)
+        body = _read_body(response)
         outcome = _require_outcome(response)
         if not outcome.complete:
             self._end_claim(claim, outcome.verdict)
@@ -319,6 +322,20 @@
         self._handler.abort_stream(self._response)
 
 
+def _read_body(response: RelayedResponse) -> bytes:
+    """Read a response that is kept for repetitions; one that is too large is cancelled."""
+    chunks: list[bytes] = []
+    size = 0
+    for chunk in response:
+        chunks.append(chunk)
+        size += len(chunk)
+        if size > MAX_CLAIMED_BODY_BYTES:
+            response.cancel(RefusalReason.BACKEND_FAILED)
+            response.close()
+            return b""
+    return b"".join(chunks)
+
+
 def _require_outcome(response: RelayedResponse) -> Outcome:
     assert response.outcome is not None, "a response that was read or closed has an outcome"
     return response.outcome
--- a/hickoryloom/gateway/app.py
+++ b/hickoryloom/gateway/app.py
@@ -24,7 +24,7 @@
 from hickoryloom.gateway.request_body import read_body
 from hickoryloom.http import RAW_HEADERS_KEY, RAW_TARGET_KEY, DisconnectWatch
 from hickoryloom.logs import log_event
-from hickoryloom.upstream import end_to_end_headers
+from hickoryloom.upstream import BufferBudget, BufferedBody, end_to_end_headers
 from hickoryloom.verdict import Verdict
 
 __all__ = ["ProxyApp"]
@@ -81,7 +81,8 @@
             return _send_refusal(admitted, start_response)
         watch = DisconnectWatch(environ, admitted.cancel)
         accepts_chunked = environ["SERVER_PROTOCOL"] != "HTTP/1.0"
-        return _WsgiResponse(admitted, watch, accepts_chunked).start(start_response)
+        response = _WsgiResponse(admitted, watch, accepts_chunked, self._context.buffers)
+        return response.start(start_response)
 
     def _admit(self, request: CallerRequest, arrived: float) -> RequestForwarder | Refusal:
         """Look up the request's route and customer; return a refusal if it is not admitted."""
@@ -139,11 +140,17 @@
         watch: Detects that the caller has disconnected.
         accepts_chunked: Whether the caller supports chunked encoding, which lets it distinguish a
             complete response of unknown length from a truncated one.
+        buffers: Memory for a stream that is buffered for a caller that does not.
     """
 
     def __init__(
-        self, forwarder: RequestForwarder, watch: DisconnectWatch, accepts_chunked: bool
+        self,
+        forwarder: RequestForwarder,
+        watch: DisconnectWatch,
+        accepts_chunked: bool,
+        buffers: BufferBudget,
     ) -> None:
+        self._buffers = buffers
         self._forwarder = forwarder
         self._watch = watch
         self._accepts_chunked = accepts_chunked
@@ -158,7 +165,7 @@
                 and response.length is None
                 and not self._accepts_chunked
             ):
-                response = _buffer_stream(response)
+                response = _buffer_stream(response, self._buffers)
         except BaseException:
             self._watch.stop()
             raise
@@ -180,9 +187,8 @@
         """Release the request, also after the caller has disconnected."""
         self._watch.stop()
         self._forwarder.cancel()
-        close = getattr(self._reply.body if self._reply else None, "close", None)
-        if close is not None:
-            close()
+        if self._reply is not None:
+            _close(self._reply.body)
 
 
 def _log_unreadable(refusal: Refusal, environ: dict[str, Any]) -> None:
@@ -197,13 +203,29 @@
     )
 
 
-def _buffer_stream(reply: Reply) -> Reply | Refusal:
+def _buffer_stream(reply: Reply, buffers: BufferBudget) -> Reply | Refusal:
     """Read a stream to its end, so that the response can carry a `Content-Length`."""
+    chunks: list[bytes] = []
+    size = 0
+    reservation = buffers.reserve()
     try:
-        chunks = list(reply.body)
-    except ConnectionAbortedError:
+        for chunk in reply.body:
+            chunks.append(chunk)
+            size += len(chunk)
+            if not reservation.resize(size):
+                raise ConnectionAbortedError(f"stream of {size} bytes or more")
+    except ConnectionAbortedError as error:
+        log_event(log, "stream-not-buffered", detail=str(error))
+        reservation.release()
+        _close(reply.body)
         return refuse(0, "broken-off", Verdict.MAY_HAVE_RUN)
-    return Reply(reply.status, reply.headers, iter(chunks), sum(map(len, chunks)))
+    return Reply(reply.status, reply.headers, BufferedBody(chunks, reservation), size)
+
+
+def _close(body: Iterator[bytes]) -> None:
+    close = getattr(body, "close", None)
+    if close is not None:
+        close()
 
 
 def _send_refusal(refusal: Refusal, start_response: StartResponse) -> Iterable[bytes]:
--- a/hickoryloom/gateway/attempts.py
+++ b/hickoryloom/gateway/attempts.py
@@ -30,6 +30,7 @@
 from hickoryloom.upstream import (
     AttemptError,
     AttemptFailure,
+    BufferBudget,
     ConnectionPool,
     Exchange,
     FailureCause,
@@ -70,6 +71,7 @@
     metrics: MetricsRecorder
     retries: Callable[[str], SharedRetryBudget]
     quarantine: Quarantine
+    buffers: BufferBudget
 
 
 @attrs.define
--- a/hickoryloom/gateway/forwarding.py
+++ b/hickoryloom/gateway/forwarding.py
@@ -18,6 +18,7 @@
     AttemptError,
     AttemptFailure,
     BodyFraming,
+    BufferedBody,
     Exchange,
     FailureCause,
     check_end_of_events,
@@ -69,6 +70,7 @@
         self._request = request
         self._route = route
         self._attempts = Attempts(context, request, route, service, customer, arrived)
+        self._buffered = context.buffers.reserve()
 
     def cancel(self) -> None:
         """Abort the request after its caller disconnected; may be called from any greenlet."""
@@ -84,6 +86,7 @@
             try:
                 return self._receive_response(attempt)
             except AttemptError as error:
+                self._buffered.release()
                 self._attempts.fail(attempt, error.failure)
                 if not self._attempts.may_retry(error.failure):
                     return self._log_refusal(self._attempts.refuse())
@@ -144,15 +147,15 @@
         while chunk := exchange.read():
             chunks.append(chunk)
             size += len(chunk)
-            if size > MAX_RESPONSE_BYTES:
-                raise exchange.error(FailureCause.TOO_LARGE, "response exceeds the size limit")
+            if size > MAX_RESPONSE_BYTES or not self._buffered.resize(size):
+                raise exchange.error(FailureCause.TOO_LARGE, f"response of {size} bytes or more")
         check_end_of_events(exchange, b"".join(chunks[-TAIL_BYTES:]))
         failed = status >= SERVER_ERROR
         self._attempts.complete(
             attempt, PlacementOutcome.FAILED if failed else PlacementOutcome.DONE, status
         )
         caller_headers = self._context.backends.response_headers(headers)
-        return Reply(status, caller_headers, iter(chunks), size)
+        return Reply(status, caller_headers, BufferedBody(chunks, self._buffered), size)
 
     def _start_stream(self, attempt: Attempt) -> Reply:
         """Read up to the first complete event; the remaining events are forwarded as they arrive.
@@ -185,6 +188,7 @@
                 yield splitter.incomplete
             self._attempts.complete(current, PlacementOutcome.DONE, 200)
         finally:
+            self._buffered.release()
             # The caller may have disconnected between two events.
             if not current.ended:
                 self._attempts.close(current, PlacementOutcome.ABANDONED)
@@ -214,6 +218,8 @@
                 events = splitter.feed(chunk)
             except EventSequenceError as error:
                 raise exchange.error(FailureCause.MALFORMED, str(error))
+            if not self._buffered.resize(len(splitter.incomplete)):
+                raise exchange.error(FailureCause.TOO_LARGE, "no memory left for an event")
             if events:
                 self._attempts.log.record_gap(self._context.clock.monotonic() - wait_started_at)
                 return events
--- a/hickoryloom/gateway/process.py
+++ b/hickoryloom/gateway/process.py
@@ -31,7 +31,7 @@
 from hickoryloom.scaling import Scaler
 from hickoryloom.sharing import VIEW_PATH, Peer, ViewFollower, ViewServer
 from hickoryloom.store import CallBudget, PlatformClient
-from hickoryloom.upstream import ConnectionPool
+from hickoryloom.upstream import BufferBudget, ConnectionPool
 
 __all__ = ["Gateway", "build_gateway"]
 
@@ -156,6 +156,7 @@
             metrics=self._metrics,
             retries=self._retry_budget,
             quarantine=self._quarantine,
+            buffers=BufferBudget(),
         )
         self._app = ProxyApp(context, dialect.callers)
         self._proxy_server = Server(self._app, settings.listen)
--- a/hickoryloom/gateway/tests/test_forwarding.py
+++ b/hickoryloom/gateway/tests/test_forwarding.py
@@ -22,7 +22,7 @@
 from hickoryloom.metrics import MetricsRecorder
 from hickoryloom.placing import Placer, ReportedLoad
 from hickoryloom.quarantine import QUARANTINE_TOPICS, Quarantine
-from hickoryloom.upstream import AttemptError, AttemptFailure, FailureCause
+from hickoryloom.upstream import AttemptError, AttemptFailure, BufferBudget, FailureCause
 from hickoryloom.verdict import Verdict
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -142,6 +142,7 @@
             meter=self,
             metrics=MetricsRecorder(),
             retries=lambda service: budget,
+            buffers=BufferBudget(),
             quarantine=Quarantine(
                 "edge-1", SharedRecords("edge-1", QUARANTINE_TOPICS), InstanceRanking("")
             ),
--- a/hickoryloom/platform/tests/test_endless_responses.py
+++ b/hickoryloom/platform/tests/test_endless_responses.py
@@ -84,6 +84,16 @@
     assert server.open_connections == 0
 
 
+def test_endless_responses_that_grow_together_cost_bounded_memory(site):
+    paced = endless("unframed-body", "text/plain", pause_s=0.002)
+    site.add_backend(Backend("i-1", "app", paced), capacity=CALLERS)
+    gateway = site.start()
+    calls = [gevent.spawn(call, gateway, "/once/x", number) for number in range(CALLERS)]
+    gevent.joinall(calls)
+    assert {status for status, _ in (done.value for done in calls)} <= {0, 502, 504}
+    assert peak_memory_kb(gateway) < SMALL_INSTANCE_KB
+
+
 def test_other_responses_are_delivered_beside_endless_ones(site):
     site.add_backend(Backend("i-1", "llm", endless("unframed-body", "text/event-stream")))
     site.add_backend(Backend("i-2", "app", respond))
--- a/hickoryloom/relay/attempts.py
+++ b/hickoryloom/relay/attempts.py
@@ -27,6 +27,8 @@
 from hickoryloom.upstream import (
     AttemptError,
     AttemptFailure,
+    BufferBudget,
+    BufferReservation,
     ConnectionPool,
     FailureCause,
     request_head,
@@ -70,6 +72,7 @@
     engine: EngineControl
     credential: str
     quarantine: Quarantine
+    buffers: BufferBudget
     open: dict[str, Attempts] = attrs.field(factory=dict)
 
 
@@ -125,6 +128,10 @@
         """Whether a backend server may have run the request, according to all attempts so far."""
         return self._verdict
 
+    def reserve_buffer(self) -> BufferReservation:
+        """Return a reservation for the parts of the response that are buffered."""
+        return self._context.buffers.reserve()
+
     def cancel(self, reason: RefusalReason) -> None:
         """Cancel the request immediately; may be called from any greenlet."""
         if self._cancel_reason is not None:
--- a/hickoryloom/relay/buffered.py
+++ b/hickoryloom/relay/buffered.py
@@ -45,6 +45,7 @@
         self._call = call
         self._clock = clock
         self._blocks: list[bytes] = []
+        self._buffered = attempts.reserve_buffer()
         self._usage: dict[str, Any] = {}
         self._first_byte_at: float | None = None
         self._tail = b""
@@ -78,10 +79,13 @@
         self._blocks = []
         self._tail = b""
         size = 0
+        self._buffered.release()
         while size <= limit and (block := self._read_block(exchange)):
             self._blocks.append(block)
             size += len(block)
             self._record_first_byte(attempt)
+            if not self._buffered.resize(size):
+                raise exchange.error(FailureCause.TOO_LARGE, f"response of {size} bytes or more")
         if is_completion:
             self._check_completion(attempt, exchange, size)
         if exchange.ended:
@@ -126,6 +130,7 @@
             assert exchange is not None
             body, self._blocks = self._blocks, []
             yield from body
+            self._buffered.release()
             while block := self._read_block(exchange):
                 yield block
             self._complete = True
@@ -140,6 +145,7 @@
     def _finalize(self) -> None:
         if self.outcome is not None:
             return
+        self._buffered.release()
         if self._complete:
             self._attempts.succeed()
         else:
--- a/hickoryloom/relay/task.py
+++ b/hickoryloom/relay/task.py
@@ -21,7 +21,7 @@
 from hickoryloom.relay.response import RelayedResponse
 from hickoryloom.relay.stream import StreamedResponse
 from hickoryloom.relay.watchdog import Watchdog
-from hickoryloom.upstream import ConnectionPool, is_event_stream
+from hickoryloom.upstream import BufferBudget, ConnectionPool, is_event_stream
 
 if TYPE_CHECKING:
     from hickoryloom.routing import Router
@@ -44,6 +44,7 @@
             cancelled.
         quarantine: Holds back prompts that crash backend servers; None for one of this relay
             alone.
+        buffers: Memory for buffered responses; None for the default limit.
     """
 
     def __init__(
@@ -54,6 +55,7 @@
         service_timeout_s: float = SERVICE_TIMEOUT_S,
         caller_timeout_s: float = CALLER_TIMEOUT_S,
         quarantine: Quarantine | None = None,
+        buffers: BufferBudget | None = None,
     ) -> None:
         self._router = router
         self._clock = clock
@@ -66,6 +68,7 @@
             engine,
             credential,
             quarantine or _build_local_quarantine(),
+            buffers or BufferBudget(),
         )
         self._watchdog = Watchdog(self._context, service_timeout_s, caller_timeout_s)
 
@@ -79,6 +82,11 @@
         """Connections to backend servers, exposed for their counters."""
         return self._connections
 
+    @property
+    def buffers(self) -> BufferBudget:
+        """Memory that buffered responses take, exposed for its counter."""
+        return self._context.buffers
+
     def open(
         self, admitted: Admitted, call: Call, may_send: Callable[[], bool] | None = None
     ) -> Result[RelayedResponse, Refused]:
