--- a/hickoryloom/platform/tests/test_gateway_processes.py
+++ b/hickoryloom/platform/tests/test_gateway_processes.py
@@ -285,7 +285,7 @@
     site.store.discard_history()
     gevent.sleep(1.0)
     assert gateway.call("/once/x")[0] == 200
-    assert late.requests
+    assert late.requests, gateway.log()
 
 
 def test_a_withdrawn_key_stops_working_and_a_new_one_begins(site):
