Don't wait for the counts of a process that another one has replaced

While it waited, the store began to turn the holder away; its lease passed on, and the next holder reported at once, too late.

Counts of a process are no longer awaited once another process at its address has written later. The new test failed before.

--- a/hickoryloom/metering/tests/test_reporter.py
+++ b/hickoryloom/metering/tests/test_reporter.py
@@ -79,12 +79,13 @@
             lambda: self.era,
         )
 
-    def write(self, instance, written=None, final=False, **windows):
+    def write(self, instance, written=None, final=False, address="", **windows):
         """Store the counts of an instance; `w200=3` stands for three requests in window 200."""
         counts = InstanceCounts(
             self.meter.wall() if written is None else written,
             {name[1:]: {"one": n} for name, n in windows.items()},
             final=final,
+            address=address,
         )
         self.store.objects[f"counts/{instance}"] = (1, cattrs.unstructure(counts))
 
@@ -199,6 +200,15 @@
     assert client.sent == [(200, {"one": 4}, 1)]
 
 
+def test_a_window_does_not_wait_for_a_process_that_another_one_has_replaced(harness):
+    client, reporter = begin_with_a_cut_off_instance(harness)
+    harness.write("b", FIRST_END - 2.0, address="10.0.0.1:1", w200=1)
+    harness.write("b-restarted", FIRST_END + 0.5, address="10.0.0.1:1", w200=2)
+    harness.clock.advance(WINDOW_S + WRITE_INTERVAL_S + SETTLE_MARGIN_S)
+    reporter._task.step()
+    assert client.sent == [(200, {"one": 6}, 1)]
+
+
 def test_counts_that_arrive_after_sealing_are_counted_as_late_and_not_reported(harness):
     client, reporter = begin_with_a_cut_off_instance(harness)
     harness.clock.advance(WINDOW_S + LATE_S - REPORT_RESERVE_S)
--- a/hickoryloom/metering/totals.py
+++ b/hickoryloom/metering/totals.py
@@ -35,12 +35,18 @@
 
     Counts written after the end of the window are final for it. An instance that stopped writing
     longer than `LIVENESS_TIMEOUT_S` before the end is down, so that it delays only the windows
-    that end soon after its last write.
+    that end soon after its last write. A process that another one at its address has replaced
+    writes no more.
     """
+    latest: dict[str, float] = {}
+    for counts in all_counts.values():
+        latest[counts.address] = max(counts.written, latest.get(counts.address, 0.0))
     return sorted(
         key
         for key, counts in all_counts.items()
-        if not counts.final and window_end - LIVENESS_TIMEOUT_S <= counts.written < window_end
+        if not counts.final
+        and window_end - LIVENESS_TIMEOUT_S <= counts.written < window_end
+        and not (counts.address and latest[counts.address] > counts.written)
     )
 
 
