--- a/hickoryloom/gateway/app.py
+++ b/hickoryloom/gateway/app.py
@@ -16,7 +16,7 @@
 from result import Err
 
 from hickoryloom.catalog import Customer, Route, choose_service
-from hickoryloom.gateway.attempts import GatewayContext
+from hickoryloom.gateway.context import GatewayContext
 from hickoryloom.gateway.forwarding import RequestForwarder
 from hickoryloom.gateway.messages import CallerRequest, Refusal, Reply
 from hickoryloom.gateway.ports import CallerCodec
--- a/hickoryloom/gateway/attempts.py
+++ b/hickoryloom/gateway/attempts.py
@@ -2,43 +2,32 @@
 
 from __future__ import annotations
 
-import random
-from collections.abc import Callable
-
 import attrs
 from result import Err, Ok, Result
 
-from hickoryloom.catalog import CatalogFollower, Customer, Route
-from hickoryloom.clock import Clock
-from hickoryloom.discovery import Discovery
-from hickoryloom.gateway.budget import SharedRetryBudget
+from hickoryloom.catalog import Customer, Route
+from hickoryloom.gateway.context import Attempt, GatewayContext
 from hickoryloom.gateway.messages import CallerRequest, Refusal, ResponseHead
-from hickoryloom.gateway.ports import BackendCodec
 from hickoryloom.gateway.progress import RequestProgress
+from hickoryloom.gateway.prompt_guard import PromptGuard
 from hickoryloom.gateway.refusals import refuse
 from hickoryloom.gateway.request_log import RequestLog
-from hickoryloom.metering import UsageMeter
-from hickoryloom.metrics import MetricsRecorder
 from hickoryloom.placing import (
     Placement,
     PlacementOutcome,
     PlacementRequest,
-    Placer,
     parse_pause,
 )
-from hickoryloom.quarantine import Quarantine, part_keys
 from hickoryloom.upstream import (
     AttemptError,
     AttemptFailure,
-    BufferBudget,
-    ConnectionPool,
     Exchange,
     FailureCause,
     request_head,
 )
 from hickoryloom.verdict import Verdict
 
-__all__ = ["Attempt", "Attempts", "GatewayContext"]
+__all__ = ["Attempts"]
 
 HEAD_TIMEOUT_TARGETS = 2.5
 """Timeout for the response head of a repeatable request, as a multiple of the route's latency
@@ -48,64 +37,6 @@
 """The same for requests to model engines, where a late first token usually means queueing rather
 than a fault."""
 
-ANSWERED_S = 0.1
-"""Time after the first event of a stream from which a further one shows that the prompt does not
-crash the engine: it would have ended while it wrote the first one."""
-
-QUARANTINE_JITTER = 0.5
-"""Largest random fraction added to the `Retry-After` of a prompt in quarantine."""
-
-
-@attrs.frozen
-class GatewayContext:
-    """Dependencies shared by all requests of a gateway."""
-
-    clock: Clock
-    rng: random.Random
-    catalog: CatalogFollower
-    discovery: Discovery
-    placer: Placer
-    connections: ConnectionPool
-    backends: BackendCodec
-    meter: UsageMeter
-    metrics: MetricsRecorder
-    retries: Callable[[str], SharedRetryBudget]
-    quarantine: Quarantine
-    buffers: BufferBudget
-
-
-@attrs.define
-class Attempt:
-    """One attempt that has been sent.
-
-    Attributes:
-        placement: The chosen backend server and the reason for the choice.
-        exchange: The HTTP exchange with the backend server.
-        sent: Monotonic time of the send, in seconds.
-        accepted: Whether a response head has arrived that doesn't deny the execution.
-        first_event_received: Whether the first event of its stream has arrived.
-        first_event_at: Monotonic time of that event, in seconds.
-        answered: Whether the backend server has responded for long enough to show that the prompt
-            does not crash it.
-        ended: Whether its connection has been released.
-    """
-
-    placement: Placement
-    exchange: Exchange
-    sent: float
-    accepted: bool = False
-    first_event_received: bool = False
-    first_event_at: float = 0.0
-    answered: bool = False
-    ended: bool = False
-
-    @property
-    def received(self) -> str:
-        """How much of the response has arrived: `nothing`, `head` or `events`."""
-        if self.first_event_received:
-            return "events"
-        return "head" if self.accepted else "nothing"
-
 
 class Attempts:
     """Sends one request to backend servers and decides whether a retry is allowed.
@@ -140,7 +71,7 @@
         self._deadline = arrived + min(caller_timeout_s, route.timeout_s)
         shared = request.prompt_segments[:-1]
         self._placement_request = PlacementRequest(service, request.prompt_tokens, shared)
-        self._parts = part_keys(service, (part.id for part in shared))
+        self._guard = PromptGuard(context.quarantine, context.rng, service, shared)
         self._progress = RequestProgress(route, self._deadline)
         self._attempt: Attempt | None = None
         self._log = RequestLog(
@@ -246,7 +177,7 @@
         self._attempt = attempt
         context.meter.record_demand(self._placement_request.service, placement.prefill_tokens)
         context.placer.start_attempt(placement, self._placement_request, now)
-        context.quarantine.record_sent(self._parts, now)
+        self._guard.record_sent(now)
         headers = context.backends.request_headers(
             self._request,
             placement.server,
@@ -281,9 +212,8 @@
         reason = self._progress.blocking_reason(now)
         if reason:
             return self.refuse(reason)
-        quarantined_s = self._context.quarantine.wait_s(self._parts, now)
+        quarantined_s = self._guard.check(now)
         if quarantined_s:
-            self._context.quarantine.record_refused(self._parts, now)
             return self._refuse_quarantined(quarantined_s)
         if self._customer is None:
             return None
@@ -337,18 +267,13 @@
             attempt.first_event_at = now
             self._context.placer.record_first_token(attempt.placement, now - attempt.sent)
             self._log.record_first_event(now)
-        elif now - attempt.first_event_at >= ANSWERED_S:
-            self._record_answered(attempt)
-
-    def _record_answered(self, attempt: Attempt) -> None:
-        if not attempt.answered:
-            attempt.answered = True
-            self._context.quarantine.record_answer(self._parts, self._context.clock.monotonic())
+        else:
+            self._guard.record_event(attempt, now)
 
     def complete(self, attempt: Attempt, outcome: PlacementOutcome, status: int) -> None:
         """Finish the request after its response was read completely."""
         if outcome is PlacementOutcome.DONE:
-            self._record_answered(attempt)
+            self._guard.record_answer(attempt, self._context.clock.monotonic())
         self._progress.record_completed()
         self._log.record_start(attempt.sent)
         self.close(attempt, outcome)
@@ -360,8 +285,8 @@
         progress.record_failed(attempt.placement.server.id, failure)
         if failure.verdict is not Verdict.NOT_RUN and failure.cause is not FailureCause.CANCELLED:
             self._log.record_start(attempt.sent)
-        if failure.cause is FailureCause.CONNECTION_LOST and not attempt.answered:
-            self._record_end(attempt)
+        if failure.cause is FailureCause.CONNECTION_LOST:
+            self._guard.record_end(attempt, self._context.clock.monotonic())
         in_flight = self._context.placer.in_flight_at(attempt.placement.server.id)
         self.close(attempt, _outcome_of(failure))
         self._log.log_failed_attempt(
@@ -373,19 +298,6 @@
             in_flight,
         )
 
-    def _record_end(self, attempt: Attempt) -> None:
-        """Record that the backend server may have crashed, if it had the whole request."""
-        if attempt.exchange.last_wait_started_at is None:
-            return
-        server = attempt.placement.server
-        self._context.quarantine.record_end(
-            f"{server.id}|{server.started_ms}",
-            self._parts,
-            attempt.accepted,
-            attempt.sent,
-            self._context.clock.monotonic(),
-        )
-
     def may_retry(self, failure: AttemptFailure) -> bool:
         """Return whether the request may be retried after this failure."""
         return self._progress.may_retry(failure)
@@ -417,8 +329,7 @@
         if refusal.retry_after_s is None:
             return refusal
         # Callers must not return sooner, even if that is beyond the time that they have left.
-        spread = 1.0 + QUARANTINE_JITTER * self._context.rng.random()
-        return attrs.evolve(refusal, retry_after_s=wait_s * spread)
+        return attrs.evolve(refusal, retry_after_s=wait_s)
 
     def refuse(self, reason: str = "", wait_s: float = 0.0) -> Refusal:
         """Return the final refusal, with the execution verdict over all attempts so far.
--- /dev/null
+++ b/hickoryloom/gateway/context.py
@@ -0,0 +1,72 @@
+"""Dependencies that all requests of a gateway share, and the state of one attempt."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+import attrs
+
+from hickoryloom.catalog import CatalogFollower
+from hickoryloom.clock import Clock
+from hickoryloom.discovery import Discovery
+from hickoryloom.gateway.budget import SharedRetryBudget
+from hickoryloom.gateway.ports import BackendCodec
+from hickoryloom.metering import UsageMeter
+from hickoryloom.metrics import MetricsRecorder
+from hickoryloom.placing import Placement, Placer
+from hickoryloom.quarantine import Quarantine
+from hickoryloom.upstream import BufferBudget, ConnectionPool, Exchange
+
+__all__ = ["Attempt", "GatewayContext"]
+
+
+@attrs.frozen
+class GatewayContext:
+    """Dependencies shared by all requests of a gateway."""
+
+    clock: Clock
+    rng: random.Random
+    catalog: CatalogFollower
+    discovery: Discovery
+    placer: Placer
+    connections: ConnectionPool
+    backends: BackendCodec
+    meter: UsageMeter
+    metrics: MetricsRecorder
+    retries: Callable[[str], SharedRetryBudget]
+    quarantine: Quarantine
+    buffers: BufferBudget
+
+
+@attrs.define
+class Attempt:
+    """One attempt that has been sent.
+
+    Attributes:
+        placement: The chosen backend server and the reason for the choice.
+        exchange: The HTTP exchange with the backend server.
+        sent: Monotonic time of the send, in seconds.
+        accepted: Whether a response head has arrived that doesn't deny the execution.
+        first_event_received: Whether the first event of its stream has arrived.
+        first_event_at: Monotonic time of that event, in seconds.
+        answered: Whether the backend server has responded for long enough to show that the prompt
+            does not crash it.
+        ended: Whether its connection has been released.
+    """
+
+    placement: Placement
+    exchange: Exchange
+    sent: float
+    accepted: bool = False
+    first_event_received: bool = False
+    first_event_at: float = 0.0
+    answered: bool = False
+    ended: bool = False
+
+    @property
+    def received(self) -> str:
+        """How much of the response has arrived: `nothing`, `head` or `events`."""
+        if self.first_event_received:
+            return "events"
+        return "head" if self.accepted else "nothing"
--- a/hickoryloom/gateway/forwarding.py
+++ b/hickoryloom/gateway/forwarding.py
@@ -8,7 +8,8 @@
 from result import Err
 
 from hickoryloom.catalog import Customer, RequestKind, Route
-from hickoryloom.gateway.attempts import Attempt, Attempts, GatewayContext
+from hickoryloom.gateway.attempts import Attempts
+from hickoryloom.gateway.context import Attempt, GatewayContext
 from hickoryloom.gateway.events import EventSequenceError, EventSplitter
 from hickoryloom.gateway.messages import CallerRequest, Refusal, Reply
 from hickoryloom.placing import PlacementOutcome
--- a/hickoryloom/gateway/process.py
+++ b/hickoryloom/gateway/process.py
@@ -16,8 +16,8 @@
 from hickoryloom.duties import DutyClient
 from hickoryloom.evidence import EvidenceExchange, InstanceRanking, SharedRecords
 from hickoryloom.gateway.app import ProxyApp
-from hickoryloom.gateway.attempts import GatewayContext
 from hickoryloom.gateway.budget import DEFAULT_INSTANCES, SharedRetryBudget
+from hickoryloom.gateway.context import GatewayContext
 from hickoryloom.gateway.ports import Dialect
 from hickoryloom.gateway.settings import GatewaySettings
 from hickoryloom.http import ConnectionLimits, Server
--- a/hickoryloom/gateway/tests/test_forwarding.py
+++ b/hickoryloom/gateway/tests/test_forwarding.py
@@ -15,8 +15,9 @@
 )
 from hickoryloom.discovery import BackendServer
 from hickoryloom.evidence import InstanceRanking, SharedRecords
-from hickoryloom.gateway.attempts import HEAD_TIMEOUT_TARGETS, GatewayContext
+from hickoryloom.gateway.attempts import HEAD_TIMEOUT_TARGETS
 from hickoryloom.gateway.budget import SharedRetryBudget
+from hickoryloom.gateway.context import GatewayContext
 from hickoryloom.gateway.forwarding import RequestForwarder
 from hickoryloom.gateway.messages import CallerRequest, Refusal, ResponseHead
 from hickoryloom.metrics import MetricsRecorder
