--- a/hickoryloom/evidence/exchange.py
+++ b/hickoryloom/evidence/exchange.py
@@ -92,8 +92,15 @@
         if not self._address:
             return
         host, _, port = self._address.rpartition(":")
-        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self._socket.bind((host, int(port)))
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            sock.bind((host, int(port)))
+        except OSError as error:
+            # The instance serves on without the evidence of the others.
+            log_event(log, "evidence-not-received", error=str(error))
+            sock.close()
+            return
+        self._socket = sock
         self._reader = gevent.spawn(self._read_all)
         self._sender.start()
 
--- a/hickoryloom/evidence/tests/test_exchange.py
+++ b/hickoryloom/evidence/tests/test_exchange.py
@@ -81,6 +81,13 @@
     wait_until(lambda: all(instance.holds("a") for instance in instances), 3 * SPREAD_S)
 
 
+def test_an_instance_starts_although_its_port_is_taken(instances):
+    taken = instances[0]
+    second = EvidenceExchange(taken.address, SystemClock(), random.Random(1), taken.records)
+    second.start()
+    second.stop()
+
+
 def test_unreadable_datagrams_are_ignored(instances):
     first = instances[0]
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
