Neither reserve a limited engine for short prompts nor make it the home of a session

Cause, shown in a simulation of six instances and nine engines: the share of a limited engine comes and goes, and with it the engines that an instance reserves for short prompts and the homes of sessions, at other moments at each instance, so that long prompts met short streams.

A limited engine takes what is offered beyond that while its share lasts. Ids are compared in place of the servers, which had cost a comparison of all fields.

--- a/hickoryloom/placing/named_limit.py
+++ b/hickoryloom/placing/named_limit.py
@@ -98,6 +98,11 @@
             self._named_at[key] = now
             self._records.put(LIMITS, key, f"{limit:.6f}", now)
 
+    def is_limited(self, server: BackendServer, now: float) -> bool:
+        """Return whether a server names a limit, as far as any instance knows."""
+        key = _key(server)
+        return key in self._limits and self._records.get(LIMITS, key, now) is not None
+
     def rest_s(self, server: BackendServer, now: float) -> float:
         """Return the seconds until this instance may send to a server; 0 if it may now."""
         if not self._limits:
--- a/hickoryloom/placing/placer.py
+++ b/hickoryloom/placing/placer.py
@@ -257,11 +257,22 @@
         self, request: PlacementRequest, candidates: list[TrackedServer], now: float
     ) -> Placement:
         short = _is_short(request)
-        engines = [(tracked.server.id, tracked.server.slots) for tracked in candidates]
+        # The share of a limited engine comes and goes, so it is neither reserved nor a home.
+        unlimited = [
+            tracked for tracked in candidates if not self._limits.is_limited(tracked.server, now)
+        ]
+        steady = unlimited or candidates
+        engines = [(tracked.server.id, tracked.server.slots) for tracked in steady]
         reserved = self._short_prompt_engines(request.service).select(engines, now)
         preferred_group = [
-            tracked for tracked in candidates if (tracked.server.id in reserved) == short
-        ] or candidates
+            tracked for tracked in steady if (tracked.server.id in reserved) == short
+        ] or steady
+        preferred = {tracked.server.id for tracked in preferred_group}
+        wrong_group = {
+            tracked.server.id
+            for tracked in steady
+            if reserved and tracked.server.id not in preferred
+        }
         affinity_server = max(
             preferred_group, key=lambda tracked: rank(request.session, tracked.server.id)
         )
@@ -270,9 +281,7 @@
             known = tracked is affinity_server and request.session != ""
             tokens = tracked.uncached_tokens(request, known)
             expected_s = self._engine_delay_s(tracked, tokens, now)
-            expected_s += WRONG_GROUP_PENALTY_S * (
-                reserved != frozenset() and tracked not in preferred_group
-            )
+            expected_s += WRONG_GROUP_PENALTY_S * (tracked.server.id in wrong_group)
             if expected_s < best_s or (expected_s == best_s and self._rng.random() < 0.5):
                 best, best_s, best_tokens = tracked, expected_s, tokens
         reason = (
