A response that turns a request away without a limit doesn't end the limit

A full server refuses requests before it comes to name its limit; the refusal ended it at all instances. Only a signed response to a request that was accepted tells that a limit has ended.

--- a/hickoryloom/gateway/attempts.py
+++ b/hickoryloom/gateway/attempts.py
@@ -245,8 +245,11 @@
         now = self._context.clock.monotonic()
         if head.load is not None:
             self._context.placer.apply_load_report(server.id, head.load, now)
-        if self._context.placer.note_limit(server, head.limit, attempt.sent, now):
-            self._log.log_limit(server, head.limit)
+        # A server that turns a request away may not come to name its limit.
+        if head.limit or (head.signed and not head.not_run):
+            changed = self._context.placer.note_limit(server, head.limit, attempt.sent, now)
+            if changed:
+                self._log.log_limit(server, head.limit)
         if head.leaving:
             self._context.discovery.mark_leaving(server)
         if head.pause:
--- a/hickoryloom/platform/tests/test_named_limits.py
+++ b/hickoryloom/platform/tests/test_named_limits.py
@@ -20,10 +20,12 @@
 
     Attributes:
         limit: The named limit; empty for none.
+        turns_away: Whether it turns requests away half of the time, without naming its limit.
         arrivals: Monotonic time of each request at the limited server.
     """
 
-    def __init__(self, site, service="app"):
+    def __init__(self, site, service="app", turns_away=False):
+        self.turns_away = turns_away
         self.limit = str(LIMIT)
         self.arrivals = []
         self.limited = site.add_backend(Backend("i-1", service, self._respond))
@@ -32,6 +34,9 @@
     def _respond(self, request):
         self.arrivals.append(time.monotonic())
         headers = {"Server_Limit": self.limit} if self.limit else {}
+        if self.turns_away and time.monotonic() % 3.0 < 1.5:
+            yield build_response(request, b"", 503, signed=False, Not_Executed="1")
+            return
         yield build_response(request, **headers)
 
     def most_in_window(self, since):
@@ -63,3 +68,20 @@
     # It keeps working, at a fair part of what it can bear.
     later = [at for at in servers.arrivals if at > started_at + CONTACT_S]
     assert len(later) >= 0.4 * LIMIT * 3 * WINDOW_S
+
+
+def test_requests_that_the_server_turns_away_do_not_end_its_limit(site):
+    servers = LimitedServer(site, turns_away=True)
+    gateways = [site.start(f"edge-{number}") for number in range(1, 4)]
+    statuses, started_at = [], time.monotonic()
+    send(gateways, CONTACT_S + 2 * WINDOW_S, statuses)
+    assert servers.most_in_window(started_at + CONTACT_S) <= MAX_IN_WINDOW
+
+
+def test_a_server_that_names_no_limit_any_more_gets_its_share_again(site):
+    servers = LimitedServer(site)
+    gateways = [site.start(f"edge-{number}") for number in range(1, 4)]
+    send(gateways, CONTACT_S, [])
+    servers.limit = ""
+    send(gateways, 2 * WINDOW_S, [])
+    assert servers.most_in_window(time.monotonic() - WINDOW_S) > 2 * MAX_IN_WINDOW
