--- a/hickoryloom/relay/attempts.py
+++ b/hickoryloom/relay/attempts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
@@ -58,6 +59,9 @@
 """Time after the first token from which a further one shows that the prompt does not crash the
 engine."""
 
+QUARANTINE_JITTER = 0.5
+"""Largest random fraction added to the `Retry-After` of a prompt in quarantine."""
+
 BUDGET_EXEMPT_CAUSES = frozenset((FailureCause.CONNECT, FailureCause.CONNECTION_LOST))
 """Failures of the connection, whose retries are not charged to the retry budget."""
 
@@ -73,6 +77,7 @@
     credential: str
     quarantine: Quarantine
     buffers: BufferBudget
+    rng: random.Random = attrs.field(factory=random.Random)
     open: dict[str, Attempts] = attrs.field(factory=dict)
 
 
@@ -269,7 +274,9 @@
     def _refuse_quarantined(self, wait_s: float) -> Refused:
         now = self._context.clock.monotonic()
         self._context.quarantine.record_refused(self._parts, now)
-        return attrs.evolve(self.refusal(RefusalReason.QUARANTINED, ""), retry_after_s=wait_s)
+        # Spread, so that refused callers don't return together.
+        spread_s = wait_s * (1.0 + QUARANTINE_JITTER * self._context.rng.random())
+        return attrs.evolve(self.refusal(RefusalReason.QUARANTINED, ""), retry_after_s=spread_s)
 
     def _record_answered(self, attempt: Attempt) -> None:
         if not attempt.answered:
--- a/hickoryloom/relay/tests/test_crashing_prompts.py
+++ b/hickoryloom/relay/tests/test_crashing_prompts.py
@@ -48,6 +48,7 @@
     last = outcomes[-1].unwrap_err()
     assert (last.reason, last.verdict) == (RefusalReason.QUARANTINED, Verdict.NOT_RUN)
     assert last.retry_after_s > 0
+    assert len({round(outcome.unwrap_err().retry_after_s, 3) for outcome in outcomes[-3:]}) > 1
 
 
 def test_a_relay_that_got_the_evidence_of_another_sends_no_such_prompt(servers):
