Pass an observation that many instances make at once on only once a second

At 195 instances, each answer to a prompt with a common part was recorded by all instances that saw one, and each of the records passed on by all others; parts were watched for answers after a single end.

Records of the same value within a second of the last one that was passed on are kept, but not passed on; digests leave the ids out; answers are recorded only for parts that one more end might make a cause; datagrams are encoded once for all receivers.

--- a/hickoryloom/evidence/exchange.py
+++ b/hickoryloom/evidence/exchange.py
@@ -129,13 +129,11 @@
         """Pass new records on; return whether there are any."""
         changes = self._records.take_changes()
         if changes:
-            for address in self._select(FANOUT):
-                self._send(address, DatagramKind.RECORDS, changes)
+            self._send(self._select(FANOUT), DatagramKind.RECORDS, changes)
         return bool(changes)
 
     def _send_summaries(self) -> None:
-        for address in self._select(SUMMARY_FANOUT):
-            self._send(address, DatagramKind.SUMMARY, ())
+        self._send(self._select(SUMMARY_FANOUT), DatagramKind.SUMMARY, ())
 
     def _select(self, number: int) -> list[str]:
         now = self._clock.monotonic()
@@ -143,14 +141,18 @@
         known = sorted(self._peers.union(self._heard))
         return self._rng.sample(known, min(number, len(known)))
 
-    def _send(self, address: str, kind: DatagramKind, records: Iterable[Record]) -> None:
+    def _send(
+        self, addresses: Iterable[str], kind: DatagramKind, records: Iterable[Record]
+    ) -> None:
         now = self._clock.monotonic()
-        host, _, port = address.rpartition(":")
-        try:
-            for data in pack(kind, self._address, self._records.digest(now), records, now):
-                self._socket.sendto(data, (host, int(port)))
-        except (OSError, ValueError) as error:
-            log_event(log, "evidence-not-sent", to=address, error=str(error))
+        datagrams = list(pack(kind, self._address, self._records.digest(now), records, now))
+        for address in addresses:
+            host, _, port = address.rpartition(":")
+            try:
+                for data in datagrams:
+                    self._socket.sendto(data, (host, int(port)))
+            except (OSError, ValueError) as error:
+                log_event(log, "evidence-not-sent", to=address, error=str(error))
 
     def _read_all(self) -> None:
         while True:
@@ -181,4 +183,4 @@
         }
         self._replied[datagram.address] = now
         reply = DatagramKind.REPLY if is_summary else DatagramKind.RECORDS
-        self._send(datagram.address, reply, self._records.all(now))
+        self._send([datagram.address], reply, self._records.all(now))
--- a/hickoryloom/evidence/records.py
+++ b/hickoryloom/evidence/records.py
@@ -46,6 +46,7 @@
         }
         self._listeners: dict[str, list[Listener]] = {name: [] for name in self._topics}
         self._changes: dict[tuple[str, str], Record] = {}
+        self._passed_on: dict[tuple[str, str], Record] = {}
         self._number = 0
         self.on_change: Listener | None = None
 
@@ -55,12 +56,11 @@
 
     def put(self, topic: Topic, key: str, value: str, now: float) -> None:
         """Record an observation of this instance."""
-        known = self._records[topic.name].get(key)
-        if known is not None and known.value == value and now - known.at < REFRESH_S:
-            return
-        self._number += 1
-        record = Record(topic.name, key, value, f"{self._process}.{self._number:08d}", now)
-        self._store(record)
+        id = f"{self._process}.{self._number + 1:08d}"
+        record = Record(topic.name, key, value, id, now)
+        if self._is_news(record):
+            self._number += 1
+            self._store(record)
 
     def merge(self, records: Iterable[Record], now: float) -> None:
         """Merge records of another instance, with times on the clock of this process."""
@@ -86,6 +86,7 @@
         records = self._records[topic.name]
         for key in [key for key, record in records.items() if now - record.at >= topic.lifetime_s]:
             del records[key]
+            self._passed_on.pop((topic.name, key), None)
         return list(records.values())
 
     def all(self, now: float) -> list[Record]:
@@ -93,9 +94,9 @@
         return [record for topic in self._topics.values() for record in self.live(topic, now)]
 
     def digest(self, now: float) -> str:
-        """Return a digest of the ids of all live records."""
-        ids = sorted(record.id for record in self.all(now))
-        return blake2b("\n".join(ids).encode(), digest_size=8).hexdigest() if ids else ""
+        """Return a digest of all live records, without their times; empty for none."""
+        lines = sorted(f"{item.topic}\n{item.key}\n{item.value}" for item in self.all(now))
+        return blake2b("\n".join(lines).encode(), digest_size=8).hexdigest() if lines else ""
 
     def latest(self, number: int, now: float) -> list[Record]:
         """Return up to `number` live records, those with the latest observations."""
@@ -111,15 +112,25 @@
         """Return whether this process made the observation."""
         return record.id.startswith(f"{self._process}.")
 
+    def _is_news(self, record: Record) -> bool:
+        """Return whether others need a record: many instances may observe the same at once."""
+        last = self._passed_on.get((record.topic, record.key))
+        return last is None or record.value != last.value or record.at - last.at >= REFRESH_S
+
     def _store(self, record: Record) -> None:
         records = self._records[record.topic]
         records[record.key] = record
         records.move_to_end(record.key)
         if len(records) > MAX_RECORDS_PER_TOPIC:
-            records.popitem(last=False)
-        self._changes[record.topic, record.key] = record
+            oldest, _ = records.popitem(last=False)
+            self._passed_on.pop((record.topic, oldest), None)
+        is_news = self._is_news(record)
         for listener in self._listeners[record.topic]:
             listener(record)
+        if not is_news:
+            return
+        self._passed_on[record.topic, record.key] = record
+        self._changes[record.topic, record.key] = record
         if self.on_change is not None:
             self.on_change(record)
 
--- a/hickoryloom/evidence/tests/test_records.py
+++ b/hickoryloom/evidence/tests/test_records.py
@@ -34,6 +34,8 @@
         holder.merge(rng.sample(sent, len(sent)), 21.0)
         holder.merge(rng.sample(sent, len(sent)), 21.0)
     assert len({holder.digest(21.0) for holder in holders.values()}) == 1
+    ids = [sorted(record.id for record in holder.all(21.0)) for holder in holders.values()]
+    assert ids[0] == ids[1] == ids[2]
 
 
 def test_records_end_after_their_lifetime():
@@ -54,6 +56,17 @@
     assert records.get(TOPIC, "k", 3.0).id == "a.00000003"
 
 
+def test_the_same_observation_of_many_instances_is_passed_on_once_a_second():
+    records = SharedRecords("a", [TOPIC])
+    passed_on = 0
+    for tenth in range(30):
+        at = 100.0 + tenth / 10
+        records.merge([Record("t", "k", "v", f"{chr(98 + tenth % 20)}.1", at)], at)
+        passed_on += len(records.take_changes())
+    assert passed_on <= 3
+    assert records.get(TOPIC, "k", 103.0).at == 102.9
+
+
 def test_the_number_of_records_is_bounded():
     records = SharedRecords("a", [TOPIC])
     for number in range(10 * MAX_RECORDS_PER_TOPIC):
--- a/hickoryloom/quarantine/suspicion.py
+++ b/hickoryloom/quarantine/suspicion.py
@@ -66,8 +66,12 @@
 
 
 def find_suspects(ends: Iterable[ServerEnd], answered: Mapping[str, float]) -> frozenset[str]:
-    """Return the parts in ends of servers that were not in an answered prompt since."""
-    return frozenset(_times_by_part(ends, answered))
+    """Return the parts that one more end might make a cause, unless they are answered before."""
+    return frozenset(
+        part
+        for part, times in _times_by_part(ends, answered).items()
+        if _count_moments(times.values()) >= MIN_ENDS - 1
+    )
 
 
 def find_causes(ends: Iterable[ServerEnd], answered: Mapping[str, float]) -> frozenset[str]:
