One reading of the numbers that servers state; one fixture for servers in the relay's tests

Read-through, no change of behaviour: the pause and the limit of a server were parsed and bounded by the same lines twice, and two test files started servers with the same fixture. Assertions and cases are the same.

--- a/hickoryloom/placing/named_limit.py
+++ b/hickoryloom/placing/named_limit.py
@@ -8,18 +8,16 @@
 from __future__ import annotations
 
 import math
-import re
 
 import logbook
 
 from hickoryloom.discovery import BackendServer
 from hickoryloom.evidence import InstanceRanking, Record, SharedRecords, Topic
 from hickoryloom.logs import log_event
+from hickoryloom.placing.stated_number import parse_stated_number
 
 __all__ = ["LIMITS", "NamedLimits", "parse_limit"]
 
-NUMBER = re.compile(r"-?[0-9]{1,300}(\.[0-9]{1,300})?")
-
 MAX_LIMIT_PER_S = 1_000_000.0
 """Largest limit that is told apart from others."""
 
@@ -45,12 +43,7 @@
 
     The limit is None if the value is not a decimal number.
     """
-    text = value.strip()
-    if not NUMBER.fullmatch(text):
-        return None, False
-    limit = float(text)
-    bounded = min(max(limit, 0.0), MAX_LIMIT_PER_S)
-    return bounded, bounded == limit
+    return parse_stated_number(value, MAX_LIMIT_PER_S)
 
 
 class NamedLimits:
--- a/hickoryloom/placing/requested_pause.py
+++ b/hickoryloom/placing/requested_pause.py
@@ -7,13 +7,11 @@
 
 from __future__ import annotations
 
-import re
-
 import attrs
 
-__all__ = ["RequestedPause", "parse_pause"]
+from hickoryloom.placing.stated_number import parse_stated_number
 
-NUMBER = re.compile(r"-?[0-9]{1,300}(\.[0-9]{1,300})?")
+__all__ = ["RequestedPause", "parse_pause"]
 
 MAX_PAUSE_S = 120.0
 """Longest pause that is granted; a faulty value must not take a backend server out for good."""
@@ -29,12 +27,8 @@
 
 def parse_pause(value: str) -> tuple[float, bool]:
     """Return the pause in seconds that a value asks for, and whether the value was sound."""
-    text = value.strip()
-    if not NUMBER.fullmatch(text):
-        return UNREADABLE_PAUSE_S, False
-    seconds = float(text)
-    bounded = min(max(seconds, 0.0), MAX_PAUSE_S)
-    return bounded, bounded == seconds
+    seconds, sound = parse_stated_number(value, MAX_PAUSE_S)
+    return (UNREADABLE_PAUSE_S if seconds is None else seconds), sound
 
 
 @attrs.define
--- a/hickoryloom/relay/tests/test_bad_streams.py
+++ b/hickoryloom/relay/tests/test_bad_streams.py
@@ -55,9 +55,7 @@
 
 
 @pytest.fixture
-def serve():
-    servers = []
-
+def serve(start_server):
     def start(response):
         def handle(sock, _address):
             sock.recv(65536)
@@ -67,14 +65,9 @@
                 pass
             sock.close()
 
-        server = StreamServer(("127.0.0.1", 0), handle)
-        server.start()
-        servers.append(server)
-        return f"127.0.0.1:{server.server_port}"
+        return start_server(handle)
 
-    yield start
-    for server in servers:
-        server.stop(timeout=0)
+    return start
 
 
 def assert_nothing_leaked(relay):
--- a/hickoryloom/relay/tests/test_endless_responses.py
+++ b/hickoryloom/relay/tests/test_endless_responses.py
@@ -5,7 +5,6 @@
 
 import gevent
 import pytest
-from gevent.server import StreamServer
 
 from hickoryloom.relay.tests.support import (
     admitted,
@@ -31,9 +30,7 @@
 
 
 @pytest.fixture
-def serve():
-    servers = []
-
+def serve(start_server):
     def start(kind, content_type, pause_s=0.0):
         first, block = ENDLESS[kind]
 
@@ -49,14 +46,9 @@
             finally:
                 sock.close()
 
-        server = StreamServer(("127.0.0.1", 0), handle)
-        server.start()
-        servers.append(server)
-        return f"127.0.0.1:{server.server_port}"
+        return start_server(handle)
 
-    yield start
-    for server in servers:
-        server.stop(timeout=0)
+    return start
 
 
 def consume(relay, number, engine):
