--- a/hickoryloom/gateway/attempts.py
+++ b/hickoryloom/gateway/attempts.py
@@ -18,6 +18,7 @@
     PlacementRequest,
     parse_pause,
 )
+from hickoryloom.quarantine import digest_request
 from hickoryloom.upstream import (
     AttemptError,
     AttemptFailure,
@@ -299,6 +300,7 @@
             self._placement_request.shared,
             attempt.received,
             in_flight,
+            self._digest(),
         )
 
     def may_retry(self, failure: AttemptFailure) -> bool:
@@ -322,6 +324,17 @@
         """Log the end of the request."""
         self._log.log_end(outcome, status, self._progress.verdict, self._progress.sends, detail)
 
+    def _digest(self) -> str:
+        request = self._request
+        return digest_request(
+            self._placement_request.service,
+            request.method,
+            request.target,
+            request.key_hash if self._customer is None else self._customer.name,
+            request.body,
+            (segment.id for segment in request.prompt_segments),
+        )
+
     def _refuse_unplaced(self, now: float) -> Refusal:
         rest_s = self._context.placer.shortest_rest_s(self._placement_request.service, now)
         return self.refuse("backend-servers-full" if rest_s else "no-backend-server", rest_s)
--- a/hickoryloom/gateway/request_log.py
+++ b/hickoryloom/gateway/request_log.py
@@ -111,6 +111,7 @@
         shared: Sequence[PromptSegment],
         progress: str,
         in_flight: int,
+        digest: str,
     ) -> None:
         """Log the failure of an attempt that was sent.
 
@@ -121,6 +122,7 @@
             shared: Segments of the prompt that other prompts may share.
             progress: How much of the response had arrived: `nothing`, `head` or `events`.
             in_flight: Requests that this instance had at the backend server.
+            digest: Digest of the request, the same whenever its caller sends it again.
         """
         self.log_attempt(
             placement,
@@ -130,6 +132,7 @@
             received=progress,
             server_started=placement.server.started_ms or None,
             in_flight=in_flight,
+            digest=digest,
             prompt=",".join(part.id for part in shared[:MAX_LOGGED_SEGMENTS]) or None,
         )
 
