Pass an answer on at once after the end of a server that made its part suspect

Cause: drops an observation of an unchanged value within a second of the last one passed on, also an answer that came after the latest end and so acquits the part. Evidence whose time counts was limited like evidence whose value counts. An end now renews the answers of its parts: the next one is passed on at once, one that was dropped or not passed on meanwhile too. The limit stays for all others.

--- a/hickoryloom/evidence/records.py
+++ b/hickoryloom/evidence/records.py
@@ -21,7 +21,7 @@
 MAX_VALUE_CHARS = 700
 
 REFRESH_S = 1.0
-"""Interval at which an unchanged observation is recorded again."""
+"""Interval at which an unchanged observation is recorded again, unless it was renewed."""
 
 SAME_TIME_S = 0.1
 """Difference up to which two times count as equal: ages lose the time that datagrams are under
@@ -47,6 +47,7 @@
         self._listeners: dict[str, list[Listener]] = {name: [] for name in self._topics}
         self._changes: dict[tuple[str, str], Record] = {}
         self._passed_on: dict[tuple[str, str], Record] = {}
+        self._unrecorded: dict[tuple[str, str], Record] = {}
         self._number = 0
         self.on_change: Listener | None = None
 
@@ -55,12 +56,36 @@
         self._listeners[topic.name].append(listener)
 
     def put(self, topic: Topic, key: str, value: str, now: float) -> None:
-        """Record an observation of this instance."""
-        id = f"{self._process}.{self._number + 1:08d}"
-        record = Record(topic.name, key, value, id, now)
+        """Record an observation of this instance, unless it tells the others nothing new."""
+        self._number += 1
+        record = Record(topic.name, key, value, f"{self._process}.{self._number:08d}", now)
         if self._is_news(record):
-            self._number += 1
             self._store(record)
+        else:
+            self._unrecorded[topic.name, key] = record
+
+    def renew(self, topic: Topic, key: str, after: float) -> None:
+        """Pass observations of a key on again, though their value may be unchanged.
+
+        Call it when their time matters, because of an event that only a later one outweighs.
+
+        Args:
+            topic: Topic of the observations.
+            key: Their key.
+            after: Monotonic time of the event, in seconds.
+        """
+        last = self._passed_on.pop((topic.name, key), None)
+        unrecorded = self._unrecorded.pop((topic.name, key), None)
+        known = self._records[topic.name].get(key)
+        if (
+            unrecorded is not None
+            and unrecorded.at > after
+            and (known is None or _is_later(unrecorded, known))
+        ):
+            self._store(unrecorded)
+            return
+        if known is not None and known.at > after and (last is None or known.id != last.id):
+            self._pass_on(known)
 
     def merge(self, records: Iterable[Record], now: float) -> None:
         """Merge records of another instance, with times on the clock of this process."""
@@ -86,7 +111,7 @@
         records = self._records[topic.name]
         for key in [key for key, record in records.items() if now - record.at >= topic.lifetime_s]:
             del records[key]
-            self._passed_on.pop((topic.name, key), None)
+            self._forget(topic.name, key)
         return list(records.values())
 
     def all(self, now: float) -> list[Record]:
@@ -123,17 +148,23 @@
         records.move_to_end(record.key)
         if len(records) > MAX_RECORDS_PER_TOPIC:
             oldest, _ = records.popitem(last=False)
-            self._passed_on.pop((record.topic, oldest), None)
+            self._forget(record.topic, oldest)
         is_news = self._is_news(record)
         for listener in self._listeners[record.topic]:
             listener(record)
-        if not is_news:
-            return
+        if is_news:
+            self._pass_on(record)
+
+    def _pass_on(self, record: Record) -> None:
         self._passed_on[record.topic, record.key] = record
         self._changes[record.topic, record.key] = record
         if self.on_change is not None:
             self.on_change(record)
 
+    def _forget(self, topic: str, key: str) -> None:
+        self._passed_on.pop((topic, key), None)
+        self._unrecorded.pop((topic, key), None)
+
 
 def _is_later(record: Record, known: Record) -> bool:
     if record.id == known.id:
--- a/hickoryloom/platform/tests/test_crashing_prompts.py
+++ b/hickoryloom/platform/tests/test_crashing_prompts.py
@@ -99,3 +99,48 @@
     refused = [headers for status, headers in bad.value if status == 503]
     assert refused
     assert all(float(headers["retry-after"]) > 0 for headers in refused)
+
+
+RESETTING = "aa01:100,fa11:20"
+
+
+def reset_or_answer(request):
+    """Reset the connection of one prompt before the head; answer all others."""
+    if request["headers"].get("prompt-prefix") == RESETTING:
+        yield Backend.RESET
+    yield 0.2
+    yield build_stream_head(request) + build_event(1) + LAST_CHUNK
+
+
+def test_prompts_that_share_a_part_with_a_prompt_that_is_cut_off_are_served(site):
+    for index in range(10):
+        site.add_backend(Backend(f"i-{index}", "llm", reset_or_answer))
+    gateways = [site.start(f"edge-{number}") for number in range(1, 4)]
+
+    def send_resetting():
+        turns = itertools.cycle(gateways)
+        for number in range(20):
+            gateway = next(turns)
+            id = f"cut-{number}"
+            gateway.call("/draft/x", id=id, Token_Count="500,50", Prompt_Prefix=RESETTING)
+            gevent.sleep(0.4)
+
+    def send_sound(gateway, name):
+        statuses = []
+        while not resetting.ready():
+            id = f"{name}-{len(statuses)}"
+            parts = f"aa01:100,{id.encode().hex()}:20"
+            try:
+                status, _, _ = gateway.call(
+                    "/draft/x", id=id, Token_Count="500,50", Prompt_Prefix=parts
+                )
+            except Exception:
+                status = 0
+            statuses.append(status)
+        return statuses
+
+    resetting = gevent.spawn(send_resetting)
+    senders = [gevent.spawn(send_sound, gateway, f"s{i}") for i, gateway in enumerate(gateways)]
+    statuses = [status for sender in senders for status in sender.get()]
+    resetting.get()
+    assert statuses.count(200) >= 0.95 * len(statuses)
--- a/hickoryloom/quarantine/state.py
+++ b/hickoryloom/quarantine/state.py
@@ -218,6 +218,9 @@
         end = ServerEnd(f"{service}|{server}", record.at, sent_at, state == RESPONDING, parts)
         self._ends[record.key] = end
         self._new_ends.append(end)
+        for part in parts:
+            # Only an answer after this end acquits the part.
+            self._records.renew(ANSWERS, part, record.at)
 
     def _on_answer(self, record: Record) -> None:
         self._suspects -= {record.key}
--- a/hickoryloom/quarantine/tests/test_quarantine.py
+++ b/hickoryloom/quarantine/tests/test_quarantine.py
@@ -137,6 +137,30 @@
     assert fleet.holds_back(("llm/b1",))
 
 
+@pytest.mark.parametrize("pause_s", [0.1, 0.35, 0.9])
+def test_a_part_that_is_answered_after_each_end_is_not_held_back(fleet, pause_s):
+    for index in range(20):
+        fleet.end(f"s{index}", (COMMON,), by=index % 3, after_s=pause_s)
+        assert not fleet.holds_back((COMMON,))
+        for by in range(3):
+            fleet.answer((COMMON,), by)
+
+
+def test_a_part_whose_answer_arrives_before_the_end_is_acquitted(fleet):
+    for index in range(3):
+        fleet.end(f"s{index}", (COMMON,), after_s=0.4)
+        fleet.answer((COMMON,), by=1)
+    fleet.now += 0.3
+    for index in range(3, 6):
+        ended_at = fleet.now
+        fleet.now += 0.1
+        fleet.members[1].record_answer((COMMON,), fleet.now)
+        fleet.members[0].record_end(f"s{index}", (COMMON,), True, ended_at - 0.05, ended_at)
+        fleet.exchange()
+        assert not fleet.holds_back((COMMON,))
+        fleet.now += 0.3
+
+
 def test_all_prompts_of_a_customer_can_have_the_part(fleet):
     prompts = [(BAD, f"llm/{index:02}") for index in range(5)]
     for index, prompt in enumerate(prompts):
