--- a/hickoryloom/quarantine/state.py
+++ b/hickoryloom/quarantine/state.py
@@ -13,6 +13,7 @@
 
 from hickoryloom.evidence import InstanceRanking, Record, SharedRecords, Topic
 from hickoryloom.logs import log_event
+from hickoryloom.quarantine.holds import HOLD_TOPICS, Holds
 from hickoryloom.quarantine.suspicion import MAX_PARTS, ServerEnd, find_causes, find_suspects
 
 __all__ = ["QUARANTINE_TOPICS", "Quarantine"]
@@ -20,36 +21,15 @@
 SUSPICION_S = 120.0
 """Time for which the end of a server makes parts suspect."""
 
-QUIET_S = 60.0
-"""Time without a prompt with a part after which its first quarantine ends; doubled each time."""
-
-MAX_QUIET_DOUBLINGS = 6
-MEMORY_S = 7_200.0
-"""Time for which a part that was in quarantine is put back after a single end."""
-
-FIRST_TRIAL_S = 20.0
-"""Time in quarantine after which one prompt is sent to a server to see whether it still ends."""
-
-TRIAL_FACTOR = 10.0
-"""Factor by which the time to the next trial grows: each may end a server."""
-
-TRIAL_TAKEOVER_S = 5.0
-"""Time after which the next instance may make a trial that is due, because the one before it has
-no prompt with the part."""
-
-MAX_TRIALS = 9
 MAX_ENDS = 300
 """Latest ends that are examined, with those that several instances report of one server."""
 
 ENDS = Topic("server-ended", SUSPICION_S)
 ANSWERS = Topic("part-answered", SUSPICION_S)
-QUARANTINES = Topic("part-quarantined", MEMORY_S)
-TRIALS = Topic("part-tried", MEMORY_S)
-QUARANTINE_TOPICS = (ENDS, ANSWERS, QUARANTINES, TRIALS)
+QUARANTINE_TOPICS = (ENDS, ANSWERS, *HOLD_TOPICS)
 
 MS_PER_S = 1000.0
 MAX_RAN_DIGITS = 9
-RELEASED = "0"
 RESPONDING = "responding"
 QUEUED = "queued"
 
@@ -70,41 +50,32 @@
     def __init__(self, instance: str, records: SharedRecords, ranking: InstanceRanking) -> None:
         self._instance = instance
         self._records = records
-        self._ranking = ranking
-        self._levels: dict[str, int] = {}
+        self._holds = Holds(records, ranking)
         self._suspects: frozenset[str] = frozenset()
         self._ends: dict[str, ServerEnd] = {}
         self._new_ends: list[ServerEnd] = []
         records.subscribe(ENDS, self._on_end)
         records.subscribe(ANSWERS, self._on_answer)
-        records.subscribe(QUARANTINES, self._on_quarantine)
 
     @property
     def parts(self) -> int:
         """Number of parts that are in quarantine, or were in the last hours."""
-        return len(self._levels)
+        return len(self._holds.keys)
 
     def wait_s(self, parts: Sequence[str], now: float) -> float:
         """Return the seconds for which a prompt with these parts must not be sent; 0 if it may."""
         self._examine(now)
-        if not self._levels:
-            return 0.0
-        return max((self._part_wait_s(part, now) for part in parts), default=0.0)
+        return max((self._holds.wait_s(part, now) for part in parts), default=0.0)
 
     def record_refused(self, parts: Sequence[str], now: float) -> None:
         """Record that a prompt was refused, which prolongs the quarantine of its parts."""
         for part in parts:
-            if self._left_s(part, now):
-                self._records.put(QUARANTINES, part, str(self._levels[part]), now)
+            self._holds.prolong(part, now)
 
     def record_sent(self, parts: Sequence[str], now: float) -> None:
         """Record that a prompt is sent; for a part in quarantine, this is a trial."""
         for part in parts:
-            if self._left_s(part, now):
-                number = self._trials(part, now) + 1
-                log_event(log, "part-tried", part=part, trial=number)
-                self._records.put(TRIALS, part, str(number), now)
-                self._records.put(QUARANTINES, part, str(self._levels[part]), now)
+            self._holds.record_sent(part, now)
 
     def record_end(
         self, server: str, parts: Sequence[str], responding: bool, sent_at: float, now: float
@@ -139,39 +110,10 @@
     def record_answer(self, parts: Sequence[str], now: float) -> None:
         """Record that a server has responded to a prompt and did not end."""
         self._examine(now)
-        if not self._suspects and not self._levels:
-            return
         for part in parts:
-            if part in self._suspects or part in self._levels:
+            if part in self._suspects or part in self._holds:
                 self._records.put(ANSWERS, part, "", now)
 
-    def _part_wait_s(self, part: str, now: float) -> float:
-        left_s = self._left_s(part, now)
-        return min(left_s, self._trial_wait_s(part, now)) if left_s else 0.0
-
-    def _left_s(self, part: str, now: float) -> float:
-        """Return the seconds that are left of a part's quarantine, if no more prompts come."""
-        if part not in self._levels:
-            return 0.0
-        record = self._records.get(QUARANTINES, part, now)
-        if record is None:
-            del self._levels[part]
-            return 0.0
-        return max(0.0, record.at + self._quiet_s(part) - now)
-
-    def _trial_wait_s(self, part: str, now: float) -> float:
-        """Return the seconds until this instance may make a trial."""
-        last = self._records.get(TRIALS, part, now)
-        rank = self._ranking.rank(part)
-        if last is None or rank is None:
-            return FIRST_TRIAL_S
-        due_s = FIRST_TRIAL_S * TRIAL_FACTOR ** self._trials(part, now)
-        return max(0.0, last.at + due_s + rank * TRIAL_TAKEOVER_S - now)
-
-    def _trials(self, part: str, now: float) -> int:
-        last = self._records.get(TRIALS, part, now)
-        return min(MAX_TRIALS, _read_count(last.value)) if last is not None else 0
-
     def _examine(self, now: float) -> None:
         """Look for causes among the ends, if there are new ones."""
         if not self._new_ends:
@@ -182,28 +124,15 @@
         answered = {answer.key: answer.at for answer in self._records.live(ANSWERS, now)}
         ends = self._ends.values()
         self._suspects = find_suspects(ends, answered)
-        found = {part for part in find_causes(ends, answered) if part not in self._levels}
+        found = {part for part in find_causes(ends, answered) if part not in self._holds}
         found.update(
-            part for end in new_ends for part in end.parts if self._has_returned(part, end.at, now)
+            part
+            for end in new_ends
+            for part in end.parts
+            if self._holds.has_returned(part, end.at, now)
         )
         for part in found:
-            self._put_in_quarantine(part, now)
-
-    def _has_returned(self, part: str, at: float, now: float) -> bool:
-        """Return whether a server ended under a part after the part's quarantine."""
-        if part not in self._levels:
-            return False
-        record = self._records.get(QUARANTINES, part, now)
-        return record is not None and at > record.at + self._quiet_s(part)
-
-    def _quiet_s(self, part: str) -> float:
-        return QUIET_S * 2.0 ** min(self._levels[part] - 1, MAX_QUIET_DOUBLINGS)
-
-    def _put_in_quarantine(self, part: str, now: float) -> None:
-        level = self._levels.get(part, 0) + 1
-        log_event(log, "part-quarantined", part=part, level=level)
-        self._records.put(QUARANTINES, part, str(level), now)
-        self._records.put(TRIALS, part, str(self._trials(part, now)), now)
+            self._holds.begin(part, now)
 
     def _on_end(self, record: Record) -> None:
         service, _, rest = record.key.partition("|")
@@ -224,19 +153,4 @@
 
     def _on_answer(self, record: Record) -> None:
         self._suspects -= {record.key}
-        quarantine = self._records.get(QUARANTINES, record.key, record.at)
-        if quarantine is not None and record.key in self._levels:
-            log_event(log, "part-released", part=record.key)
-            # Not earlier than what it replaces, which may have been prolonged meanwhile.
-            self._records.put(QUARANTINES, record.key, RELEASED, max(record.at, quarantine.at))
-
-    def _on_quarantine(self, record: Record) -> None:
-        level = _read_count(record.value)
-        if level:
-            self._levels[record.key] = level
-        else:
-            self._levels.pop(record.key, None)
-
-
-def _read_count(value: str) -> int:
-    return int(value) if value.isdecimal() and len(value) < 4 else 0
+        self._holds.release(record.key, record.at)
--- a/hickoryloom/quarantine/tests/test_quarantine.py
+++ b/hickoryloom/quarantine/tests/test_quarantine.py
@@ -4,7 +4,8 @@
 
 from hickoryloom.evidence import InstanceRanking, SharedRecords
 from hickoryloom.quarantine import QUARANTINE_TOPICS, Quarantine, part_keys
-from hickoryloom.quarantine.state import FIRST_TRIAL_S, QUIET_S, SUSPICION_S
+from hickoryloom.quarantine.holds import FIRST_TRIAL_S, QUIET_S
+from hickoryloom.quarantine.state import SUSPICION_S
 
 COMMON, SESSION, BAD = part_keys("llm", ["c0", "5e", "bad"])
 PROMPT = (COMMON, SESSION, BAD)
