Hold back a request that crashes the backend servers that run it

Cause: nothing connected the ends under one and the same request; each instance took them for failures of single servers. Now instances share which requests each end cut off, by a digest; a request in three ends that was not answered in between is refused by all, with 503 and a time, and tried once in a while. Its ends no longer count against the parts of its prompt. Gateway and relay.

--- a/hickoryloom/gateway/attempts.py
+++ b/hickoryloom/gateway/attempts.py
@@ -7,9 +7,9 @@
 
 from hickoryloom.catalog import Customer, Route
 from hickoryloom.gateway.context import Attempt, GatewayContext
+from hickoryloom.gateway.crash_guard import CrashGuard, Hold
 from hickoryloom.gateway.messages import CallerRequest, Refusal, ResponseHead
 from hickoryloom.gateway.progress import RequestProgress
-from hickoryloom.gateway.prompt_guard import PromptGuard
 from hickoryloom.gateway.refusals import refuse
 from hickoryloom.gateway.request_log import RequestLog
 from hickoryloom.placing import (
@@ -72,7 +72,7 @@
         self._deadline = arrived + min(caller_timeout_s, route.timeout_s)
         shared = request.prompt_segments[:-1]
         self._placement_request = PlacementRequest(service, request.prompt_tokens, shared)
-        self._guard = PromptGuard(context.quarantine, context.rng, service, shared)
+        self._guard = CrashGuard(context.quarantine, context.rng, service, shared, self._digest)
         self._progress = RequestProgress(route, self._deadline)
         self._attempt: Attempt | None = None
         self._log = RequestLog(
@@ -213,9 +213,9 @@
         reason = self._progress.blocking_reason(now)
         if reason:
             return self.refuse(reason)
-        quarantined_s = self._guard.check(now)
-        if quarantined_s:
-            return self._refuse_quarantined(quarantined_s)
+        hold = self._guard.check(now)
+        if hold is not None:
+            return self._refuse_held(hold)
         if self._customer is None:
             return None
         catalog = self._context.catalog
@@ -300,7 +300,7 @@
             self._placement_request.shared,
             attempt.received,
             in_flight,
-            self._digest(),
+            self._guard.digest,
         )
 
     def may_retry(self, failure: AttemptFailure) -> bool:
@@ -339,13 +339,13 @@
         rest_s = self._context.placer.shortest_rest_s(self._placement_request.service, now)
         return self.refuse("backend-servers-full" if rest_s else "no-backend-server", rest_s)
 
-    def _refuse_quarantined(self, wait_s: float) -> Refusal:
-        """Return the refusal of a prompt with a part under which backend servers crash."""
-        refusal = self.refuse("prompt-in-quarantine")
+    def _refuse_held(self, hold: Hold) -> Refusal:
+        """Return the refusal of a request under which backend servers crash."""
+        refusal = self.refuse(hold.reason)
         if refusal.retry_after_s is None:
             return refusal
         # Callers must not return sooner, even if that is beyond the time that they have left.
-        return attrs.evolve(refusal, retry_after_s=wait_s)
+        return attrs.evolve(refusal, retry_after_s=hold.wait_s)
 
     def refuse(self, reason: str = "", wait_s: float = 0.0) -> Refusal:
         """Return the final refusal, with the execution verdict over all attempts so far.
--- a/hickoryloom/gateway/context.py
+++ b/hickoryloom/gateway/context.py
@@ -50,8 +50,9 @@
         accepted: Whether a response head has arrived that doesn't deny the execution.
         first_event_received: Whether the first event of its stream has arrived.
         first_event_at: Monotonic time of that event, in seconds.
-        answered: Whether the backend server has responded for long enough to show that the prompt
-            does not crash it.
+        prompt_answered: Whether the backend server has responded for long enough to show that no
+            part of the prompt crashes it.
+        answered: Whether it has done so for long enough to show that the request does not.
         ended: Whether its connection has been released.
     """
 
@@ -61,6 +62,7 @@
     accepted: bool = False
     first_event_received: bool = False
     first_event_at: float = 0.0
+    prompt_answered: bool = False
     answered: bool = False
     ended: bool = False
 
--- a/hickoryloom/gateway/process.py
+++ b/hickoryloom/gateway/process.py
@@ -378,6 +378,7 @@
                 "backend_connections_idle": self._connections.idle,
                 "instances": self._instances,
                 "prompt_parts_quarantined": self._quarantine.parts,
+                "requests_quarantined": self._quarantine.requests,
                 "backend_servers_limited": self._limits.servers,
                 "store_era": self._client.era,
                 "store_era_changes": self._client.era_changes,
--- a/hickoryloom/quarantine/request_digest.py
+++ b/hickoryloom/quarantine/request_digest.py
@@ -9,12 +9,26 @@
 from collections.abc import Iterable
 from hashlib import blake2b
 
-__all__ = ["digest_request"]
+__all__ = ["digest_request", "is_request_key", "request_key"]
 
 DIGEST_BYTES = 6
 """Two of a million different requests have the same digest with a probability of 1 in 500."""
 
 
+MARK = "="
+"""First character of what follows the service in the key of a request; no part begins with it."""
+
+
+def request_key(service: str, digest: str) -> str:
+    """Return the key under which a request is held back."""
+    return f"{service}/{MARK}{digest}"
+
+
+def is_request_key(key: str) -> bool:
+    """Return whether a key names a request, not a part of prompts."""
+    return key.partition("/")[2].startswith(MARK)
+
+
 def digest_request(
     service: str, method: str, target: str, caller: str, body: bytes, part_ids: Iterable[str] = ()
 ) -> str:
--- a/hickoryloom/quarantine/state.py
+++ b/hickoryloom/quarantine/state.py
@@ -1,19 +1,23 @@
-"""Quarantine of prompt parts under which backend servers crash, over all instances.
+"""Quarantine of what crashes backend servers, over all instances.
 
-This answers the load of prompts that crash each server that responds to them: they would end one
-server after the other, with all requests that run there. Prompts with a part that caused several
-ends are refused, by all instances, as long as such prompts come. This module performs no I/O.
+This answers two loads: prompts with one part that crashes each server that responds to them, and
+one request that crashes each server that runs it, sent again and again. Both would end one server
+after the other, with all requests that run there. What caused several ends is refused, by all
+instances, as long as it comes. This module performs no I/O.
 """
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from collections.abc import Sequence
 
 import logbook
 
 from hickoryloom.evidence import InstanceRanking, Record, SharedRecords, Topic
 from hickoryloom.logs import log_event
-from hickoryloom.quarantine.holds import HOLD_TOPICS, Holds
+from hickoryloom.quarantine.cut_off_requests import SAME_END_S, CutOffRequests
+from hickoryloom.quarantine.holds import FIRST_TRIAL_S, HOLD_TOPICS, Holds
+from hickoryloom.quarantine.request_digest import is_request_key
 from hickoryloom.quarantine.suspicion import MAX_PARTS, ServerEnd, find_causes, find_suspects
 
 __all__ = ["QUARANTINE_TOPICS", "Quarantine"]
@@ -21,12 +25,23 @@
 SUSPICION_S = 120.0
 """Time for which the end of a server makes parts suspect."""
 
+TIED_TRIAL_S = 3.0
+"""Time until the first trial of requests that were cut off by just the same servers: all but one of
+them may be sound."""
+
 MAX_ENDS = 300
 """Latest ends that are examined, with those that several instances report of one server."""
 
 ENDS = Topic("server-ended", SUSPICION_S)
+CUT_OFF = Topic("request-cut-off", SUSPICION_S)
 ANSWERS = Topic("part-answered", SUSPICION_S)
-QUARANTINE_TOPICS = (ENDS, ANSWERS, *HOLD_TOPICS)
+QUARANTINE_TOPICS = (CUT_OFF, ENDS, ANSWERS, *HOLD_TOPICS)
+
+MAX_CUT_OFF = 40
+"""Requests that one record names of those that a server cut off."""
+
+MAX_OWN_REPORTS = 200
+"""Latest records of cut-off requests that this instance may extend."""
 
 MS_PER_S = 1000.0
 MAX_RAN_DIGITS = 9
@@ -37,9 +52,10 @@
 
 
 class Quarantine:
-    """Decides whether a prompt may be sent, from the ends and answers that all instances saw.
+    """Decides whether a request may be sent, from the ends and answers that all instances saw.
 
-    Parts are named by the keys that `part_keys` returns.
+    Keys name what may be held back: parts of the prompt, as `part_keys` returns them, and the
+    request itself, as `request_key` does.
 
     Args:
         instance: Name of this instance.
@@ -54,28 +70,42 @@
         self._suspects: frozenset[str] = frozenset()
         self._ends: dict[str, ServerEnd] = {}
         self._new_ends: list[ServerEnd] = []
+        self._cut_off = CutOffRequests(SUSPICION_S)
+        self._new_cut_offs: list[tuple[str, float]] = []
+        self._own_reports: OrderedDict[str, tuple[float, dict[str, float]]] = OrderedDict()
+        records.subscribe(CUT_OFF, self._on_cut_off)
         records.subscribe(ENDS, self._on_end)
         records.subscribe(ANSWERS, self._on_answer)
 
     @property
     def parts(self) -> int:
         """Number of parts that are in quarantine, or were in the last hours."""
-        return len(self._holds.keys)
+        return len(self._holds.keys) - self.requests
+
+    @property
+    def requests(self) -> int:
+        """Number of requests that are in quarantine, or were in the last hours."""
+        return sum(is_request_key(key) for key in self._holds.keys)
+
+    @property
+    def watches_requests(self) -> bool:
+        """Whether the keys of requests matter now: some were cut off lately or are held back."""
+        return bool(self._cut_off) or self.requests > 0
 
-    def wait_s(self, parts: Sequence[str], now: float) -> float:
-        """Return the seconds for which a prompt with these parts must not be sent; 0 if it may."""
+    def wait_s(self, keys: Sequence[str], now: float) -> float:
+        """Return the seconds for which a request with these keys must not be sent; 0 if it may."""
         self._examine(now)
-        return max((self._holds.wait_s(part, now) for part in parts), default=0.0)
+        return max((self._holds.wait_s(key, now) for key in keys), default=0.0)
 
-    def record_refused(self, parts: Sequence[str], now: float) -> None:
-        """Record that a prompt was refused, which prolongs the quarantine of its parts."""
-        for part in parts:
-            self._holds.prolong(part, now)
+    def record_refused(self, keys: Sequence[str], now: float) -> None:
+        """Record that a request was refused, which prolongs the quarantine of its keys."""
+        for key in keys:
+            self._holds.prolong(key, now)
 
-    def record_sent(self, parts: Sequence[str], now: float) -> None:
-        """Record that a prompt is sent; for a part in quarantine, this is a trial."""
-        for part in parts:
-            self._holds.record_sent(part, now)
+    def record_sent(self, keys: Sequence[str], now: float) -> None:
+        """Record that a request is sent; for a key in quarantine, this is a trial."""
+        for key in keys:
+            self._holds.record_sent(key, now)
 
     def record_end(
         self, server: str, parts: Sequence[str], responding: bool, sent_at: float, now: float
@@ -103,28 +133,63 @@
             now = known.at
             sent_at = max(sent_at, known.sent_at)
         ids = [part.partition("/")[2] for part in list(cut_off)[:MAX_PARTS]]
-        ran_ms = str(max(0, int((now - sent_at) * MS_PER_S)))
-        value = " ".join([RESPONDING if responding else QUEUED, ran_ms, *ids])
+        value = " ".join([RESPONDING if responding else QUEUED, _ran_ms(now, sent_at), *ids])
         self._records.put(ENDS, key, value, now)
 
-    def record_answer(self, parts: Sequence[str], now: float) -> None:
-        """Record that a server has responded to a prompt and did not end."""
+    def record_cut_off(self, server: str, request: str, sent_at: float, now: float) -> None:
+        """Record that a server cut off a request, whether or not it had begun to respond.
+
+        Args:
+            server: Identifies the server and its start.
+            request: Key of the request.
+            sent_at: Monotonic time at which the request was sent, in seconds.
+            now: Monotonic time in seconds.
+        """
+        service, _, id = request.partition("/")
+        key = f"{service}|{server}|{self._instance}"
+        at, cut_off = self._own_reports.get(key, (now, {}))
+        if now - at >= SAME_END_S:
+            at, cut_off = now, {}
+        cut_off[id] = min(sent_at, cut_off.get(id, sent_at))
+        self._own_reports[key] = (at, cut_off)
+        if len(self._own_reports) > MAX_OWN_REPORTS:
+            self._own_reports.popitem(last=False)
+        latest = list(cut_off.items())[-MAX_CUT_OFF:]
+        value = " ".join(f"{id}:{_ran_ms(at, sent)}" for id, sent in latest)
+        self._records.put(CUT_OFF, key, value, at)
+
+    def record_answer(self, keys: Sequence[str], now: float) -> None:
+        """Record that a server has responded to a request with these keys and did not end."""
         self._examine(now)
-        for part in parts:
-            if part in self._suspects or part in self._holds:
-                self._records.put(ANSWERS, part, "", now)
+        for key in keys:
+            if key in self._suspects or key in self._holds or self._cut_off.is_suspect(key):
+                self._records.put(ANSWERS, key, "", now)
 
     def _examine(self, now: float) -> None:
         """Look for causes among the ends, if there are new ones."""
-        if not self._new_ends:
-            return
+        if self._new_cut_offs:
+            self._examine_requests(now)
+        if self._new_ends:
+            self._examine_parts(now)
+
+    def _examine_requests(self, now: float) -> None:
+        new_cut_offs, self._new_cut_offs = self._new_cut_offs, []
+        self._cut_off.expire(now)
+        for request, tied in self._cut_off.find(now).items():
+            if request not in self._holds:
+                self._holds.begin(request, now, TIED_TRIAL_S if tied else FIRST_TRIAL_S)
+        for request in {key for key, at in new_cut_offs if self._holds.has_returned(key, at, now)}:
+            self._holds.begin(request, now)
+
+    def _examine_parts(self, now: float) -> None:
         new_ends, self._new_ends = self._new_ends, []
         recent = [(key, end) for key, end in self._ends.items() if now - end.at < SUSPICION_S]
         self._ends = dict(recent[-MAX_ENDS:])
         answered = {answer.key: answer.at for answer in self._records.live(ANSWERS, now)}
         ends = self._ends.values()
         self._suspects = find_suspects(ends, answered)
-        found = {part for part in find_causes(ends, answered) if part not in self._holds}
+        causes = find_causes(ends, answered, self._cut_off.ended_servers())
+        found = {part for part in causes if part not in self._holds}
         found.update(
             part
             for end in new_ends
@@ -134,6 +199,23 @@
         for part in found:
             self._holds.begin(part, now)
 
+    def _on_cut_off(self, record: Record) -> None:
+        service, _, rest = record.key.partition("|")
+        server, _, _ = rest.rpartition("|")
+        for item in record.value.split(" "):
+            id, _, ran_ms = item.partition(":")
+            if not server or not id or not ran_ms.isdecimal():
+                log_event(log, "evidence-unreadable", topic=record.topic, key=record.key)
+                return
+            request = f"{service}/{id}"
+            answer = self._records.get(ANSWERS, request, record.at)
+            if answer is None or answer.at < record.at:
+                sent_at = record.at - _read_ms(ran_ms)
+                self._cut_off.add(request, f"{service}|{server}", record.at, sent_at)
+                self._new_cut_offs.append((request, record.at))
+            # Only an answer after this end acquits the request.
+            self._records.renew(ANSWERS, request, record.at)
+
     def _on_end(self, record: Record) -> None:
         service, _, rest = record.key.partition("|")
         server, _, _ = rest.rpartition("|")
@@ -143,7 +225,7 @@
             log_event(log, "evidence-unreadable", topic=record.topic, key=record.key)
             return
         parts = frozenset(f"{service}/{id}" for id in ids)
-        sent_at = record.at - int(ran_ms[:MAX_RAN_DIGITS]) / MS_PER_S
+        sent_at = record.at - _read_ms(ran_ms)
         end = ServerEnd(f"{service}|{server}", record.at, sent_at, state == RESPONDING, parts)
         self._ends[record.key] = end
         self._new_ends.append(end)
@@ -153,4 +235,13 @@
 
     def _on_answer(self, record: Record) -> None:
         self._suspects -= {record.key}
+        self._cut_off.acquit(record.key, record.at)
         self._holds.release(record.key, record.at)
+
+
+def _ran_ms(at: float, sent_at: float) -> str:
+    return str(max(0, int((at - sent_at) * MS_PER_S)))
+
+
+def _read_ms(value: str) -> float:
+    return int(value[:MAX_RAN_DIGITS]) / MS_PER_S
--- a/hickoryloom/quarantine/suspicion.py
+++ b/hickoryloom/quarantine/suspicion.py
@@ -15,6 +15,8 @@
 
 import attrs
 
+from hickoryloom.quarantine.moments import Times, count_moments
+
 __all__ = ["ServerEnd", "find_causes", "find_suspects", "part_keys"]
 
 MIN_ENDS = 3
@@ -24,21 +26,11 @@
 """The same if several parts are in just the same ends: an answered prompt may still tell them
 apart."""
 
-SAME_MOMENT_S = 0.25
-"""Ends within this time count as one, unless the prompt was sent after the end before: many servers
-that end at once have another cause, such as the loss of a failure domain."""
-
 MAX_PARTS = 32
 """Parts of one prompt that are considered."""
 
 MAX_ID_CHARS = 16
 
-AGE_ERROR_S = 0.005
-"""Error of times that were sent as ages in milliseconds."""
-
-_Times = tuple[float, float]
-"""Times at which a server ended and at which a prompt that it cut off was sent."""
-
 
 @attrs.frozen
 class ServerEnd:
@@ -70,29 +62,44 @@
     return frozenset(
         part
         for part, times in _times_by_part(ends, answered).items()
-        if _count_moments(times.values()) >= MIN_ENDS - 1
+        if count_moments(times.values()) >= MIN_ENDS - 1
     )
 
 
-def find_causes(ends: Iterable[ServerEnd], answered: Mapping[str, float]) -> frozenset[str]:
+def find_causes(
+    ends: Iterable[ServerEnd],
+    answered: Mapping[str, float],
+    ended_by_requests: Iterable[frozenset[str]] = (),
+) -> frozenset[str]:
     """Return the parts that cause the ends of servers.
 
     Args:
         ends: Ends of servers, as seen by any number of instances.
         answered: Monotonic time at which a prompt with a part was last answered, by part.
+        ended_by_requests: The servers that each request has ended that is a cause itself.
     """
     candidates = {
         part: times
         for part, times in _times_by_part(ends, answered).items()
-        if _count_moments(times.values()) >= MIN_ENDS
+        if count_moments(times.values()) >= MIN_ENDS
     }
-    return frozenset(part for part in candidates if _is_cause(part, candidates))
+    by_requests = [servers for servers in ended_by_requests if servers]
+    return frozenset(part for part in candidates if _is_cause(part, candidates, by_requests))
 
 
-def _is_cause(part: str, candidates: Mapping[str, Mapping[str, _Times]]) -> bool:
-    """Return whether a part is in enough ends that no part with more ends explains."""
+def _is_cause(
+    part: str,
+    candidates: Mapping[str, Mapping[str, Times]],
+    ended_by_requests: Iterable[frozenset[str]],
+) -> bool:
+    """Return whether a part is in enough ends that nothing else explains better.
+
+    A part with more ends does, and so does a request that ended several servers by itself: all of
+    its ends count as one, since other requests with the part may be sound.
+    """
     times = candidates[part]
-    explained: set[str] = set()
+    by_requests = [servers for servers in ended_by_requests if not servers.isdisjoint(times)]
+    explained: set[str] = set().union(*by_requests)
     required = MIN_ENDS
     for other, other_times in candidates.items():
         if len(other_times) > len(times):
@@ -100,12 +107,12 @@
         elif other != part and other_times.keys() == times.keys():
             required = MIN_ENDS_SHARED
     unexplained = [end for server, end in times.items() if server not in explained]
-    return _count_moments(unexplained) >= required
+    return count_moments(unexplained) + len(by_requests) >= required
 
 
 def _times_by_part(
     ends: Iterable[ServerEnd], answered: Mapping[str, float]
-) -> dict[str, dict[str, _Times]]:
+) -> dict[str, dict[str, Times]]:
     """Return the times of each server's end by part and server, without ends before an answer.
 
     Prompts that a server had not begun to respond to count only if it had begun none.
@@ -113,7 +120,7 @@
     by_server: dict[str, list[ServerEnd]] = {}
     for end in ends:
         by_server.setdefault(end.server, []).append(end)
-    times: dict[str, dict[str, _Times]] = {}
+    times: dict[str, dict[str, Times]] = {}
     for server, seen in by_server.items():
         at = min(end.at for end in seen)
         for end in [end for end in seen if end.responding] or seen:
@@ -123,14 +130,6 @@
     return times
 
 
-def _count_moments(times: Iterable[_Times]) -> int:
-    count, last = 0, float("-inf")
-    for at, sent_at in sorted(times):
-        if at - last >= SAME_MOMENT_S or sent_at >= last - AGE_ERROR_S:
-            count, last = count + 1, at
-    return count
-
-
 def _shorten(id: str) -> str:
     if len(id) <= MAX_ID_CHARS:
         return id
--- a/hickoryloom/relay/attempt.py
+++ b/hickoryloom/relay/attempt.py
@@ -23,8 +23,9 @@
         first_token_at: Monotonic time of the first bytes of the body, in seconds.
         first_position: Event position at which its stream starts.
         tokens: Tokens received.
-        answered: Whether the response has gone on for long enough to show that the prompt does not
-            crash the server.
+        prompt_answered: Whether the response has gone on for long enough to show that no part of
+            the prompt crashes the server.
+        answered: Whether it has done so for long enough to show that the request does not.
         stall_detector: Evaluates status probes while the connection is silent.
         cancelling: Whether a cancel has been scheduled for the engine.
     """
@@ -36,6 +37,7 @@
     first_token_at: float | None = None
     first_position: int = 0
     tokens: int = 0
+    prompt_answered: bool = False
     answered: bool = False
     stall_detector: StallDetector = attrs.field(factory=StallDetector)
     cancelling: bool = False
--- a/hickoryloom/relay/attempts.py
+++ b/hickoryloom/relay/attempts.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Callable
+from functools import cached_property
 from typing import TYPE_CHECKING
 
 import attrs
@@ -15,7 +16,7 @@
 from hickoryloom.clock import Clock
 from hickoryloom.http import Call
 from hickoryloom.logs import log_event
-from hickoryloom.quarantine import Quarantine, part_keys
+from hickoryloom.quarantine import Quarantine, digest_request, part_keys, request_key
 from hickoryloom.relay.attempt import Attempt, attempt_id
 from hickoryloom.relay.engine import EngineControl
 from hickoryloom.relay.headers import (
@@ -55,12 +56,15 @@
 Returns None on readmission, else the refusal.
 """
 
-ANSWERED_S = 0.1
-"""Time after the first token from which a further one shows that the prompt does not crash the
+PROMPT_ANSWERED_S = 0.1
+"""Time after the first token from which a further one shows that no part of the prompt crashes the
 engine."""
 
+REQUEST_ANSWERED_S = 1.0
+"""The same for the request as a whole, which may crash the engine at any later token."""
+
 QUARANTINE_JITTER = 0.5
-"""Largest random fraction added to the `Retry-After` of a prompt in quarantine."""
+"""Largest random fraction added to the `Retry-After` of a request in quarantine."""
 
 BUDGET_EXEMPT_CAUSES = frozenset((FailureCause.CONNECT, FailureCause.CONNECTION_LOST))
 """Failures of the connection, whose retries are not charged to the retry budget."""
@@ -235,8 +239,12 @@
         attempt = self.current
         if attempt is None or attempt.answered or attempt.first_token_at is None:
             return
-        if self._context.clock.monotonic() - attempt.first_token_at >= ANSWERED_S:
+        now = self._context.clock.monotonic()
+        if now - attempt.first_token_at >= REQUEST_ANSWERED_S:
             self._record_answered(attempt)
+        elif now - attempt.first_token_at >= PROMPT_ANSWERED_S and not attempt.prompt_answered:
+            attempt.prompt_answered = True
+            self._context.quarantine.record_answer(self._parts, now)
 
     def mark_ran(self) -> None:
         """Record that a backend server ran the request, as its response shows."""
@@ -268,32 +276,49 @@
             **figures,  # type: ignore[arg-type]
         )
 
+    @cached_property
+    def _digest(self) -> str:
+        """Digest of the request, the same whenever its caller sends it again."""
+        call, request = self._call, self._request
+        target = backend_request_target(request, call)
+        return digest_request(request.pool, call.method, target, request.customer, call.body)
+
+    @property
+    def _request_key(self) -> str:
+        return request_key(self._request.pool, self._digest)
+
+    @property
+    def _keys(self) -> tuple[str, ...]:
+        """Keys under which the request may be held back now."""
+        if not self._context.quarantine.watches_requests:
+            return self._parts
+        return (self._request_key, *self._parts)
+
     def _quarantined_s(self) -> float:
-        return self._context.quarantine.wait_s(self._parts, self._context.clock.monotonic())
+        return self._context.quarantine.wait_s(self._keys, self._context.clock.monotonic())
 
     def _refuse_quarantined(self, wait_s: float) -> Refused:
         now = self._context.clock.monotonic()
-        self._context.quarantine.record_refused(self._parts, now)
+        self._context.quarantine.record_refused(self._keys, now)
         # Spread, so that refused callers don't return together.
         spread_s = wait_s * (1.0 + QUARANTINE_JITTER * self._context.rng.random())
         return attrs.evolve(self.refusal(RefusalReason.QUARANTINED, ""), retry_after_s=spread_s)
 
     def _record_answered(self, attempt: Attempt) -> None:
         if not attempt.answered:
-            attempt.answered = True
-            self._context.quarantine.record_answer(self._parts, self._context.clock.monotonic())
+            attempt.prompt_answered = attempt.answered = True
+            self._context.quarantine.record_answer(self._keys, self._context.clock.monotonic())
 
     def _record_server_end(self, attempt: Attempt) -> None:
         exchange = attempt.exchange
         if exchange is None or exchange.last_wait_started_at is None:
             return
-        self._context.quarantine.record_end(
-            attempt.choice.backend.id,
-            self._parts,
-            exchange.status != 0,
-            attempt.started,
-            self._context.clock.monotonic(),
-        )
+        server, now = attempt.choice.backend.id, self._context.clock.monotonic()
+        quarantine = self._context.quarantine
+        quarantine.record_cut_off(server, self._request_key, attempt.started, now)
+        if not attempt.prompt_answered:
+            begun = exchange.status != 0
+            quarantine.record_end(server, self._parts, begun, attempt.started, now)
 
     def _choose_backend(self, first_position: int) -> Attempt | None:
         router = self._context.router
@@ -327,9 +352,9 @@
             exchange.interrupt(FailureCause.PREEMPTED)
         self._check_send_permission()
         if self._quarantined_s():
-            detail = "prompt was put in quarantine"
+            detail = "request was put in quarantine"
             raise AttemptError(AttemptFailure(FailureCause.NOT_RUN, Verdict.NOT_RUN, detail))
-        self._context.quarantine.record_sent(self._parts, self._context.clock.monotonic())
+        self._context.quarantine.record_sent(self._keys, self._context.clock.monotonic())
         exchange.send(head, body)
         exchange.read_head()
         exchange.check_id()
@@ -417,6 +442,7 @@
             cause=failure.cause.value,
             verdict=failure.verdict.value,
             framing=_framing_of(attempt),
+            digest=self._digest,
             detail=failure.detail,
         )
 
--- a/hickoryloom/relay/tests/test_crashing_prompts.py
+++ b/hickoryloom/relay/tests/test_crashing_prompts.py
@@ -7,7 +7,14 @@
 from hickoryloom.evidence import InstanceRanking, SharedRecords, record_with_age, record_with_time
 from hickoryloom.quarantine import QUARANTINE_TOPICS, Quarantine
 from hickoryloom.relay.tests.faulty_server import NO_LIMIT, FaultyServer
-from hickoryloom.relay.tests.support import CHAT, admitted, backend_view, build_relay, chat_call
+from hickoryloom.relay.tests.support import (
+    CHAT,
+    admitted,
+    backend_view,
+    build_relay,
+    chat_call,
+    service_call,
+)
 from hickoryloom.verdict import Verdict
 
 SERVERS = 20
@@ -60,3 +67,32 @@
     others.merge([record_with_time(record_with_age(r, now), now) for r in own.all(now)], now)
     assert send(other_relay, "r2").unwrap_err().reason is RefusalReason.QUARANTINED
     assert count_prompts(servers) == sent
+
+
+CALLS = {
+    "plain": service_call(path="/services/assistant/x", body=b"crashes"),
+    "plain-without-body": service_call("GET", "/services/assistant/y", b""),
+    "completion": chat_call(stream=False),
+    "stream": chat_call(),
+}
+
+
+@pytest.mark.parametrize("name", CALLS)
+def test_a_call_that_crashes_servers_is_sent_to_three_of_them(servers, name):
+    relay = build(servers, SharedRecords("a", QUARANTINE_TOPICS))
+    permission = admitted(stream=name == "stream")
+    outcomes = [relay.open(permission, CALLS[name]) for _ in range(4)]
+    requests = [request for server in servers for request in server.requests]
+    target = b"/x" if name == "plain" else b"/y" if name.startswith("plain") else CHAT.encode()
+    assert sum(request.split(b" ")[1] == target for request in requests) == 3
+    refused = [outcome.unwrap_err() for outcome in outcomes[1:]]
+    assert {refusal.reason for refusal in refused} == {RefusalReason.QUARANTINED}
+    assert {refusal.verdict for refusal in refused} == {Verdict.NOT_RUN}
+
+
+def test_other_calls_of_the_same_customer_are_sent(servers):
+    relay = build(servers, SharedRecords("a", QUARANTINE_TOPICS))
+    relay.open(admitted(stream=False), CALLS["plain"])
+    sent = sum(len(server.requests) for server in servers)
+    relay.open(admitted(stream=False), service_call(path="/services/assistant/x", body=b"sound"))
+    assert sum(len(server.requests) for server in servers) > sent
