--- a/hickoryloom/discovery/messages.py
+++ b/hickoryloom/discovery/messages.py
@@ -21,6 +21,7 @@
         reclaimable: Whether the platform may reclaim it.
         started_ms: Unix time of its start, in milliseconds; 0 if unknown.
         warming_up: Whether it is still slow after its start.
+        software: Version of its software; empty if unknown.
     """
 
     id: str
@@ -32,3 +33,4 @@
     reclaimable: bool = False
     started_ms: int = 0
     warming_up: bool = False
+    software: str = ""
--- a/hickoryloom/gateway/attempts.py
+++ b/hickoryloom/gateway/attempts.py
@@ -84,6 +84,7 @@
             route,
             customer,
             arrived,
+            request.resumes,
         )
 
     @property
@@ -205,7 +206,13 @@
             if self.may_retry(error.failure):
                 return self.start(resume_after)
             return Err(self.refuse())
-        self._log.log_attempt(placement, self._progress.sends, "sent", placement.reason)
+        self._log.log_attempt(
+            placement,
+            self._progress.sends,
+            "sent",
+            placement.reason,
+            from_event=self._request.resume_after if resume_after is None else resume_after,
+        )
         return Ok(attempt)
 
     def _check_send_allowed(self, now: float) -> Refusal | None:
--- a/hickoryloom/gateway/messages.py
+++ b/hickoryloom/gateway/messages.py
@@ -31,6 +31,8 @@
         prompt_tokens: Number of prompt tokens; 0 for a request that is not for a model engine.
         prompt_segments: Parts of the prompt in order; only the last is unique to this request.
         resume_after: Id of the last event that the caller has received; None for a new stream.
+        resumes: Id of the request that began the stream that the caller takes up; empty if not
+            stated.
     """
 
     id: str
@@ -44,6 +46,7 @@
     prompt_tokens: int = 0
     prompt_segments: tuple[PromptSegment, ...] = ()
     resume_after: int | None = None
+    resumes: str = ""
 
     @property
     def path(self) -> str:
--- a/hickoryloom/gateway/request_log.py
+++ b/hickoryloom/gateway/request_log.py
@@ -36,6 +36,7 @@
         route: Route of the request.
         customer: The customer that is billed; None on a route that requires no key.
         arrived: Monotonic time of the request's arrival, in seconds.
+        resumes: Id of the request that began the stream that the caller takes up.
     """
 
     def __init__(
@@ -48,6 +49,7 @@
         route: Route,
         customer: Customer | None,
         arrived: float,
+        resumes: str = "",
     ) -> None:
         self._clock = clock
         self._catalog = catalog
@@ -57,6 +59,7 @@
         self._route = route
         self._customer = customer
         self._arrived = arrived
+        self._resumes = resumes
         self._counted = False
         self._worst_gap_s = 0.0
         self._framing: BodyFraming | None = None
@@ -96,6 +99,7 @@
             request=self._request_id,
             backend_server=placement.server.id,
             address=placement.server.address,
+            software=placement.server.software[:MAX_LOGGED_VALUE_CHARS] or None,
             expected_ms=round(placement.expected_s * 1000),
             attempt=number,
             outcome=outcome,
@@ -170,6 +174,7 @@
             request=self._request_id,
             route=self._route.name,
             customer=self._customer_name() or None,
+            resumes=self._resumes[:MAX_LOGGED_VALUE_CHARS] or None,
             version=self._catalog.catalog.version,
             view_age_ms=round(self._catalog.view.age(now) * 1000),
             outcome=outcome,
--- a/hickoryloom/platform/callers.py
+++ b/hickoryloom/platform/callers.py
@@ -19,6 +19,8 @@
 TOKENS_HEADER = "token-count"
 PREFIX_HEADER = "prompt-prefix"
 LAST_EVENT_HEADER = "last-event-id"
+RESUMES_HEADER = "resumes"
+MAX_ID_CHARS = 200
 NUMBER = re.compile(r"[0-9]{1,15}")
 PREFIX_PART = re.compile(r"\s*([0-9a-fA-F]+):([0-9]{1,15})\s*")
 
@@ -76,6 +78,7 @@
                 prompt_tokens=_read_prompt_tokens(known.get(TOKENS_HEADER)),
                 prompt_segments=_read_parts(known.get(PREFIX_HEADER, "")),
                 resume_after=_read_number(last_event),
+                resumes=known.get(RESUMES_HEADER, "").strip()[:MAX_ID_CHARS],
             )
         )
 
@@ -89,6 +92,7 @@
         TOKENS_HEADER,
         PREFIX_HEADER,
         LAST_EVENT_HEADER,
+        RESUMES_HEADER,
         "host",
     )
     values: dict[str, str] = {}
--- a/hickoryloom/platform/registrations.py
+++ b/hickoryloom/platform/registrations.py
@@ -41,6 +41,7 @@
                 # Unix time of the start; an id may be reused after a restart.
                 started_ms=get_int(value, "born", 0),
                 warming_up=get_float(value, "warmup_left_ms", 0.0) > 0,
+                software=get_str(value, "version", ""),
             )
         except FieldError:
             return None
