--- a/hickoryloom/evidence/exchange.py
+++ b/hickoryloom/evidence/exchange.py
@@ -9,15 +9,14 @@
 
 from collections.abc import Iterable
 from random import Random
-from typing import Any
 
 import gevent
 import logbook
-from gevent import socket
 from gevent.event import Event
 from result import Err
 
 from hickoryloom.clock import Clock
+from hickoryloom.datagrams import DatagramPort
 from hickoryloom.evidence.messages import (
     DatagramKind,
     Record,
@@ -51,7 +50,8 @@
 it yet."""
 
 MAX_HEARD = 1_000
-READ_BYTES = 8 * 1024
+FIRST_BYTE = b"{"
+"""First byte of the datagrams of the exchange, which are JSON objects."""
 
 log = logbook.Logger("hickoryloom.evidence")
 
@@ -60,14 +60,17 @@
     """Sends and receives shared records.
 
     Args:
-        address: `host:port` at which this instance receives datagrams; empty to exchange nothing.
+        port: Port for datagrams; nothing is exchanged while it is closed.
         clock: Source of time.
         rng: Selects the instances to send to.
         records: The records of this process.
     """
 
-    def __init__(self, address: str, clock: Clock, rng: Random, records: SharedRecords) -> None:
-        self._address = address
+    def __init__(
+        self, port: DatagramPort, clock: Clock, rng: Random, records: SharedRecords
+    ) -> None:
+        self._port = port
+        self._address = port.address
         self._clock = clock
         self._rng = rng
         self._records = records
@@ -75,8 +78,6 @@
         self._heard: dict[str, float] = {}
         self._replied: dict[str, float] = {}
         self._wake = Event()
-        self._socket: Any = None
-        self._reader: gevent.Greenlet | None = None
         self._sender = TaskLoop(self._step, "evidence", log)
         records.on_change = lambda record: self._wake.set()
 
@@ -88,32 +89,18 @@
         self._peers = peers
 
     def start(self) -> None:
-        """Bind the socket and start to exchange records."""
-        if not self._address:
-            return
-        host, _, port = self._address.rpartition(":")
-        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        try:
-            sock.bind((host, int(port)))
-        except OSError as error:
-            # The instance serves on without the evidence of the others.
-            log_event(log, "evidence-not-received", error=str(error))
-            sock.close()
+        """Start to exchange records."""
+        if not self._port.is_open:
             return
-        self._socket = sock
-        self._reader = gevent.spawn(self._read_all)
+        self._port.subscribe(FIRST_BYTE, self._receive)
         self._sender.start()
 
     def stop(self) -> None:
-        """Pass on what is new, then close the socket."""
-        if self._socket is None:
-            return
-        self._send_changes()
-        self._wake.set()
-        self._sender.stop()
-        if self._reader is not None:
-            self._reader.kill()
-        self._socket.close()
+        """Pass on what is new and end the exchange."""
+        if self._port.is_open:
+            self._send_changes()
+            self._wake.set()
+            self._sender.stop()
 
     def _step(self) -> float:
         idle = not self._records.all(self._clock.monotonic())
@@ -147,22 +134,8 @@
         now = self._clock.monotonic()
         datagrams = list(pack(kind, self._address, self._records.digest(now), records, now))
         for address in addresses:
-            host, _, port = address.rpartition(":")
-            try:
-                for data in datagrams:
-                    self._socket.sendto(data, (host, int(port)))
-            except (OSError, ValueError) as error:
-                log_event(log, "evidence-not-sent", to=address, error=str(error))
-
-    def _read_all(self) -> None:
-        while True:
-            try:
-                data, _ = self._socket.recvfrom(READ_BYTES)
-            except OSError as error:
-                log_event(log, "evidence-not-received", error=str(error))
-                gevent.sleep(COALESCE_S)
-                continue
-            self._receive(data)
+            for data in datagrams:
+                self._port.send(data, address)
 
     def _receive(self, data: bytes) -> None:
         decoded = decode(data)
--- a/hickoryloom/evidence/tests/test_exchange.py
+++ b/hickoryloom/evidence/tests/test_exchange.py
@@ -7,6 +7,7 @@
 import pytest
 
 from hickoryloom.clock import SystemClock
+from hickoryloom.datagrams import DatagramPort
 from hickoryloom.evidence import EvidenceExchange, SharedRecords, Topic
 from tests.harness import wait_until
 
@@ -20,11 +21,17 @@
     def __init__(self, port, number):
         self.address = f"127.0.0.1:{port}"
         self.records = SharedRecords(f"i{number}", [TOPIC])
+        self.port = DatagramPort(self.address)
         self.exchange = EvidenceExchange(
-            self.address, SystemClock(), random.Random(number), self.records
+            self.port, SystemClock(), random.Random(number), self.records
         )
+        self.port.start()
         self.exchange.start()
 
+    def stop(self):
+        self.exchange.stop()
+        self.port.stop()
+
     def put(self, key):
         self.records.put(TOPIC, key, "v", SystemClock().monotonic())
 
@@ -47,7 +54,7 @@
     started = [Instance(port, number) for number, port in enumerate(free_ports(30))]
     yield started
     for instance in started:
-        instance.exchange.stop()
+        instance.stop()
 
 
 def test_records_reach_all_instances(instances):
@@ -76,16 +83,19 @@
     addresses = [instance.address for instance in instances]
     for instance in instances:
         instance.exchange.set_peers(addresses)
-        instance.exchange._socket = LossySocket(instance.exchange._socket)
+        instance.port._socket = LossySocket(instance.port._socket)
     instances[0].put("a")
     wait_until(lambda: all(instance.holds("a") for instance in instances), 3 * SPREAD_S)
 
 
 def test_an_instance_starts_although_its_port_is_taken(instances):
     taken = instances[0]
-    second = EvidenceExchange(taken.address, SystemClock(), random.Random(1), taken.records)
+    port = DatagramPort(taken.address)
+    port.start()
+    second = EvidenceExchange(port, SystemClock(), random.Random(1), taken.records)
     second.start()
     second.stop()
+    port.stop()
 
 
 def test_unreadable_datagrams_are_ignored(instances):
@@ -97,7 +107,7 @@
     gevent.sleep(0.1)
     first.put("a")
     assert first.holds("a")
-    assert first.exchange._reader
+    assert first.port._reader
 
 
 class LossySocket:
--- a/hickoryloom/gateway/process.py
+++ b/hickoryloom/gateway/process.py
@@ -12,6 +12,7 @@
 
 from hickoryloom.catalog import Catalog, CatalogFollower
 from hickoryloom.clock import Clock, SystemClock
+from hickoryloom.datagrams import DatagramPort
 from hickoryloom.discovery import Discovery
 from hickoryloom.duties import DutyClient
 from hickoryloom.evidence import EvidenceExchange, InstanceRanking, SharedRecords
@@ -111,8 +112,9 @@
         )
         identity = settings.operators or self._incarnation
         self._ranking = InstanceRanking(identity)
+        self._datagrams = DatagramPort(settings.operators)
         records = SharedRecords(self._incarnation, (*QUARANTINE_TOPICS, LIMITS))
-        self._evidence = EvidenceExchange(settings.operators, clock, rng, records)
+        self._evidence = EvidenceExchange(self._datagrams, clock, rng, records)
         self._quarantine = Quarantine(settings.instance, records, self._ranking)
         self._limits = NamedLimits(records, self._ranking)
         self._placer = Placer(settings.failure_domain, rng, self._limits)
@@ -225,6 +227,7 @@
         self._readiness_server.start()
         if self._operators_server is not None:
             self._operators_server.start()
+        self._datagrams.start()
         self._evidence.start()
         self._meter_task.start()
         self._view_follower.start()
@@ -251,6 +254,7 @@
         self._proxy_server.wait_idle(max(0.0, end - self._clock.monotonic()))
         self._view_follower.stop()
         self._evidence.stop()
+        self._datagrams.stop()
         self._meter_task.stop(until=end)
         log_event(log, "stopped", open_requests=self._proxy_server.active)
 
