Let a stream go on only at the software version that began it

Cause: placing took the servers of a service for interchangeable, and no instance knew where a stream had begun that another one had begun. Now the version is recorded before the first event is passed on, at three other instances while versions are mixed; a caller that comes back names the first request, and the instance asks for its origin. Unknown origins and versions without a server are refused at once with 503. The relay of the entry keeps to the version within a response.

--- a/hickoryloom/discovery/task.py
+++ b/hickoryloom/discovery/task.py
@@ -99,7 +99,13 @@
         """Return whether a backend server still accepts requests; call right before sending one."""
         self._state.expire(self._clock.monotonic())
         known = self._state.get(server.id)
-        return known is not None and known.address == server.address and not known.leaving
+        if known is None or known.leaving:
+            return False
+        return (known.address, known.software) == (server.address, server.software)
+
+    def find(self, id: str) -> BackendServer | None:
+        """Return the current registration of a backend server; None if there is none."""
+        return self._state.get(id)
 
     @property
     def follows_store(self) -> bool:
--- a/hickoryloom/gateway/app.py
+++ b/hickoryloom/gateway/app.py
@@ -15,15 +15,17 @@
 import logbook
 from result import Err
 
-from hickoryloom.catalog import Customer, Route, choose_service
+from hickoryloom.catalog import Customer, RequestKind, Route, choose_service
 from hickoryloom.gateway.context import GatewayContext
 from hickoryloom.gateway.forwarding import RequestForwarder
 from hickoryloom.gateway.messages import CallerRequest, Refusal, Reply
 from hickoryloom.gateway.ports import CallerCodec
 from hickoryloom.gateway.refusals import refuse
 from hickoryloom.gateway.request_body import read_body
+from hickoryloom.gateway.stream_pin import StreamPin
 from hickoryloom.http import RAW_HEADERS_KEY, RAW_TARGET_KEY, DisconnectWatch
 from hickoryloom.logs import log_event
+from hickoryloom.origins import origin_key
 from hickoryloom.upstream import BufferBudget, BufferedBody, end_to_end_headers
 from hickoryloom.verdict import Verdict
 
@@ -105,9 +107,24 @@
 
     def _build_forwarder(
         self, request: CallerRequest, route: Route, customer: Customer | None, arrived: float
-    ) -> RequestForwarder:
-        service = choose_service(route, self._context.rng.random)
-        return RequestForwarder(self._context, request, route, service, customer, arrived)
+    ) -> RequestForwarder | Refusal:
+        context = self._context
+        service = choose_service(route, context.rng.random)
+        pin = None
+        if route.kind is RequestKind.STREAM:
+            name = customer.name if customer is not None else ""
+            begun_by, software = request.id, ""
+            if request.resume_after is not None:
+                begun_by = request.resumes
+                key = origin_key(name, begun_by) if begun_by else ""
+                origin = context.origins.find(key, service)
+                if origin is None:
+                    return self._refuse(503, "origin-unknown", request)
+                service, software = origin.service, origin.software
+                if service not in {target.service for target in route.targets}:
+                    return self._refuse(503, "origin-elsewhere", request)
+            pin = StreamPin(context.origins, name, begun_by, software)
+        return RequestForwarder(context, request, route, service, customer, arrived, pin)
 
     def _refuse(self, status: int, reason: str, request: CallerRequest) -> Refusal:
         if status != 503:
--- a/hickoryloom/gateway/attempts.py
+++ b/hickoryloom/gateway/attempts.py
@@ -12,6 +12,7 @@
 from hickoryloom.gateway.progress import RequestProgress
 from hickoryloom.gateway.refusals import refuse
 from hickoryloom.gateway.request_log import RequestLog
+from hickoryloom.gateway.stream_pin import StreamPin
 from hickoryloom.placing import (
     Placement,
     PlacementOutcome,
@@ -49,6 +50,7 @@
         service: The service chosen among the route's targets.
         customer: The customer that is billed; None on a route that requires no key.
         arrived: Monotonic time of its arrival, in seconds.
+        pin: Keeps a stream at its software version; None for a request of another kind.
     """
 
     def __init__(
@@ -59,7 +61,9 @@
         service: str,
         customer: Customer | None,
         arrived: float,
+        pin: StreamPin | None = None,
     ) -> None:
+        self._pin = pin
         self._context = context
         self._request = request
         self._route = route
@@ -127,7 +131,7 @@
             if refusal is not None:
                 return Err(refusal)
             placement = context.placer.choose(
-                self._placement_request, frozenset(self._progress.excluded), now
+                self._pinned_request(), frozenset(self._progress.excluded), now
             )
             if placement is None:
                 context.meter.record_refused(self._placement_request.service)
@@ -156,6 +160,11 @@
                 return Err(refusal)
             return self._send(placement, exchange, resume_after)
 
+    def _pinned_request(self) -> PlacementRequest:
+        if self._pin is None or not self._pin.software:
+            return self._placement_request
+        return attrs.evolve(self._placement_request, software=self._pin.software)
+
     def _open(self, placement: Placement) -> Exchange:
         """Return an exchange, reusing an idle connection unless the server may be closing it."""
         address = placement.server.address
@@ -220,6 +229,8 @@
         reason = self._progress.blocking_reason(now)
         if reason:
             return self.refuse(reason)
+        if self._pin is not None and self._pin.is_lost:
+            return self.refuse("origin-unknown")
         hold = self._guard.check(now)
         if hold is not None:
             return self._refuse_held(hold)
@@ -278,6 +289,8 @@
             attempt.first_event_at = now
             self._context.placer.record_first_token(attempt.placement, now - attempt.sent)
             self._log.record_first_event(now)
+            if self._pin is not None:
+                self._pin.record_first_event(attempt.placement.server)
         else:
             self._guard.record_event(attempt, now)
 
@@ -286,6 +299,8 @@
         if outcome is PlacementOutcome.DONE:
             self._guard.record_answer(attempt, self._context.clock.monotonic())
         self._progress.record_completed()
+        if self._pin is not None:
+            self._pin.record_completed()
         self._log.record_start(attempt.sent)
         self.close(attempt, outcome)
         self.log_end("answered", status)
@@ -344,7 +359,10 @@
 
     def _refuse_unplaced(self, now: float) -> Refusal:
         rest_s = self._context.placer.shortest_rest_s(self._placement_request.service, now)
-        return self.refuse("backend-servers-full" if rest_s else "no-backend-server", rest_s)
+        if rest_s:
+            return self.refuse("backend-servers-full", rest_s)
+        pinned = self._pin is not None and self._pin.software
+        return self.refuse("no-server-of-version" if pinned else "no-backend-server")
 
     def _refuse_held(self, hold: Hold) -> Refusal:
         """Return the refusal of a request under which backend servers crash."""
--- a/hickoryloom/gateway/context.py
+++ b/hickoryloom/gateway/context.py
@@ -14,6 +14,7 @@
 from hickoryloom.gateway.ports import BackendCodec
 from hickoryloom.metering import UsageMeter
 from hickoryloom.metrics import MetricsRecorder
+from hickoryloom.origins import StreamOrigins
 from hickoryloom.placing import Placement, Placer
 from hickoryloom.quarantine import Quarantine
 from hickoryloom.upstream import BufferBudget, ConnectionPool, Exchange
@@ -36,6 +37,7 @@
     metrics: MetricsRecorder
     retries: Callable[[str], SharedRetryBudget]
     quarantine: Quarantine
+    origins: StreamOrigins
     buffers: BufferBudget
 
 
--- a/hickoryloom/gateway/forwarding.py
+++ b/hickoryloom/gateway/forwarding.py
@@ -12,6 +12,7 @@
 from hickoryloom.gateway.context import Attempt, GatewayContext
 from hickoryloom.gateway.events import EventSequenceError, EventSplitter
 from hickoryloom.gateway.messages import CallerRequest, Refusal, Reply
+from hickoryloom.gateway.stream_pin import StreamPin
 from hickoryloom.placing import PlacementOutcome
 from hickoryloom.upstream import (
     ENDED_INSIDE_EVENT,
@@ -56,6 +57,7 @@
         service: The service chosen among the route's targets.
         customer: The customer that is billed; None on a route that requires no key.
         arrived: Monotonic time of its arrival, in seconds.
+        pin: Keeps a stream at its software version; None for a request of another kind.
     """
 
     def __init__(
@@ -66,11 +68,12 @@
         service: str,
         customer: Customer | None,
         arrived: float,
+        pin: StreamPin | None = None,
     ) -> None:
         self._context = context
         self._request = request
         self._route = route
-        self._attempts = Attempts(context, request, route, service, customer, arrived)
+        self._attempts = Attempts(context, request, route, service, customer, arrived, pin)
         self._buffered = context.buffers.reserve()
 
     def cancel(self) -> None:
--- a/hickoryloom/gateway/process.py
+++ b/hickoryloom/gateway/process.py
@@ -27,6 +27,12 @@
 from hickoryloom.loops import TaskLoop
 from hickoryloom.metering import InstanceCounts, MeterTask, UsageMeter, UsageReporter
 from hickoryloom.metrics import MetricsRecorder
+from hickoryloom.origins import (
+    ORIGIN_TOPICS,
+    OriginKeepers,
+    SoftwareVersions,
+    StreamOrigins,
+)
 from hickoryloom.placing import LIMITS, NamedLimits, Placer
 from hickoryloom.quarantine import QUARANTINE_TOPICS, Quarantine
 from hickoryloom.scaling import Scaler
@@ -113,9 +119,19 @@
         identity = settings.operators or self._incarnation
         self._ranking = InstanceRanking(identity)
         self._datagrams = DatagramPort(settings.operators)
-        records = SharedRecords(self._incarnation, (*QUARANTINE_TOPICS, LIMITS))
+        records = SharedRecords(self._incarnation, (*QUARANTINE_TOPICS, LIMITS, *ORIGIN_TOPICS))
         self._evidence = EvidenceExchange(self._datagrams, clock, rng, records)
         self._quarantine = Quarantine(settings.instance, records, self._ranking)
+        self._keepers = OriginKeepers(identity)
+        self._origins = StreamOrigins(
+            clock,
+            self._datagrams,
+            self._keepers,
+            SoftwareVersions(records),
+            self._discovery.find,
+            self._catalog.view.age,
+        )
+        self._discovery.subscribe(self._origins.set_servers)
         self._limits = NamedLimits(records, self._ranking)
         self._placer = Placer(settings.failure_domain, rng, self._limits)
         self._discovery.subscribe(self._placer.set_servers)
@@ -158,6 +174,7 @@
             metrics=self._metrics,
             retries=self._retry_budget,
             quarantine=self._quarantine,
+            origins=self._origins,
             buffers=BufferBudget(),
         )
         self._app = ProxyApp(context, dialect.callers)
@@ -351,6 +368,7 @@
             if counts.address
         )
         self._ranking.set_others(counts.address or key for key, counts in live.items())
+        self._keepers.set_others(counts.address for counts in live.values() if counts.address)
         self._evidence.set_peers(counts.address for counts in live.values() if counts.address)
         self._placer.set_instances(count)
         for budget in self._retry_budgets.values():
@@ -369,6 +387,7 @@
 
     def _sweep(self) -> float:
         self._connections.close_expired()
+        self._origins.refresh()
         return SWEEP_INTERVAL_S
 
     def _render_metrics(self) -> str:
@@ -383,6 +402,7 @@
                 "instances": self._instances,
                 "prompt_parts_quarantined": self._quarantine.parts,
                 "requests_quarantined": self._quarantine.requests,
+                "stream_origins": self._origins.kept,
                 "backend_servers_limited": self._limits.servers,
                 "store_era": self._client.era,
                 "store_era_changes": self._client.era_changes,
--- a/hickoryloom/gateway/tests/test_forwarding.py
+++ b/hickoryloom/gateway/tests/test_forwarding.py
@@ -13,6 +13,7 @@
     Target,
     build_priority_scale,
 )
+from hickoryloom.datagrams import DatagramPort
 from hickoryloom.discovery import BackendServer
 from hickoryloom.evidence import InstanceRanking, SharedRecords
 from hickoryloom.gateway.attempts import HEAD_TIMEOUT_TARGETS
@@ -21,6 +22,12 @@
 from hickoryloom.gateway.forwarding import RequestForwarder
 from hickoryloom.gateway.messages import CallerRequest, Refusal, ResponseHead
 from hickoryloom.metrics import MetricsRecorder
+from hickoryloom.origins import (
+    ORIGIN_TOPICS,
+    OriginKeepers,
+    SoftwareVersions,
+    StreamOrigins,
+)
 from hickoryloom.placing import Placer, ReportedLoad
 from hickoryloom.quarantine import QUARANTINE_TOPICS, Quarantine
 from hickoryloom.upstream import AttemptError, AttemptFailure, BufferBudget, FailureCause
@@ -144,6 +151,14 @@
             metrics=MetricsRecorder(),
             retries=lambda service: budget,
             buffers=BufferBudget(),
+            origins=StreamOrigins(
+                self.clock,
+                DatagramPort(""),
+                OriginKeepers(""),
+                SoftwareVersions(SharedRecords("edge-1", ORIGIN_TOPICS)),
+                {server.id: server for server in servers}.get,
+                lambda now: 0.0,
+            ),
             quarantine=Quarantine(
                 "edge-1", SharedRecords("edge-1", QUARANTINE_TOPICS), InstanceRanking("")
             ),
--- /dev/null
+++ b/hickoryloom/origins/__init__.py
@@ -0,0 +1,16 @@
+"""Which software version began a stream, over all instances."""
+
+from hickoryloom.origins.keepers import OriginKeepers
+from hickoryloom.origins.messages import Origin, origin_key
+from hickoryloom.origins.state import ORIGIN_TOPICS, OriginMemory, SoftwareVersions
+from hickoryloom.origins.task import StreamOrigins
+
+__all__ = [
+    "ORIGIN_TOPICS",
+    "Origin",
+    "OriginKeepers",
+    "OriginMemory",
+    "SoftwareVersions",
+    "StreamOrigins",
+    "origin_key",
+]
--- a/hickoryloom/placing/messages.py
+++ b/hickoryloom/placing/messages.py
@@ -32,11 +32,13 @@
         service: Name of the service.
         prompt_tokens: Length of the prompt; 0 for a request that is not for a model engine.
         shared: Segments of the prompt prefix that other prompts may share, in order.
+        software: The only software version whose servers may be selected; empty for any.
     """
 
     service: str
     prompt_tokens: int = 0
     shared: tuple[PromptSegment, ...] = ()
+    software: str = ""
 
     @property
     def session(self) -> str:
--- a/hickoryloom/placing/placer.py
+++ b/hickoryloom/placing/placer.py
@@ -135,7 +135,9 @@
         usable = [
             tracked
             for tracked in self._by_service.get(request.service, ())
-            if not tracked.server.leaving and tracked.server.id not in exclude
+            if not tracked.server.leaving
+            and tracked.server.id not in exclude
+            and request.software in ("", tracked.server.software)
         ]
         if self._pauses or self._limits.servers:
             usable = [tracked for tracked in usable if not self.rest_s(tracked.server, now)]
--- a/hickoryloom/relay/attempts.py
+++ b/hickoryloom/relay/attempts.py
@@ -119,6 +119,7 @@
         self._cancel_tasks: list[gevent.Greenlet] = []
         self._wasted_tokens = 0
         self._last_backend_id = ""
+        self._begun_by: str | None = None
         self.current: Attempt | None = None
         context.open[request.id] = self
 
@@ -237,7 +238,11 @@
     def record_progress(self) -> None:
         """Record that further tokens of the current attempt's stream have arrived."""
         attempt = self.current
-        if attempt is None or attempt.answered or attempt.first_token_at is None:
+        if attempt is None or attempt.first_token_at is None:
+            return
+        if self._begun_by is None:
+            self._begun_by = attempt.choice.backend.software
+        if attempt.answered:
             return
         now = self._context.clock.monotonic()
         if now - attempt.first_token_at >= REQUEST_ANSWERED_S:
@@ -322,9 +327,12 @@
 
     def _choose_backend(self, first_position: int) -> Attempt | None:
         router = self._context.router
-        choice = router.choose(self._request, frozenset(self._tried_backend_ids))
+        excluded: frozenset[str] = frozenset()
+        if first_position and self._begun_by is not None:
+            excluded = router.ids_of_other_software(self._request.pool, self._begun_by)
+        choice = router.choose(self._request, excluded.union(self._tried_backend_ids))
         if choice is None and self._tried_backend_ids:
-            choice = router.choose(self._request)
+            choice = router.choose(self._request, excluded)
         if choice is None:
             return None
         self._attempt_count += 1
--- a/hickoryloom/routing/directory.py
+++ b/hickoryloom/routing/directory.py
@@ -123,6 +123,7 @@
             slots=pool.slots if pool else DEFAULT_SLOTS,
             leaving=self._is_leaving(row.id),
             fences=pool.fences if pool else True,
+            software=row.software if isinstance(row, LiveBackend) else "",
         )
 
     def _is_leaving(self, id: str) -> bool:
--- a/hickoryloom/routing/messages.py
+++ b/hickoryloom/routing/messages.py
@@ -59,6 +59,7 @@
         slots: Number of requests that it runs concurrently.
         leaving: Whether it is draining and must not receive new requests.
         fences: Whether it rejects orders that carry an outdated fencing token.
+        software: Version of its software; empty if unknown.
     """
 
     id: str
@@ -69,6 +70,7 @@
     slots: int = 8
     leaving: bool = False
     fences: bool = True
+    software: str = ""
 
 
 @attrs.frozen
--- a/hickoryloom/routing/router.py
+++ b/hickoryloom/routing/router.py
@@ -130,6 +130,14 @@
         best = min(candidates)
         return Choice(best.tracked.view, best.reason)
 
+    def ids_of_other_software(self, pool: str, software: str) -> frozenset[str]:
+        """Return the ids of a pool's backend servers whose software is not of a version."""
+        state = self._pools.get(pool)
+        backends = state.backends if state is not None else []
+        return frozenset(
+            tracked.view.id for tracked in backends if tracked.view.software != software
+        )
+
     def start_attempt(self, choice: Choice, request: Request) -> float:
         """Record the start of an attempt and return its start time, which later calls require."""
         now = self._clock.monotonic()
--- a/hickoryloom/store/messages.py
+++ b/hickoryloom/store/messages.py
@@ -110,7 +110,11 @@
 
 @attrs.frozen
 class LiveBackend:
-    """One row of the platform's live list of backend servers, which lags behind."""
+    """One row of the platform's live list of backend servers, which lags behind.
+
+    Attributes:
+        software: Version of its software; empty if the list has none.
+    """
 
     id: str
     address: str
@@ -118,6 +122,7 @@
     pool: str
     cheap: bool
     state: BackendState
+    software: str = ""
 
 
 @attrs.frozen
