--- a/hickoryloom/gateway/app.py
+++ b/hickoryloom/gateway/app.py
@@ -110,20 +110,20 @@
     ) -> RequestForwarder | Refusal:
         context = self._context
         service = choose_service(route, context.rng.random)
-        pin = None
-        if route.kind is RequestKind.STREAM:
-            name = customer.name if customer is not None else ""
-            begun_by, software = request.id, ""
-            if request.resume_after is not None:
-                begun_by = request.resumes
-                key = origin_key(name, begun_by) if begun_by else ""
-                origin = context.origins.find(key, service)
-                if origin is None:
-                    return self._refuse(503, "origin-unknown", request)
-                service, software = origin.service, origin.software
-                if service not in {target.service for target in route.targets}:
-                    return self._refuse(503, "origin-elsewhere", request)
-            pin = StreamPin(context.origins, name, begun_by, software)
+        if route.kind is not RequestKind.STREAM:
+            return RequestForwarder(context, request, route, service, customer, arrived)
+        customer_name = customer.name if customer is not None else ""
+        begun_by, software = request.id, ""
+        if request.resume_after is not None:
+            begun_by = request.resumes
+            key = origin_key(customer_name, begun_by) if begun_by else ""
+            origin = context.origins.find(key, service)
+            if origin is None:
+                return self._refuse(503, "origin-unknown", request)
+            service, software = origin.service, origin.software
+            if service not in {target.service for target in route.targets}:
+                return self._refuse(503, "origin-elsewhere", request)
+        pin = StreamPin(context.origins, customer_name, begun_by, software)
         return RequestForwarder(context, request, route, service, customer, arrived, pin)
 
     def _refuse(self, status: int, reason: str, request: CallerRequest) -> Refusal:
