--- a/hickoryloom/quarantine/tests/test_requests.py
+++ b/hickoryloom/quarantine/tests/test_requests.py
@@ -141,6 +141,16 @@
     assert late.wait_s((BAD,), fleet.now) > 0
 
 
+def test_digests_are_not_needed_two_minutes_after_the_last_cut_off(fleet):
+    crash(fleet, 1)
+    member = fleet.members[1]
+    member.wait_s((), fleet.now)
+    assert member.watches_requests
+    fleet.now += SUSPICION_S + 1.0
+    member.wait_s((), fleet.now)
+    assert not member.watches_requests
+
+
 def test_many_requests_that_one_server_cuts_off_fit_into_a_record(fleet):
     requests = [request_key("app", f"{index:08d}") for index in range(500)]
     fleet.cut_off("s0", *requests)
