--- a/hickoryloom/quarantine/tests/test_quarantine.py
+++ b/hickoryloom/quarantine/tests/test_quarantine.py
@@ -97,6 +97,17 @@
             fleet.answer((COMMON,), by)
 
 
+def test_a_part_that_is_answered_between_the_first_two_of_three_lost_answers_is_not_held_back(
+    fleet,
+):
+    fleet.end("s0", (COMMON, "llm/01"), responding=False)
+    for number in range(12):
+        fleet.answer((COMMON, f"llm/a{number}"), by=number % 3, after_s=0.05)
+    fleet.end("s1", (COMMON, "llm/02"), by=1, responding=False, after_s=0.04)
+    fleet.end("s2", (COMMON, "llm/03"), by=2, responding=False, after_s=0.11, ran_s=0.07)
+    assert not fleet.holds_back((COMMON,))
+
+
 def test_a_part_whose_answer_arrives_before_the_end_is_acquitted(fleet):
     for index in range(3):
         fleet.end(f"s{index}", (COMMON,), after_s=0.4)
