Log when an instance can't reach a service at all, and tell the others

Two servers that can't be connected to, with no response in between, now count as a service that is out of reach; nothing is decided by it yet.

--- a/hickoryloom/gateway/attempts.py
+++ b/hickoryloom/gateway/attempts.py
@@ -6,6 +6,7 @@
 from result import Err, Ok, Result
 
 from hickoryloom.catalog import Customer, Route
+from hickoryloom.discovery import BackendServer
 from hickoryloom.gateway.context import Attempt, GatewayContext
 from hickoryloom.gateway.crash_guard import CrashGuard, Hold
 from hickoryloom.gateway.messages import CallerRequest, Refusal, ResponseHead
@@ -145,6 +146,7 @@
                 context.placer.finish_attempt(
                     placement, self._placement_request, PlacementOutcome.UNREACHABLE, False, now
                 )
+                self._record_unreachable(server)
                 self._log.log_attempt(
                     placement, self._progress.sends, "unreachable", error.failure.detail
                 )
@@ -160,6 +162,11 @@
                 return Err(refusal)
             return self._send(placement, exchange, resume_after)
 
+    def _record_unreachable(self, server: BackendServer) -> None:
+        usable = self._context.placer.usable_servers(server.service)
+        now = self._context.clock.monotonic()
+        self._context.reach.record_unreachable(server.service, server.id, usable, now)
+
     def _pinned_request(self) -> PlacementRequest:
         if self._pin is None or not self._pin.software:
             return self._placement_request
@@ -262,6 +269,7 @@
             return
         server = attempt.placement.server
         now = self._context.clock.monotonic()
+        self._context.reach.record_contact(server.service, attempt.sent, now)
         if head.load is not None:
             self._context.placer.apply_load_report(server.id, head.load, now)
         # A server that turns a request away may not come to name its limit.
--- a/hickoryloom/gateway/context.py
+++ b/hickoryloom/gateway/context.py
@@ -17,6 +17,7 @@
 from hickoryloom.origins import StreamOrigins
 from hickoryloom.placing import Placement, Placer
 from hickoryloom.quarantine import Quarantine
+from hickoryloom.reach import Reach
 from hickoryloom.upstream import BufferBudget, ConnectionPool, Exchange
 
 __all__ = ["Attempt", "GatewayContext"]
@@ -38,6 +39,7 @@
     retries: Callable[[str], SharedRetryBudget]
     quarantine: Quarantine
     origins: StreamOrigins
+    reach: Reach
     buffers: BufferBudget
 
 
--- a/hickoryloom/gateway/process.py
+++ b/hickoryloom/gateway/process.py
@@ -35,6 +35,7 @@
 )
 from hickoryloom.placing import LIMITS, NamedLimits, Placer
 from hickoryloom.quarantine import QUARANTINE_TOPICS, Quarantine
+from hickoryloom.reach import REACH_TOPICS, Reach
 from hickoryloom.scaling import Scaler
 from hickoryloom.sharing import VIEW_PATH, Peer, ViewFollower, ViewServer
 from hickoryloom.store import CallBudget, PlatformClient
@@ -119,7 +120,9 @@
         identity = settings.operators or self._incarnation
         self._ranking = InstanceRanking(identity)
         self._datagrams = DatagramPort(settings.operators)
-        records = SharedRecords(self._incarnation, (*QUARANTINE_TOPICS, LIMITS, *ORIGIN_TOPICS))
+        records = SharedRecords(
+            self._incarnation, (*QUARANTINE_TOPICS, LIMITS, *ORIGIN_TOPICS, *REACH_TOPICS)
+        )
         self._evidence = EvidenceExchange(self._datagrams, clock, rng, records)
         self._quarantine = Quarantine(settings.instance, records, self._ranking)
         self._keepers = OriginKeepers(identity)
@@ -132,6 +135,7 @@
             self._catalog.view.age,
         )
         self._discovery.subscribe(self._origins.set_servers)
+        self._reach = Reach(settings.operators, records)
         self._limits = NamedLimits(records, self._ranking)
         self._placer = Placer(settings.failure_domain, rng, self._limits)
         self._discovery.subscribe(self._placer.set_servers)
@@ -175,6 +179,7 @@
             retries=self._retry_budget,
             quarantine=self._quarantine,
             origins=self._origins,
+            reach=self._reach,
             buffers=BufferBudget(),
         )
         self._app = ProxyApp(context, dialect.callers)
@@ -221,6 +226,7 @@
             "view_age_s": min(age_s, 1e9),
             "reader": self._view_follower.reader,
             "backend_servers": len(self._discovery.servers),
+            "services_unreachable": self._reach.unreachable,
             "open_requests": self._proxy_server.active,
             "instances": self._instances,
         }
@@ -404,6 +410,7 @@
                 "requests_quarantined": self._quarantine.requests,
                 "stream_origins": self._origins.kept,
                 "backend_servers_limited": self._limits.servers,
+                "services_unreachable": len(self._reach.unreachable),
                 "store_era": self._client.era,
                 "store_era_changes": self._client.era_changes,
                 "usage_late_requests": (
--- a/hickoryloom/gateway/tests/test_forwarding.py
+++ b/hickoryloom/gateway/tests/test_forwarding.py
@@ -30,6 +30,7 @@
 )
 from hickoryloom.placing import Placer, ReportedLoad
 from hickoryloom.quarantine import QUARANTINE_TOPICS, Quarantine
+from hickoryloom.reach import REACH_TOPICS, Reach
 from hickoryloom.upstream import AttemptError, AttemptFailure, BufferBudget, FailureCause
 from hickoryloom.verdict import Verdict
 
@@ -151,6 +152,7 @@
             metrics=MetricsRecorder(),
             retries=lambda service: budget,
             buffers=BufferBudget(),
+            reach=Reach("", SharedRecords("", REACH_TOPICS)),
             origins=StreamOrigins(
                 self.clock,
                 DatagramPort(""),
--- a/hickoryloom/placing/placer.py
+++ b/hickoryloom/placing/placer.py
@@ -81,6 +81,10 @@
         tracked = self._tracked.get(id)
         return 0 if tracked is None else tracked.in_flight
 
+    def usable_servers(self, service: str) -> int:
+        """Return the number of a service's servers that are not leaving."""
+        return sum(not tracked.server.leaving for tracked in self._by_service.get(service, ()))
+
     def set_servers(self, servers: Iterable[BackendServer]) -> None:
         """Replace the list of live backend servers.
 
--- /dev/null
+++ b/hickoryloom/reach/__init__.py
@@ -0,0 +1,5 @@
+"""Whether this instance can open connections to the servers of a service."""
+
+from hickoryloom.reach.state import REACH_TOPICS, Reach
+
+__all__ = ["REACH_TOPICS", "Reach"]
