Hand requests over to another instance while their service is out of reach

Cause: an instance could serve only by its own connections. Ruled out: servers that were down or turned the instance away (the others opened connections in the same second).

A service counts as out of reach once two of its servers can't be connected to with no response in between. Its requests then go to another instance, signed with a token that the receiver publishes in the store, and are handled there as if their callers had come there; never twice, and only while they can't have run or may run again. Trial connections find the end.

--- a/hickoryloom/gateway/app.py
+++ b/hickoryloom/gateway/app.py
@@ -18,12 +18,22 @@
 from hickoryloom.catalog import Customer, RequestKind, Route, choose_service
 from hickoryloom.gateway.context import GatewayContext
 from hickoryloom.gateway.forwarding import RequestForwarder
+from hickoryloom.gateway.handed_over import HandOverReceiver, read_call
 from hickoryloom.gateway.messages import CallerRequest, Refusal, Reply
+from hickoryloom.gateway.peer_attempts import with_hand_over
 from hickoryloom.gateway.ports import CallerCodec
 from hickoryloom.gateway.refusals import refuse
 from hickoryloom.gateway.request_body import read_body
 from hickoryloom.gateway.stream_pin import StreamPin
-from hickoryloom.http import RAW_HEADERS_KEY, RAW_TARGET_KEY, DisconnectWatch
+from hickoryloom.handover import (
+    RESULT_HEADER,
+    HandOver,
+    HandOverResult,
+    ReceivedCall,
+    encode_result,
+    without_hand_over_headers,
+)
+from hickoryloom.http import RAW_HEADERS_KEY, DisconnectWatch
 from hickoryloom.logs import log_event
 from hickoryloom.origins import origin_key
 from hickoryloom.upstream import BufferBudget, BufferedBody, end_to_end_headers
@@ -46,11 +56,15 @@
     Args:
         context: Dependencies shared by all requests.
         callers: Decodes callers' requests.
+        receiver: Checks requests that other instances hand over.
     """
 
-    def __init__(self, context: GatewayContext, callers: CallerCodec) -> None:
+    def __init__(
+        self, context: GatewayContext, callers: CallerCodec, receiver: HandOverReceiver
+    ) -> None:
         self._context = context
         self._callers = callers
+        self._receiver = receiver
         self._admitting = True
 
     def stop_admitting(self) -> None:
@@ -58,35 +72,75 @@
         self._admitting = False
 
     def __call__(self, environ: dict[str, Any], start_response: StartResponse) -> Iterable[bytes]:
-        """Handle one request."""
+        """Handle one request of a caller."""
         arrived = self._context.clock.monotonic()
-        limits = self._context.catalog.catalog.limits
-        body = read_body(environ, limits)
+        call = self._read_call(environ)
+        if isinstance(call, Refusal):
+            return _send_refusal(call, start_response)
+        return self._serve(environ, start_response, call, arrived, None)
+
+    def serve_handed_over(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Handle one request that another instance hands over."""
+        arrived = self._context.clock.monotonic()
+        call = self._read_call(environ)
+        if isinstance(call, Refusal):
+            return _send_refusal(call, start_response)
+        read = self._receiver.read(environ, call)
+        if isinstance(read, Err):
+            refusal = refuse(403, "hand-over-not-signed", Verdict.NOT_RUN)
+            _log_unreadable(refusal, environ)
+            return _send_refusal(refusal, start_response)
+        hand_over = read.ok_value
+        return self._serve(environ, start_response, call, arrived - hand_over.elapsed_s, hand_over)
+
+    def _read_call(self, environ: dict[str, Any]) -> ReceivedCall | Refusal:
+        body = read_body(environ, self._context.catalog.catalog.limits)
         if isinstance(body, Err):
             _log_unreadable(body.err_value, environ)
-            return _send_refusal(body.err_value, start_response)
+            return body.err_value
+        return read_call(environ, body.ok_value)
+
+    def _serve(
+        self,
+        environ: dict[str, Any],
+        start_response: StartResponse,
+        call: ReceivedCall,
+        arrived: float,
+        hand_over: HandOver | None,
+    ) -> Iterable[bytes]:
+        """Handle one request; `hand_over` tells what its sender says if it was handed over."""
         decoded = self._callers.read_request(
-            environ["REQUEST_METHOD"],
-            environ[RAW_TARGET_KEY],
-            environ[RAW_HEADERS_KEY],
-            body.ok_value,
+            call.method,
+            call.target,
+            without_hand_over_headers(environ[RAW_HEADERS_KEY]),
+            call.body,
         )
         if isinstance(decoded, Err):
             refusal = refuse(400, decoded.err_value, Verdict.NOT_RUN)
             _log_unreadable(refusal, environ)
-            return _send_refusal(refusal, start_response)
+            return _send_refusal(refusal, start_response, hand_over)
         received = decoded.ok_value
         request = attrs.evolve(received, headers=end_to_end_headers(received.headers))
-        admitted = self._admit(request, arrived)
+        if hand_over is not None:
+            request = with_hand_over(request, hand_over)
+        admitted = self._admit(request, arrived, call, hand_over)
         if isinstance(admitted, Refusal):
             self._log_refusal(request, admitted, arrived)
-            return _send_refusal(admitted, start_response)
+            return _send_refusal(admitted, start_response, hand_over)
         watch = DisconnectWatch(environ, admitted.cancel)
         accepts_chunked = environ["SERVER_PROTOCOL"] != "HTTP/1.0"
-        response = _WsgiResponse(admitted, watch, accepts_chunked, self._context.buffers)
+        response = _WsgiResponse(admitted, watch, accepts_chunked, self._context.buffers, hand_over)
         return response.start(start_response)
 
-    def _admit(self, request: CallerRequest, arrived: float) -> RequestForwarder | Refusal:
+    def _admit(
+        self,
+        request: CallerRequest,
+        arrived: float,
+        call: ReceivedCall,
+        hand_over: HandOver | None,
+    ) -> RequestForwarder | Refusal:
         """Look up the request's route and customer; return a refusal if it is not admitted."""
         context = self._context
         follower = context.catalog
@@ -103,15 +157,25 @@
             customer = follower.catalog.customers.get(request.key_hash)
             if customer is None:
                 return self._refuse(401 if view_is_recent else 503, "unknown-key", request)
-        return self._build_forwarder(request, route, customer, arrived)
+        return self._build_forwarder(request, route, customer, arrived, call, hand_over)
 
     def _build_forwarder(
-        self, request: CallerRequest, route: Route, customer: Customer | None, arrived: float
+        self,
+        request: CallerRequest,
+        route: Route,
+        customer: Customer | None,
+        arrived: float,
+        call: ReceivedCall,
+        hand_over: HandOver | None,
     ) -> RequestForwarder | Refusal:
         context = self._context
         service = choose_service(route, context.rng.random)
+        # A request is handed over only once.
+        may_hand_over = call if hand_over is None else None
         if route.kind is not RequestKind.STREAM:
-            return RequestForwarder(context, request, route, service, customer, arrived)
+            return RequestForwarder(
+                context, request, route, service, customer, arrived, None, may_hand_over, hand_over
+            )
         customer_name = customer.name if customer is not None else ""
         begun_by, software = request.id, ""
         if request.resume_after is not None:
@@ -124,7 +188,9 @@
             if service not in {target.service for target in route.targets}:
                 return self._refuse(503, "origin-elsewhere", request)
         pin = StreamPin(context.origins, customer_name, begun_by, software)
-        return RequestForwarder(context, request, route, service, customer, arrived, pin)
+        return RequestForwarder(
+            context, request, route, service, customer, arrived, pin, may_hand_over, hand_over
+        )
 
     def _refuse(self, status: int, reason: str, request: CallerRequest) -> Refusal:
         if status != 503:
@@ -158,6 +224,7 @@
         accepts_chunked: Whether the caller supports chunked encoding, which lets it distinguish a
             complete response of unknown length from a truncated one.
         buffers: Memory for a stream that is buffered for a caller that does not.
+        hand_over: What another instance said when it handed the request over; None if none did.
     """
 
     def __init__(
@@ -166,7 +233,9 @@
         watch: DisconnectWatch,
         accepts_chunked: bool,
         buffers: BufferBudget,
+        hand_over: HandOver | None,
     ) -> None:
+        self._hand_over = hand_over
         self._buffers = buffers
         self._forwarder = forwarder
         self._watch = watch
@@ -188,9 +257,11 @@
             raise
         if isinstance(response, Refusal):
             self._watch.stop()
-            return _send_refusal(response, start_response)
+            return _send_refusal(response, start_response, self._hand_over)
         self._reply = response
         headers = [*end_to_end_headers(response.headers)]
+        if self._hand_over is not None:
+            headers.append((RESULT_HEADER, encode_result(HandOverResult(self._hand_over.request))))
         if response.length is not None:
             headers.append(("Content-Length", str(response.length)))
         start_response(_status_line(response.status), headers)
@@ -245,12 +316,17 @@
         close()
 
 
-def _send_refusal(refusal: Refusal, start_response: StartResponse) -> Iterable[bytes]:
+def _send_refusal(
+    refusal: Refusal, start_response: StartResponse, hand_over: HandOver | None = None
+) -> Iterable[bytes]:
     error = {"type": refusal.reason, "verdict": refusal.verdict.value}
     body = json.dumps({"error": error}, separators=(",", ":")).encode()
     headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
     if refusal.retry_after_s is not None:
         headers.append(("Retry-After", f"{refusal.retry_after_s:.2f}"))
+    if hand_over is not None:
+        result = HandOverResult(hand_over.request, refusal.reason, refusal.verdict)
+        headers.append((RESULT_HEADER, encode_result(result)))
     if refusal.close:
         headers.append(("Connection", "close"))
     start_response(_status_line(refusal.status), headers)
--- a/hickoryloom/gateway/attempts.py
+++ b/hickoryloom/gateway/attempts.py
@@ -7,13 +7,15 @@
 
 from hickoryloom.catalog import Customer, Route
 from hickoryloom.discovery import BackendServer
-from hickoryloom.gateway.context import Attempt, GatewayContext
+from hickoryloom.gateway.context import AnyAttempt, Attempt, GatewayContext, PeerAttempt
 from hickoryloom.gateway.crash_guard import CrashGuard, Hold
 from hickoryloom.gateway.messages import CallerRequest, Refusal, ResponseHead
-from hickoryloom.gateway.progress import RequestProgress
+from hickoryloom.gateway.peer_attempts import PeerAttempts
+from hickoryloom.gateway.progress import MAX_FAILED_CONNECTS, RequestProgress
 from hickoryloom.gateway.refusals import refuse
-from hickoryloom.gateway.request_log import RequestLog
+from hickoryloom.gateway.request_log import HANDED_OVER, RequestLog
 from hickoryloom.gateway.stream_pin import StreamPin
+from hickoryloom.handover import HandOver, ReceivedCall
 from hickoryloom.placing import (
     Placement,
     PlacementOutcome,
@@ -52,6 +54,8 @@
         customer: The customer that is billed; None on a route that requires no key.
         arrived: Monotonic time of its arrival, in seconds.
         pin: Keeps a stream at its software version; None for a request of another kind.
+        call: The request as it is handed over to another instance; None if it may not be.
+        hand_over: What another instance said when it handed the request over; None if none did.
     """
 
     def __init__(
@@ -63,6 +67,8 @@
         customer: Customer | None,
         arrived: float,
         pin: StreamPin | None = None,
+        call: ReceivedCall | None = None,
+        hand_over: HandOver | None = None,
     ) -> None:
         self._pin = pin
         self._context = context
@@ -78,8 +84,15 @@
         shared = request.prompt_segments[:-1]
         self._placement_request = PlacementRequest(service, request.prompt_tokens, shared)
         self._guard = CrashGuard(context.quarantine, context.rng, service, shared, self._digest)
-        self._progress = RequestProgress(route, self._deadline)
-        self._attempt: Attempt | None = None
+        self._progress = RequestProgress(
+            route, self._deadline, sends=0 if hand_over is None else hand_over.sends
+        )
+        self._attempt: AnyAttempt | None = None
+        self._peers: PeerAttempts | None = None
+        if call is not None:
+            self._peers = PeerAttempts(
+                context, call, request, arrived, self._deadline, self._progress
+            )
         self._log = RequestLog(
             context.clock,
             context.catalog,
@@ -90,6 +103,7 @@
             customer,
             arrived,
             request.resumes,
+            "" if hand_over is None else hand_over.sender,
         )
 
     @property
@@ -118,8 +132,8 @@
         if self._attempt is not None:
             self._attempt.exchange.interrupt(FailureCause.CANCELLED)
 
-    def start(self, resume_after: int | None) -> Result[Attempt, Refusal]:
-        """Send the request to the best reachable backend server.
+    def start(self, resume_after: int | None) -> Result[AnyAttempt, Refusal]:
+        """Send the request to the best reachable backend server, or hand it over if there is none.
 
         Args:
             resume_after: Id of the last forwarded event; None to request the response from its
@@ -131,9 +145,13 @@
             refusal = self._check_send_allowed(now)
             if refusal is not None:
                 return Err(refusal)
+            if self._is_out_of_reach():
+                return self._hand_over(resume_after)
             placement = context.placer.choose(
                 self._pinned_request(), frozenset(self._progress.excluded), now
             )
+            if placement is None and self._progress.failed_connects:
+                return self._hand_over(resume_after)
             if placement is None:
                 context.meter.record_refused(self._placement_request.service)
                 return Err(self._refuse_unplaced(now))
@@ -162,6 +180,19 @@
                 return Err(refusal)
             return self._send(placement, exchange, resume_after)
 
+    def _is_out_of_reach(self) -> bool:
+        if self._progress.failed_connects >= MAX_FAILED_CONNECTS:
+            return True
+        return self._context.reach.is_cut_off(self._placement_request.service)
+
+    def _hand_over(self, resume_after: int | None) -> Result[AnyAttempt, Refusal]:
+        """Send the request to an instance that may reach its service."""
+        if self._peers is not None:
+            self._attempt = self._peers.start(self._placement_request.service, resume_after)
+        if self._attempt is None:
+            return Err(self.refuse("unreachable"))
+        return Ok(self._attempt)
+
     def _record_unreachable(self, server: BackendServer) -> None:
         usable = self._context.placer.usable_servers(server.service)
         now = self._context.clock.monotonic()
@@ -181,7 +212,7 @@
 
     def _send(
         self, placement: Placement, exchange: Exchange, resume_after: int | None
-    ) -> Result[Attempt, Refusal]:
+    ) -> Result[AnyAttempt, Refusal]:
         context = self._context
         now = context.clock.monotonic()
         attempt = Attempt(placement, exchange, now)
@@ -250,9 +281,9 @@
             return refuse(401, "key-withdrawn", self._progress.verdict)
         return None
 
-    def head_deadline(self, attempt: Attempt) -> float:
+    def head_deadline(self, attempt: AnyAttempt) -> float:
         """Return the monotonic time at which waiting for the response head ends."""
-        if not self._progress.retryable:
+        if isinstance(attempt, PeerAttempt) or not self._progress.retryable:
             return self._deadline
         targets = (
             ENGINE_HEAD_TIMEOUT_TARGETS
@@ -262,6 +293,19 @@
         timeout_s = targets * self._route.target_s
         return min(self._deadline, attempt.sent + timeout_s)
 
+    def read_peer_head(self, attempt: PeerAttempt) -> Refusal | None:
+        """Read the response head of another instance; return the refusal if it refuses.
+
+        Raises:
+            AttemptError: There is no valid response, or another instance may serve the request.
+        """
+        assert self._peers is not None
+        refusal = self._peers.read_head(attempt)
+        if refusal is not None:
+            self._attempt = None
+            self._peers.end(attempt, PlacementOutcome.REFUSED.value, refusal.reason)
+        return refusal
+
     def record_head(self, attempt: Attempt, head: ResponseHead) -> None:
         """Record what a response head reports: load, idle timeout, leaving, a requested pause."""
         attempt.exchange.keep_alive_s = head.keep_alive_s
@@ -289,8 +333,11 @@
         attempt.accepted = True
         self._progress.record_accepted()
 
-    def record_event(self, attempt: Attempt) -> None:
+    def record_event(self, attempt: AnyAttempt) -> None:
         """Record the arrival of an event of a stream."""
+        if isinstance(attempt, PeerAttempt):
+            attempt.first_event_received = True
+            return
         now = self._context.clock.monotonic()
         if not attempt.first_event_received:
             attempt.first_event_received = True
@@ -302,8 +349,13 @@
         else:
             self._guard.record_event(attempt, now)
 
-    def complete(self, attempt: Attempt, outcome: PlacementOutcome, status: int) -> None:
+    def complete(self, attempt: AnyAttempt, outcome: PlacementOutcome, status: int) -> None:
         """Finish the request after its response was read completely."""
+        if isinstance(attempt, PeerAttempt):
+            self._progress.record_completed()
+            self.close(attempt, outcome)
+            self.log_end(HANDED_OVER, status)
+            return
         if outcome is PlacementOutcome.DONE:
             self._guard.record_answer(attempt, self._context.clock.monotonic())
         self._progress.record_completed()
@@ -313,8 +365,13 @@
         self.close(attempt, outcome)
         self.log_end("answered", status)
 
-    def fail(self, attempt: Attempt, failure: AttemptFailure) -> None:
+    def fail(self, attempt: AnyAttempt, failure: AttemptFailure) -> None:
         """Record and close a failed attempt."""
+        if isinstance(attempt, PeerAttempt):
+            assert self._peers is not None
+            self._attempt = None
+            self._peers.fail(attempt, failure)
+            return
         progress = self._progress
         progress.record_failed(attempt.placement.server.id, failure)
         if failure.verdict is not Verdict.NOT_RUN and failure.cause is not FailureCause.CANCELLED:
@@ -337,12 +394,16 @@
         """Return whether the request may be retried after this failure."""
         return self._progress.may_retry(failure)
 
-    def close(self, attempt: Attempt, outcome: PlacementOutcome) -> None:
+    def close(self, attempt: AnyAttempt, outcome: PlacementOutcome) -> None:
         """Release an attempt's connection; idempotent."""
         if attempt.ended:
             return
-        attempt.ended = True
         self._attempt = None
+        if isinstance(attempt, PeerAttempt):
+            assert self._peers is not None
+            self._peers.end(attempt, outcome.value)
+            return
+        attempt.ended = True
         self._log.record_framing(attempt.exchange.framing)
         now = self._context.clock.monotonic()
         self._context.connections.close(attempt.exchange)
--- a/hickoryloom/gateway/context.py
+++ b/hickoryloom/gateway/context.py
@@ -12,6 +12,7 @@
 from hickoryloom.discovery import Discovery
 from hickoryloom.gateway.budget import SharedRetryBudget
 from hickoryloom.gateway.ports import BackendCodec
+from hickoryloom.handover import HandOverClient, Peer
 from hickoryloom.metering import UsageMeter
 from hickoryloom.metrics import MetricsRecorder
 from hickoryloom.origins import StreamOrigins
@@ -20,7 +21,7 @@
 from hickoryloom.reach import Reach
 from hickoryloom.upstream import BufferBudget, ConnectionPool, Exchange
 
-__all__ = ["Attempt", "GatewayContext"]
+__all__ = ["AnyAttempt", "Attempt", "GatewayContext", "PeerAttempt"]
 
 
 @attrs.frozen
@@ -40,6 +41,8 @@
     quarantine: Quarantine
     origins: StreamOrigins
     reach: Reach
+    hand_overs: HandOverClient
+    instance: str
     buffers: BufferBudget
 
 
@@ -76,3 +79,27 @@
         if self.first_event_received:
             return "events"
         return "head" if self.accepted else "nothing"
+
+
+@attrs.define
+class PeerAttempt:
+    """One attempt at another instance, to which the request was handed over.
+
+    Attributes:
+        peer: The other instance.
+        service: Service that this instance can't reach.
+        exchange: The HTTP exchange with it.
+        sent: Monotonic time of the send, in seconds.
+        first_event_received: Whether the first event of its stream has arrived.
+        ended: Whether its connection has been released.
+    """
+
+    peer: Peer
+    service: str
+    exchange: Exchange
+    sent: float
+    first_event_received: bool = False
+    ended: bool = False
+
+
+AnyAttempt = Attempt | PeerAttempt
--- a/hickoryloom/gateway/forwarding.py
+++ b/hickoryloom/gateway/forwarding.py
@@ -9,10 +9,11 @@
 
 from hickoryloom.catalog import Customer, RequestKind, Route
 from hickoryloom.gateway.attempts import Attempts
-from hickoryloom.gateway.context import Attempt, GatewayContext
+from hickoryloom.gateway.context import AnyAttempt, Attempt, GatewayContext, PeerAttempt
 from hickoryloom.gateway.events import EventSequenceError, EventSplitter
 from hickoryloom.gateway.messages import CallerRequest, Refusal, Reply
 from hickoryloom.gateway.stream_pin import StreamPin
+from hickoryloom.handover import HandOver, ReceivedCall, without_hand_over_headers
 from hickoryloom.placing import PlacementOutcome
 from hickoryloom.upstream import (
     ENDED_INSIDE_EVENT,
@@ -58,6 +59,8 @@
         customer: The customer that is billed; None on a route that requires no key.
         arrived: Monotonic time of its arrival, in seconds.
         pin: Keeps a stream at its software version; None for a request of another kind.
+        call: The request as it is handed over to another instance; None if it may not be.
+        hand_over: What another instance said when it handed the request over; None if none did.
     """
 
     def __init__(
@@ -69,11 +72,15 @@
         customer: Customer | None,
         arrived: float,
         pin: StreamPin | None = None,
+        call: ReceivedCall | None = None,
+        hand_over: HandOver | None = None,
     ) -> None:
         self._context = context
         self._request = request
         self._route = route
-        self._attempts = Attempts(context, request, route, service, customer, arrived, pin)
+        self._attempts = Attempts(
+            context, request, route, service, customer, arrived, pin, call, hand_over
+        )
         self._buffered = context.buffers.reserve()
 
     def cancel(self) -> None:
@@ -95,7 +102,7 @@
                 if not self._attempts.may_retry(error.failure):
                     return self._log_refusal(self._attempts.refuse())
 
-    def _receive_response(self, attempt: Attempt) -> Reply:
+    def _receive_response(self, attempt: AnyAttempt) -> Reply | Refusal:
         """Read the response: completely, or up to the first event of a stream.
 
         Raises:
@@ -103,6 +110,8 @@
         """
         exchange = attempt.exchange
         exchange.read_deadline = self._attempts.head_deadline(attempt)
+        if isinstance(attempt, PeerAttempt):
+            return self._receive_from_peer(attempt)
         self._read_head(attempt)
         exchange.read_deadline = self._attempts.deadline
         if exchange.status in NOT_RUN_STATUSES:
@@ -115,6 +124,19 @@
             raise exchange.error(FailureCause.STATUS, f"status {exchange.status}")
         return self._read_whole_response(attempt)
 
+    def _receive_from_peer(self, attempt: PeerAttempt) -> Reply | Refusal:
+        """Read the response of another instance, which has checked it.
+
+        Raises:
+            AttemptError: There is no valid response, or another instance may serve the request.
+        """
+        refusal = self._attempts.read_peer_head(attempt)
+        if refusal is not None:
+            return self._log_refusal(refusal)
+        if self._is_streamed(attempt.exchange):
+            return self._start_stream(attempt)
+        return self._read_whole_response(attempt)
+
     def _is_streamed(self, exchange: Exchange) -> bool:
         """Return whether the response is a stream of events, as its route and type say."""
         if not _is_success(exchange) or self._route.kind is not RequestKind.STREAM:
@@ -142,7 +164,7 @@
         if exchange.header("content-encoding"):
             raise exchange.error(FailureCause.MALFORMED, "unexpected content encoding")
 
-    def _read_whole_response(self, attempt: Attempt) -> Reply:
+    def _read_whole_response(self, attempt: AnyAttempt) -> Reply:
         """Buffer the complete response before any of it is forwarded."""
         exchange = attempt.exchange
         status, headers = exchange.status, exchange.headers
@@ -158,10 +180,13 @@
         self._attempts.complete(
             attempt, PlacementOutcome.FAILED if failed else PlacementOutcome.DONE, status
         )
-        caller_headers = self._context.backends.response_headers(headers)
+        caller_headers = self._caller_headers(headers)
         return Reply(status, caller_headers, BufferedBody(chunks, self._buffered), size)
 
-    def _start_stream(self, attempt: Attempt) -> Reply:
+    def _caller_headers(self, headers: tuple[tuple[str, str], ...]) -> tuple[tuple[str, str], ...]:
+        return without_hand_over_headers(self._context.backends.response_headers(headers))
+
+    def _start_stream(self, attempt: AnyAttempt) -> Reply:
         """Read up to the first complete event; the remaining events are forwarded as they arrive.
 
         Waiting for the first event keeps a retry possible while nothing has been forwarded.
@@ -171,10 +196,12 @@
         splitter = EventSplitter(self._request.resume_after)
         first = self._read_events(attempt, splitter)
         self._attempts.record_event(attempt)
-        caller_headers = self._context.backends.response_headers(headers)
+        caller_headers = self._caller_headers(headers)
         return Reply(status, caller_headers, self._stream(attempt, splitter, first))
 
-    def _stream(self, attempt: Attempt, splitter: EventSplitter, first: bytes) -> Iterator[bytes]:
+    def _stream(
+        self, attempt: AnyAttempt, splitter: EventSplitter, first: bytes
+    ) -> Iterator[bytes]:
         """Yield all events, resuming at another backend server where the route allows it."""
         current = attempt
         events = first
@@ -198,7 +225,7 @@
                 self._attempts.close(current, PlacementOutcome.ABANDONED)
                 self._attempts.log_end("abandoned", 0)
 
-    def _read_events(self, attempt: Attempt, splitter: EventSplitter) -> bytes:
+    def _read_events(self, attempt: AnyAttempt, splitter: EventSplitter) -> bytes:
         """Return the next complete events, or an empty string at the end of the stream.
 
         Raises:
@@ -233,7 +260,7 @@
             raise exchange.error(FailureCause.CONNECTION_LOST, "stream ended before an event")
         return b""
 
-    def _resume(self, splitter: EventSplitter, failure: AttemptFailure) -> tuple[Attempt, bytes]:
+    def _resume(self, splitter: EventSplitter, failure: AttemptFailure) -> tuple[AnyAttempt, bytes]:
         """Resume the stream after its last event at another backend server.
 
         Raises:
@@ -263,9 +290,16 @@
         )
         raise ConnectionAbortedError("response is incomplete")
 
-    def _check_resumed(self, attempt: Attempt) -> None:
-        self._read_head(attempt)
+    def _check_resumed(self, attempt: AnyAttempt) -> None:
         exchange = attempt.exchange
+        if isinstance(attempt, PeerAttempt):
+            refusal = self._attempts.read_peer_head(attempt)
+            if refusal is not None:
+                raise AttemptError(
+                    AttemptFailure(FailureCause.NOT_RUN, refusal.verdict, refusal.reason)
+                )
+        else:
+            self._read_head(attempt)
         if not _is_success(exchange):
             raise exchange.error(
                 FailureCause.STATUS, f"status {exchange.status} for a resumed stream"
--- a/hickoryloom/gateway/process.py
+++ b/hickoryloom/gateway/process.py
@@ -19,8 +19,11 @@
 from hickoryloom.gateway.app import ProxyApp
 from hickoryloom.gateway.budget import DEFAULT_INSTANCES, SharedRetryBudget
 from hickoryloom.gateway.context import GatewayContext
+from hickoryloom.gateway.handed_over import HandOverReceiver, is_handed_over
 from hickoryloom.gateway.ports import Dialect
 from hickoryloom.gateway.settings import GatewaySettings
+from hickoryloom.handover import HandOverClient, HandOverPeers, new_token
+from hickoryloom.handover import Peer as HandOverPeer
 from hickoryloom.http import ConnectionLimits, Server
 from hickoryloom.leases import LeaseManager
 from hickoryloom.logs import log_event
@@ -35,7 +38,7 @@
 )
 from hickoryloom.placing import LIMITS, NamedLimits, Placer
 from hickoryloom.quarantine import QUARANTINE_TOPICS, Quarantine
-from hickoryloom.reach import REACH_TOPICS, Reach
+from hickoryloom.reach import REACH_TOPICS, Reach, ReachProbe
 from hickoryloom.scaling import Scaler
 from hickoryloom.sharing import VIEW_PATH, Peer, ViewFollower, ViewServer
 from hickoryloom.store import CallBudget, PlatformClient
@@ -75,6 +78,9 @@
 """Interval at which candidates read the lease, as a multiple of its duration: about the time
 after which the lease of a dead holder can be taken over."""
 
+HAND_OVER_HEADER_BYTES = 2048
+"""Room for the headers that instances add to a request that they hand over."""
+
 SWEEP_INTERVAL_S = 1.0
 """Interval for closing idle connections that their backend servers are about to close."""
 
@@ -143,6 +149,14 @@
         self._connections = ConnectionPool(
             clock, dialect.backends.id_header, CONNECT_TIMEOUT_S, UNACKNOWLEDGED_TIMEOUT_S
         )
+        self._probe = ReachProbe(
+            self._reach, self._connections, lambda: self._discovery.servers, clock, rng
+        )
+        self._hand_overs = HandOverClient(
+            HandOverPeers(settings.operators, self._reach.is_cut_off_at, rng),
+            ConnectionPool(clock, "", CONNECT_TIMEOUT_S, UNACKNOWLEDGED_TIMEOUT_S),
+        )
+        self._token = new_token()
         self._meter = UsageMeter(clock, settings.usage_window_s or 60.0)
         self._view_server = ViewServer(
             self._incarnation, clock, self._catalog, self._discovery, self._placer
@@ -164,6 +178,7 @@
             self._incarnation,
             settings.operators,
             settings.failure_domain,
+            self._token,
             self._set_instances,
         )
         context = GatewayContext(
@@ -180,9 +195,12 @@
             quarantine=self._quarantine,
             origins=self._origins,
             reach=self._reach,
+            hand_overs=self._hand_overs,
+            instance=settings.instance,
             buffers=BufferBudget(),
         )
-        self._app = ProxyApp(context, dialect.callers)
+        receiver = HandOverReceiver(settings.operators, self._token)
+        self._app = ProxyApp(context, dialect.callers, receiver)
         self._proxy_server = Server(self._app, settings.listen)
         self._readiness_server = Server(self._serve_operators, settings.readiness)
         self._operators_server = (
@@ -255,6 +273,7 @@
         self._meter_task.start()
         self._view_follower.start()
         self._sweeper.start()
+        self._probe.start()
         if self._duties is not None:
             self._duties.start()
 
@@ -275,17 +294,22 @@
         self._proxy_server.close_idle()
         end = started_at + self._settings.stop_s - STOP_MARGIN_S
         self._proxy_server.wait_idle(max(0.0, end - self._clock.monotonic()))
+        if self._operators_server is not None:
+            self._operators_server.wait_idle(max(0.0, end - self._clock.monotonic()))
         self._view_follower.stop()
+        self._probe.stop()
         self._evidence.stop()
         self._datagrams.stop()
         self._meter_task.stop(until=end)
         log_event(log, "stopped", open_requests=self._proxy_server.active)
 
     def _serve_operators(self, environ: dict[str, Any], start_response: Any) -> Any:
-        """Serve readiness checks, operators and other instances.
+        """Serve operators and other instances; also readiness checks on their own port.
 
         The web framework is imported on the first call, so that it doesn't delay serving callers.
         """
+        if is_handed_over(environ):
+            return self._app.serve_handed_over(environ, start_response)
         if environ.get("PATH_INFO") == VIEW_PATH:
             return self._view_server(environ, start_response)
         if self._operators_app is None:
@@ -364,6 +388,12 @@
         self._proxy_server.limits = ConnectionLimits(
             limits.header_bytes, limits.header_timeout_s, limits.idle_timeout_s
         )
+        if self._operators_server is not None:
+            self._operators_server.limits = ConnectionLimits(
+                limits.header_bytes + HAND_OVER_HEADER_BYTES,
+                limits.header_timeout_s,
+                limits.idle_timeout_s,
+            )
 
     def _set_instances(self, live: Mapping[str, InstanceCounts]) -> None:
         count = max(1, len(live))
@@ -373,6 +403,10 @@
             for key, counts in live.items()
             if counts.address
         )
+        self._hand_overs.peers.set_peers(
+            HandOverPeer(counts.address, counts.failure_domain, counts.token)
+            for counts in live.values()
+        )
         self._ranking.set_others(counts.address or key for key, counts in live.items())
         self._keepers.set_others(counts.address for counts in live.values() if counts.address)
         self._evidence.set_peers(counts.address for counts in live.values() if counts.address)
@@ -393,6 +427,7 @@
 
     def _sweep(self) -> float:
         self._connections.close_expired()
+        self._hand_overs.close_expired()
         self._origins.refresh()
         return SWEEP_INTERVAL_S
 
--- a/hickoryloom/gateway/request_log.py
+++ b/hickoryloom/gateway/request_log.py
@@ -16,11 +16,14 @@
 from hickoryloom.upstream import AttemptFailure, BodyFraming
 from hickoryloom.verdict import Verdict
 
-__all__ = ["RequestLog"]
+__all__ = ["HANDED_OVER", "RequestLog"]
 
 MAX_LOGGED_VALUE_CHARS = 60
 MAX_LOGGED_SEGMENTS = 12
 
+HANDED_OVER = "handed-over"
+"""Outcome of a request that another instance has answered, which counts it in its metrics."""
+
 log = logbook.Logger("hickoryloom.gateway")
 
 
@@ -37,6 +40,7 @@
         customer: The customer that is billed; None on a route that requires no key.
         arrived: Monotonic time of the request's arrival, in seconds.
         resumes: Id of the request that began the stream that the caller takes up.
+        handed_over_by: Name of the instance that handed the request over; empty if none did.
     """
 
     def __init__(
@@ -50,7 +54,9 @@
         customer: Customer | None,
         arrived: float,
         resumes: str = "",
+        handed_over_by: str = "",
     ) -> None:
+        self._handed_over_by = handed_over_by
         self._clock = clock
         self._catalog = catalog
         self._metrics = metrics
@@ -167,7 +173,8 @@
         """Log the end of the request and record its duration."""
         now = self._clock.monotonic()
         took_s = now - self._arrived
-        self._metrics.record(self._route.name, self._customer_name(), Measure.ANSWER, took_s)
+        if outcome != HANDED_OVER:
+            self._metrics.record(self._route.name, self._customer_name(), Measure.ANSWER, took_s)
         log_event(
             log,
             "request",
@@ -175,6 +182,7 @@
             route=self._route.name,
             customer=self._customer_name() or None,
             resumes=self._resumes[:MAX_LOGGED_VALUE_CHARS] or None,
+            handed_over_by=self._handed_over_by or None,
             version=self._catalog.catalog.version,
             view_age_ms=round(self._catalog.view.age(now) * 1000),
             outcome=outcome,
--- a/hickoryloom/gateway/tests/test_forwarding.py
+++ b/hickoryloom/gateway/tests/test_forwarding.py
@@ -153,6 +153,8 @@
             retries=lambda service: budget,
             buffers=BufferBudget(),
             reach=Reach("", SharedRecords("", REACH_TOPICS)),
+            hand_overs=None,
+            instance="edge-1",
             origins=StreamOrigins(
                 self.clock,
                 DatagramPort(""),
--- /dev/null
+++ b/hickoryloom/handover/__init__.py
@@ -0,0 +1,39 @@
+"""Requests that an instance hands over to another one, since it can't reach a service itself."""
+
+from hickoryloom.handover.client import HandOverClient
+from hickoryloom.handover.messages import (
+    HAND_OVER_HEADER,
+    RESULT_HEADER,
+    SIGNATURE_HEADER,
+    HandOver,
+    HandOverResult,
+    Peer,
+    ReceivedCall,
+    decode_hand_over,
+    decode_result,
+    encode_hand_over,
+    encode_result,
+    without_hand_over_headers,
+)
+from hickoryloom.handover.peers import HandOverPeers
+from hickoryloom.handover.signing import new_token, sign_call, verify_call
+
+__all__ = [
+    "HAND_OVER_HEADER",
+    "RESULT_HEADER",
+    "SIGNATURE_HEADER",
+    "HandOver",
+    "HandOverClient",
+    "HandOverPeers",
+    "HandOverResult",
+    "Peer",
+    "ReceivedCall",
+    "decode_hand_over",
+    "decode_result",
+    "encode_hand_over",
+    "encode_result",
+    "new_token",
+    "sign_call",
+    "verify_call",
+    "without_hand_over_headers",
+]
--- a/hickoryloom/metering/messages.py
+++ b/hickoryloom/metering/messages.py
@@ -42,6 +42,8 @@
         final: Whether the process has ended gracefully and will write no more.
         address: `host:port` at which the process serves other instances; empty for none.
         failure_domain: Failure domain of the instance.
+        token: Secret with which other instances sign the requests that they hand over to the
+            process; empty if it takes none.
     """
 
     written: float
@@ -50,6 +52,7 @@
     final: bool = False
     address: str = ""
     failure_domain: str = ""
+    token: str = attrs.field(default="", repr=False)
 
 
 class UsageCodec(Protocol):
--- a/hickoryloom/metering/task.py
+++ b/hickoryloom/metering/task.py
@@ -72,6 +72,7 @@
         incarnation: Unique id of this process.
         address: `host:port` at which this process serves other instances; empty for none.
         failure_domain: Failure domain of this instance.
+        token: Secret of this process for requests that are handed over to it.
         on_instances: Called with the counts of live instances by incarnation whenever they have
             been read.
     """
@@ -84,9 +85,11 @@
         incarnation: str,
         address: str,
         failure_domain: str,
+        token: str,
         on_instances: Callable[[Mapping[str, InstanceCounts]], None],
     ) -> None:
         self._address = address
+        self._token = token
         self._failure_domain = failure_domain
         self._client = client
         self._clock = clock
@@ -155,6 +158,7 @@
             final=final,
             address=self._address,
             failure_domain=self._failure_domain,
+            token=self._token,
         )
         value = cattrs.unstructure(counts)
         result = self._client.update(self._key, value, self._version)
--- a/hickoryloom/metering/tests/test_task.py
+++ b/hickoryloom/metering/tests/test_task.py
@@ -32,7 +32,7 @@
     clock = SystemClock()
     meter = UsageMeter(clock, 5.0)
     meter.count("one", clock.monotonic())
-    return MeterTask(store, clock, meter, "a-1", "10.0.0.1:1", "d", lambda live: None)
+    return MeterTask(store, clock, meter, "a-1", "10.0.0.1:1", "d", "", lambda live: None)
 
 
 def stored_counts(store):
--- a/hickoryloom/reach/state.py
+++ b/hickoryloom/reach/state.py
@@ -83,9 +83,7 @@
                 seconds. What was under way before the first failure says nothing about it.
             now: Monotonic time in seconds.
         """
-        known = self._services.get(service)
-        if known is None:
-            return
+        known = self._services.setdefault(service, _Service())
         known.contact_at = now
         if known.failed and sent_at < known.first_failed_at:
             return
--- a/hickoryloom/upstream/connections.py
+++ b/hickoryloom/upstream/connections.py
@@ -23,6 +23,10 @@
 KEEPALIVE_PROBES = 2
 """TCP keepalive with the shortest times that the operating system supports: whole seconds."""
 
+PREPARED_IDLE_S = 1.0
+"""Time for which a connection without a request so far is kept: the idle timeout of its peer isn't
+known yet."""
+
 REUSE_MARGIN_S = 0.5
 """A pooled connection is not reused within this time before the peer closes it, so that a request
 doesn't collide with the close."""
@@ -85,12 +89,20 @@
         """
         sock = None if new_connection else self._take_idle(address)
         if sock is None:
-            sock = _connect(address, self._connect_timeout_s)
-            if self._unacknowledged_s is not None:
-                _enable_peer_timeouts(sock, self._unacknowledged_s)
+            sock = self._open_socket(address)
         self._in_use += 1
         return Exchange(sock, address, attempt_id, method, self._clock, self._id_header)
 
+    def prepare(self, address: str) -> None:
+        """Open a connection for the next request to `address`.
+
+        Raises:
+            AttemptError: The connection failed.
+        """
+        sock, now = self._open_socket(address), self._clock.monotonic()
+        idle = _IdleConnection(sock, now, now + PREPARED_IDLE_S)
+        self._idle.setdefault(address, []).append(idle)
+
     def close(self, exchange: Exchange) -> None:
         """Close an exchange and pool its connection if it is reusable; idempotent."""
         if exchange.closed:
@@ -130,6 +142,12 @@
                 idle.sock.close()
         self._idle.clear()
 
+    def _open_socket(self, address: str) -> Any:
+        sock = _connect(address, self._connect_timeout_s)
+        if self._unacknowledged_s is not None:
+            _enable_peer_timeouts(sock, self._unacknowledged_s)
+        return sock
+
     def _take_idle(self, address: str) -> Any:
         pooled = self._idle.get(address)
         while pooled:
