Entries hand calls over while their pool is out of reach

Calls now go to another entry on the port for peers, signed with the peers' secret, before they are admitted here or when their pool is found out of reach. Connections to backend servers get the time-outs that those of the gateway have.

--- a/hickoryloom/admission/messages.py
+++ b/hickoryloom/admission/messages.py
@@ -74,6 +74,7 @@
     EXPECTED_LATE = "expected-late"
     CUSTOMER_LIMIT = "customer-limit"
     NO_BACKEND = "no-backend-server"
+    UNREACHABLE = "unreachable"
     QUARANTINED = "prompt-in-quarantine"
     PREEMPTED = "preempted"
     STALE_VIEW = "stale-view"
--- a/hickoryloom/entry/app.py
+++ b/hickoryloom/entry/app.py
@@ -12,20 +12,36 @@
 from result import Err
 
 from hickoryloom.admission import RefusalReason, Refused
-from hickoryloom.entry.errors import response_for_client_error, response_for_refusal
+from hickoryloom.entry.errors import (
+    reply_with_error,
+    response_for_client_error,
+    response_for_refusal,
+)
+from hickoryloom.entry.hand_over import CallHandOver
 from hickoryloom.entry.identify import identify, is_public_route, parse_request
 from hickoryloom.entry.messages import ClientError, Reply
-from hickoryloom.entry.request_handler import EntryComponents, RequestHandler, reply_with_error
+from hickoryloom.entry.request_handler import EntryComponents, RequestHandler
 from hickoryloom.entry.requests import allowed_models
 from hickoryloom.entry.wsgi import read_call
+from hickoryloom.handover import (
+    RESULT_HEADER,
+    HandOverResult,
+    encode_result,
+    without_hand_over_headers,
+)
+from hickoryloom.handover import read_call as read_received_call
 from hickoryloom.http import Call, DisconnectWatch
 from hickoryloom.keys import Identity, anonymous, scrub
+from hickoryloom.logs import log_event
 from hickoryloom.verdict import Verdict
 
-__all__ = ["build_caller_app"]
+__all__ = ["PEER_PORT_KEY", "build_caller_app"]
 
 log = logbook.Logger("hickoryloom.entry")
 
+PEER_PORT_KEY = "hickoryloom.peer-port"
+"""Key of the WSGI environment that marks a call which claims to come from another entry."""
+
 MODELS_PATH = "/v1/models"
 STALE_VIEW_RETRY_S = 5.0
 INTERNAL_ERROR_RETRY_S = 1.0
@@ -40,15 +56,46 @@
     def __call__(self, req: falcon.Request, resp: falcon.Response, **_: Any) -> None:
         """Handle one HTTP call."""
         request_id = uuid.uuid4().hex
-        _send(self._serve(req.env, request_id), resp)
-
-    def _serve(self, environ: dict[str, Any], request_id: str) -> Reply:
-        read = read_call(environ)
+        now = self._components.clock.monotonic()
+        read = read_call(req.env)
         if isinstance(read, Err):
             # The rest of the body must not be read as the next request.
             reply = _reply_with_client_error(read.err_value, request_id)
-            return attrs.evolve(reply, headers=[*reply.headers, ("Connection", "close")])
+            closing = attrs.evolve(reply, headers=[*reply.headers, ("Connection", "close")])
+            _send(closing, resp)
+            return
         call = read.ok_value
+        if req.env.get(PEER_PORT_KEY):
+            _send(self._serve_handed_over(call, req.env, request_id), resp)
+            return
+        own = attrs.evolve(call, headers=without_hand_over_headers(call.headers))
+        hand_over = CallHandOver(self._components.hand_overs, req.env, call.body, now)
+        _send(self._serve(own, req.env, request_id, now, hand_over), resp)
+
+    def _serve_handed_over(self, call: Call, environ: dict[str, Any], request_id: str) -> Reply:
+        """Handle a call that another entry hands over, as if its caller had come here."""
+        now = self._components.clock.monotonic()
+        received = read_received_call(environ, call.body)
+        read = self._components.receiver.read(environ, received)
+        if isinstance(read, Err):
+            log_event(log, "hand-over-not-signed", request_id=request_id, detail=read.err_value)
+            error = ClientError(403, "hand-over-not-signed", "The call is not signed.")
+            return _reply_with_client_error(error, request_id)
+        hand_over = read.ok_value
+        own = attrs.evolve(call, headers=without_hand_over_headers(call.headers))
+        arrived = now - hand_over.elapsed_s
+        reply = self._serve(own, environ, hand_over.request, arrived, None)
+        result = _result_of(reply, hand_over.request)
+        return attrs.evolve(reply, headers=[*reply.headers, (RESULT_HEADER, encode_result(result))])
+
+    def _serve(
+        self,
+        call: Call,
+        environ: dict[str, Any],
+        request_id: str,
+        arrived: float,
+        hand_over: CallHandOver | None,
+    ) -> Reply:
         snapshot = self._components.follower.snapshot
         now = self._components.clock.monotonic()
         keyed_calls_allowed = self._components.view_guard.allows_keyed_calls(now)
@@ -59,20 +106,27 @@
         if isinstance(identified, Err):
             return _reply_with_client_error(identified.err_value, request_id)
         identity = identified.ok_value if keyed_calls_allowed else anonymous()
-        return self._serve_identified(call, identity, environ, request_id)
+        return self._serve_identified(call, identity, environ, request_id, arrived, hand_over)
 
     def _serve_identified(
-        self, call: Call, identity: Identity, environ: dict[str, Any], request_id: str
+        self,
+        call: Call,
+        identity: Identity,
+        environ: dict[str, Any],
+        request_id: str,
+        arrived: float,
+        hand_over: CallHandOver | None,
     ) -> Reply:
         components = self._components
-        now = components.clock.monotonic()
         if call.path == MODELS_PATH and call.method == "GET":
             return self._list_models(identity)
-        parsed = parse_request(call, identity, components.follower.snapshot, request_id, now)
+        parsed = parse_request(call, identity, components.follower.snapshot, request_id, arrived)
         if isinstance(parsed, Err):
             return _reply_with_client_error(parsed.err_value, request_id)
         scrubbed = scrub(call, identity)
-        handler = RequestHandler(components, parsed.ok_value, scrubbed, identity.key_hash)
+        handler = RequestHandler(
+            components, parsed.ok_value, scrubbed, identity.key_hash, hand_over
+        )
         watch = DisconnectWatch(environ, handler.cancel_for_disconnect)
         handler.on_end(watch.stop)
         return handler.run()
@@ -84,6 +138,11 @@
         return Reply(200, [("Content-Type", "application/json")], [body])
 
 
+def _result_of(reply: Reply, request_id: str) -> HandOverResult:
+    """Return what the entry that handed a call over must know of the reply."""
+    return HandOverResult(request_id, reply.refused, reply.verdict)
+
+
 def _handle_unexpected_error(
     req: falcon.Request, resp: falcon.Response, error: Exception, _: Any
 ) -> None:
--- a/hickoryloom/entry/errors.py
+++ b/hickoryloom/entry/errors.py
@@ -7,13 +7,14 @@
 from typing import Any
 
 from hickoryloom.admission import RefusalReason, Refused
-from hickoryloom.entry.messages import ClientError, ErrorResponse
+from hickoryloom.entry.messages import ClientError, ErrorResponse, Reply
 from hickoryloom.verdict import Verdict
 
 __all__ = [
     "error_body",
     "error_event",
     "error_headers",
+    "reply_with_error",
     "response_for_client_error",
     "response_for_refusal",
 ]
@@ -23,6 +24,7 @@
     RefusalReason.EXPECTED_LATE: 503,
     RefusalReason.CUSTOMER_LIMIT: 429,
     RefusalReason.NO_BACKEND: 503,
+    RefusalReason.UNREACHABLE: 503,
     RefusalReason.QUARANTINED: 503,
     RefusalReason.PREEMPTED: 503,
     RefusalReason.STALE_VIEW: 503,
@@ -43,6 +45,7 @@
     RefusalReason.EXPECTED_LATE: "The answer would come later than the class's target.",
     RefusalReason.CUSTOMER_LIMIT: "The customer's limit is used up.",
     RefusalReason.QUARANTINED: "Backend servers crashed under prompts that begin like this one.",
+    RefusalReason.UNREACHABLE: "This entry reaches no backend server, nor does any other now.",
     RefusalReason.NO_BACKEND: "No backend server can take the request now.",
     RefusalReason.PREEMPTED: "A request of a higher tier took the capacity.",
     RefusalReason.STALE_VIEW: "This entry cannot tell whether the key is still valid.",
@@ -101,6 +104,17 @@
     return b"data: " + error_body(response) + b"\n\n"
 
 
+def reply_with_error(response: ErrorResponse) -> Reply:
+    """Return an error response as a complete reply."""
+    return Reply(
+        response.status,
+        error_headers(response),
+        [error_body(response)],
+        response.code,
+        response.verdict,
+    )
+
+
 def _error_document(response: ErrorResponse) -> dict[str, Any]:
     error: dict[str, Any] = {
         "type": "invalid_request_error" if response.status < 500 else "service_unavailable",
--- a/hickoryloom/entry/messages.py
+++ b/hickoryloom/entry/messages.py
@@ -56,11 +56,15 @@
         status: HTTP status.
         headers: Names and values, in order.
         body: Chunks of the body; has a `close` method if it holds resources.
+        refused: Machine-readable reason of a refusal; empty for any other response.
+        verdict: Whether a backend server may have run a refused request.
     """
 
     status: int
     headers: list[tuple[str, str]]
     body: Iterable[bytes]
+    refused: str = ""
+    verdict: Verdict = Verdict.MAY_HAVE_RUN
 
 
 @attrs.frozen
--- a/hickoryloom/entry/process.py
+++ b/hickoryloom/entry/process.py
@@ -5,6 +5,7 @@
 import random
 import uuid
 from collections.abc import Iterable
+from typing import Any
 
 import attrs
 import falcon
@@ -17,8 +18,9 @@
 from hickoryloom.config import Settings
 from hickoryloom.configuration import ConfigurationFollower, ConfigurationPeers, Snapshot
 from hickoryloom.entry.accounting import Accounting
-from hickoryloom.entry.app import build_caller_app
+from hickoryloom.entry.app import PEER_PORT_KEY, build_caller_app
 from hickoryloom.entry.decisions import DecisionLog, add_explain_route
+from hickoryloom.entry.hand_over import EntryHandOvers
 from hickoryloom.entry.messages import ClassSummary
 from hickoryloom.entry.request_handler import EntryComponents
 from hickoryloom.evidence import (
@@ -30,6 +32,8 @@
     record_with_time,
 )
 from hickoryloom.fleet import DemandMeter, add_demand_routes
+from hickoryloom.handover import HandOverClient, HandOverPeers, HandOverReceiver, is_handed_over
+from hickoryloom.handover import Peer as HandOverPeer
 from hickoryloom.http import Server
 from hickoryloom.http.admin import build_admin_app
 from hickoryloom.keys import OpenCalls, ViewGuard, WithdrawalTask
@@ -37,9 +41,11 @@
 from hickoryloom.membership import Heartbeat, Membership, Peer
 from hickoryloom.metrics import Attainment, Measure, MetricsRecorder
 from hickoryloom.quarantine import QUARANTINE_TOPICS, Quarantine
+from hickoryloom.reach import REACH_TOPICS, Reach, ReachProbe
 from hickoryloom.relay import Relay
 from hickoryloom.routing import BackendDirectory, BackendView, Router
 from hickoryloom.store import PlatformClient
+from hickoryloom.upstream import ConnectionPool
 from hickoryloom.usage import UsageCounter
 
 __all__ = ["Entry", "build_entry"]
@@ -49,6 +55,13 @@
 IDLE_CONNECTION_GRACE_S = 0.5
 UNKNOWN_AGE_S = 1e9
 
+PEER_CONNECT_TIMEOUT_S = 0.4
+PEER_UNACKNOWLEDGED_S = 1.5
+"""Time after which another entry that acknowledges nothing is unreachable."""
+
+HANDED_OVER_WAIT_S = 30.0
+"""Longest wait at a planned stop for calls that other entries have handed over."""
+
 MAX_EVIDENCE_RECORDS = 50
 """Records in one heartbeat, about 5 KB."""
 
@@ -69,7 +82,7 @@
         self._incarnation = f"{settings.instance}-{uuid.uuid4().hex[:12]}"
         self._stopping = False
         self._peer_app = falcon.App()
-        self._peer_server = _bind_server(self._peer_app, settings.peer_listen)
+        self._peer_server = _bind_server(self._serve_peer, settings.peer_listen)
         self._metrics = MetricsRecorder()
         self._decisions = DecisionLog()
         admin_app = build_admin_app(self.unready_reasons, self.status, self._render_metrics)
@@ -104,9 +117,23 @@
             self._client, clock, rng, self._router.apply_load_report, self._router.apply_cache_event
         )
         self._ranking = InstanceRanking(self._own_address)
-        self._evidence = SharedRecords(self._incarnation, QUARANTINE_TOPICS)
+        self._evidence = SharedRecords(self._incarnation, (*QUARANTINE_TOPICS, *REACH_TOPICS))
         quarantine = Quarantine(self._incarnation, self._evidence, self._ranking)
-        self._relay = Relay(self._router, clock, settings.backend_credential, quarantine=quarantine)
+        self._reach = Reach(self._own_address, self._evidence)
+        self._relay = Relay(
+            self._router,
+            clock,
+            settings.backend_credential,
+            quarantine=quarantine,
+            reach=self._reach,
+        )
+        self._probe = ReachProbe(
+            self._reach, self._relay.connections, self._router.usable_addresses, clock, rng
+        )
+        self._hand_overs = HandOverClient(
+            HandOverPeers(self._own_address, self._reach.is_cut_off_at, rng),
+            ConnectionPool(clock, "", PEER_CONNECT_TIMEOUT_S, PEER_UNACKNOWLEDGED_S),
+        )
         self._claims = Claims(self._client, clock, self._incarnation, self._is_live)
         self._usage = UsageCounter(
             self._client,
@@ -121,7 +148,8 @@
         self._accounting = Accounting(
             clock, self._metrics, self._usage, self._decisions, self._demand
         )
-        self._api_server = _bind_server(build_caller_app(self._build_components()), settings.listen)
+        self._caller_app = build_caller_app(self._build_components())
+        self._api_server = _bind_server(self._caller_app, settings.listen)
         self._connect_components()
 
     @property
@@ -202,6 +230,7 @@
         self._directory.start()
         self._usage.start()
         self._claims.start()
+        self._probe.start()
         self._api_server.start()
 
     def stop(self) -> None:
@@ -213,6 +242,7 @@
         self._api_server.wait_idle()
         gevent.sleep(IDLE_CONNECTION_GRACE_S)
         self._api_server.wait_idle()
+        self._peer_server.wait_idle(HANDED_OVER_WAIT_S)
         self._claims.stop()
         self._usage.stop()
         self._membership.stop()
@@ -220,6 +250,7 @@
 
     def _stop_tasks(self) -> None:
         self._withdrawals.stop()
+        self._probe.stop()
         self._directory.stop()
         self._configuration_peers.stop()
         self._follower.stop()
@@ -238,8 +269,18 @@
             claims=self._claims,
             relay=self._relay,
             accounting=self._accounting,
+            reach=self._reach,
+            hand_overs=EntryHandOvers(self._hand_overs, self._clock, self._settings.instance),
+            receiver=HandOverReceiver(self._own_address, self._settings.peer_secret),
         )
 
+    def _serve_peer(self, environ: dict[str, Any], start_response: Any) -> Any:
+        """Serve another entry: what it hands over, or the routes for peers."""
+        if is_handed_over(environ):
+            environ[PEER_PORT_KEY] = True
+            return self._caller_app(environ, start_response)
+        return self._peer_app(environ, start_response)
+
     def _connect_components(self) -> None:
         self._membership.add_routes(self._peer_app)
         self._configuration_peers.add_routes(self._peer_app)
@@ -271,6 +312,13 @@
         self._admission.set_peers(peers, self._membership.missing)
         self._directory.apply_peers(peers)
         self._ranking.set_others(peer.heartbeat.address for peer in peers)
+        self._hand_overs.peers.set_peers(
+            HandOverPeer(
+                peer.heartbeat.address, peer.heartbeat.failure_domain, self._settings.peer_secret
+            )
+            for peer in peers
+            if not peer.heartbeat.stopping
+        )
         now = self._clock.monotonic()
         for peer in peers:
             # The age was stated when the heartbeat was sent.
@@ -353,7 +401,7 @@
     return min(age_s, UNKNOWN_AGE_S)
 
 
-def _bind_server(app: falcon.App, address: str) -> Server:
+def _bind_server(app: Any, address: str) -> Server:
     server = Server(app, address)
     server.bind()
     return server
--- a/hickoryloom/entry/request_handler.py
+++ b/hickoryloom/entry/request_handler.py
@@ -14,19 +14,17 @@
 from hickoryloom.clock import Clock
 from hickoryloom.configuration import ConfigurationFollower
 from hickoryloom.entry.accounting import Accounting
-from hickoryloom.entry.errors import (
-    error_body,
-    error_event,
-    error_headers,
-    response_for_refusal,
-)
-from hickoryloom.entry.messages import ErrorResponse, Reply
+from hickoryloom.entry.errors import error_event, reply_with_error, response_for_refusal
+from hickoryloom.entry.hand_over import CallHandOver, EntryHandOvers
+from hickoryloom.entry.messages import Reply
+from hickoryloom.handover import HandOverReceiver
 from hickoryloom.http import Call
 from hickoryloom.keys import OpenCalls, ViewGuard
+from hickoryloom.reach import Reach
 from hickoryloom.relay import Outcome, Relay, RelayedResponse
 from hickoryloom.verdict import Verdict
 
-__all__ = ["EntryComponents", "RequestHandler", "reply_with_error"]
+__all__ = ["EntryComponents", "RequestHandler"]
 
 log = logbook.Logger("hickoryloom.entry")
 
@@ -51,6 +49,9 @@
     claims: Claims
     relay: Relay
     accounting: Accounting
+    reach: Reach
+    hand_overs: EntryHandOvers
+    receiver: HandOverReceiver
 
 
 class RequestHandler:
@@ -61,11 +62,19 @@
         request: The request.
         call: The HTTP call, without the caller's key.
         key_hash: Hash of the caller's key; empty for a public route without a key.
+        hand_over: Hands the call over to another entry; None if it may not be.
     """
 
     def __init__(
-        self, components: EntryComponents, request: Request, call: Call, key_hash: str
+        self,
+        components: EntryComponents,
+        request: Request,
+        call: Call,
+        key_hash: str,
+        hand_over: CallHandOver | None = None,
     ) -> None:
+        self._hand_over = hand_over
+        self._handed_over = False
         self._components = components
         self._request = request
         self._call = call
@@ -106,6 +115,10 @@
         return Refused(RefusalReason.INTERNAL, verdict, INTERNAL_ERROR_RETRY_S)
 
     def _run(self) -> Reply:
+        if self._components.reach.is_cut_off(self._request.pool):
+            reply = self._forward()
+            if reply is not None:
+                return reply
         self._components.accounting.record_arrival(self._request)
         admitted = self._components.admission.admit(self._request, self._cancelled)
         if isinstance(admitted, Err):
@@ -260,7 +273,22 @@
             return response.failure
         return Refused(RefusalReason.BACKEND_FAILED, outcome.verdict, 1.0)
 
+    def _forward(self) -> Reply | None:
+        """Hand the call over; return None if no other entry can serve it."""
+        if self._hand_over is None:
+            return None
+        reply = self._hand_over.forward(self._request.pool, self._request.id)
+        if reply is not None:
+            self._handed_over = True
+            now = self._components.clock.monotonic()
+            self._finalize(Outcome(Verdict.NOT_RUN, complete=False, finished_at=now))
+        return reply
+
     def _refuse(self, refused: Refused, outcome: Outcome | None = None) -> Reply:
+        if refused.reason is RefusalReason.UNREACHABLE and refused.verdict is Verdict.NOT_RUN:
+            reply = self._forward()
+            if reply is not None:
+                return reply
         ended = outcome or Outcome(
             refused.verdict, complete=False, finished_at=self._components.clock.monotonic()
         )
@@ -280,7 +308,8 @@
             tokens = max(0, outcome.output_tokens - self._settled_tokens)
             unsettled = attrs.evolve(outcome, output_tokens=tokens)
             self._components.admission.finish(self._admitted, unsettled)
-        self._components.accounting.record_end(self._request, self._first_admitted, outcome)
+        if not self._handed_over:
+            self._components.accounting.record_end(self._request, self._first_admitted, outcome)
 
     def finish_stream(self, response: RelayedResponse) -> bytes:
         """Account for a relayed response; return the error event to append, if any."""
@@ -339,8 +368,3 @@
 def _require_outcome(response: RelayedResponse) -> Outcome:
     assert response.outcome is not None, "a response that was read or closed has an outcome"
     return response.outcome
-
-
-def reply_with_error(response: ErrorResponse) -> Reply:
-    """Return an error response as a complete reply."""
-    return Reply(response.status, error_headers(response), [error_body(response)])
--- a/hickoryloom/gateway/app.py
+++ b/hickoryloom/gateway/app.py
@@ -18,7 +18,6 @@
 from hickoryloom.catalog import Customer, RequestKind, Route, choose_service
 from hickoryloom.gateway.context import GatewayContext
 from hickoryloom.gateway.forwarding import RequestForwarder
-from hickoryloom.gateway.handed_over import HandOverReceiver, read_call
 from hickoryloom.gateway.messages import CallerRequest, Refusal, Reply
 from hickoryloom.gateway.peer_attempts import with_hand_over
 from hickoryloom.gateway.ports import CallerCodec
@@ -28,9 +27,11 @@
 from hickoryloom.handover import (
     RESULT_HEADER,
     HandOver,
+    HandOverReceiver,
     HandOverResult,
     ReceivedCall,
     encode_result,
+    read_call,
     without_hand_over_headers,
 )
 from hickoryloom.http import RAW_HEADERS_KEY, DisconnectWatch
--- a/hickoryloom/gateway/process.py
+++ b/hickoryloom/gateway/process.py
@@ -19,10 +19,15 @@
 from hickoryloom.gateway.app import ProxyApp
 from hickoryloom.gateway.budget import DEFAULT_INSTANCES, SharedRetryBudget
 from hickoryloom.gateway.context import GatewayContext
-from hickoryloom.gateway.handed_over import HandOverReceiver, is_handed_over
 from hickoryloom.gateway.ports import Dialect
 from hickoryloom.gateway.settings import GatewaySettings
-from hickoryloom.handover import HandOverClient, HandOverPeers, new_token
+from hickoryloom.handover import (
+    HandOverClient,
+    HandOverPeers,
+    HandOverReceiver,
+    is_handed_over,
+    new_token,
+)
 from hickoryloom.handover import Peer as HandOverPeer
 from hickoryloom.http import ConnectionLimits, Server
 from hickoryloom.leases import LeaseManager
@@ -150,7 +155,7 @@
             clock, dialect.backends.id_header, CONNECT_TIMEOUT_S, UNACKNOWLEDGED_TIMEOUT_S
         )
         self._probe = ReachProbe(
-            self._reach, self._connections, lambda: self._discovery.servers, clock, rng
+            self._reach, self._connections, self._placer.usable_addresses, clock, rng
         )
         self._hand_overs = HandOverClient(
             HandOverPeers(settings.operators, self._reach.is_cut_off_at, rng),
--- a/hickoryloom/handover/__init__.py
+++ b/hickoryloom/handover/__init__.py
@@ -16,6 +16,7 @@
     without_hand_over_headers,
 )
 from hickoryloom.handover.peers import HandOverPeers
+from hickoryloom.handover.receiver import HandOverReceiver, is_handed_over, read_call
 from hickoryloom.handover.signing import new_token, sign_call, verify_call
 
 __all__ = [
@@ -25,6 +26,7 @@
     "HandOver",
     "HandOverClient",
     "HandOverPeers",
+    "HandOverReceiver",
     "HandOverResult",
     "Peer",
     "ReceivedCall",
@@ -32,7 +34,9 @@
     "decode_result",
     "encode_hand_over",
     "encode_result",
+    "is_handed_over",
     "new_token",
+    "read_call",
     "sign_call",
     "verify_call",
     "without_hand_over_headers",
--- a/hickoryloom/handover/receiver.py
+++ b/hickoryloom/handover/receiver.py
@@ -1,4 +1,4 @@
-"""Reads what other instances say when they hand a request over to this one."""
+"""Reads requests that other instances hand over to this one."""
 
 from __future__ import annotations
 
@@ -6,15 +6,15 @@
 
 from result import Err, Result
 
-from hickoryloom.handover import (
+from hickoryloom.handover.messages import (
     HAND_OVER_HEADER,
     SIGNATURE_HEADER,
     HandOver,
     ReceivedCall,
     decode_hand_over,
-    verify_call,
     without_hand_over_headers,
 )
+from hickoryloom.handover.signing import verify_call
 from hickoryloom.http import RAW_HEADERS_KEY, RAW_TARGET_KEY
 from hickoryloom.upstream import end_to_end_headers
 
@@ -40,7 +40,7 @@
         headers = dict(environ[RAW_HEADERS_KEY])
         value = headers.get(HAND_OVER_HEADER, "")
         signature = headers.get(SIGNATURE_HEADER, "")
-        if not verify_call(signature, self._token, self._address, value, call):
+        if not self._token or not verify_call(signature, self._token, self._address, value, call):
             return Err("signature does not match")
         return decode_hand_over(value)
 
--- a/hickoryloom/placing/placer.py
+++ b/hickoryloom/placing/placer.py
@@ -83,7 +83,12 @@
 
     def usable_servers(self, service: str) -> int:
         """Return the number of a service's servers that are not leaving."""
-        return sum(not tracked.server.leaving for tracked in self._by_service.get(service, ()))
+        return len(self.usable_addresses(service))
+
+    def usable_addresses(self, service: str) -> dict[str, str]:
+        """Return the addresses of a service's servers that are not leaving, by id."""
+        servers = [tracked.server for tracked in self._by_service.get(service, ())]
+        return {server.id: server.address for server in servers if not server.leaving}
 
     def set_servers(self, servers: Iterable[BackendServer]) -> None:
         """Replace the list of live backend servers.
--- a/hickoryloom/reach/task.py
+++ b/hickoryloom/reach/task.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Mapping
 from random import Random
 
 import logbook
 
 from hickoryloom.clock import Clock
-from hickoryloom.discovery import BackendServer
 from hickoryloom.loops import TaskLoop
 from hickoryloom.reach.state import Reach
 from hickoryloom.upstream import AttemptError, ConnectionPool
@@ -36,7 +35,7 @@
     Args:
         reach: Which services are unreachable.
         connections: The connections to backend servers.
-        servers: Returns the registered servers.
+        addresses: Returns the addresses of a service's usable servers by id.
         clock: Source of time.
         rng: Selects the servers.
     """
@@ -45,13 +44,13 @@
         self,
         reach: Reach,
         connections: ConnectionPool,
-        servers: Callable[[], Iterable[BackendServer]],
+        addresses: Callable[[str], Mapping[str, str]],
         clock: Clock,
         rng: Random,
     ) -> None:
         self._reach = reach
         self._connections = connections
-        self._servers = servers
+        self._addresses = addresses
         self._clock = clock
         self._rng = rng
         self._interval_s = INTERVAL_S
@@ -70,22 +69,19 @@
         grown_s = min(MAX_INTERVAL_S, self._interval_s * INTERVAL_GROWTH)
         self._interval_s = grown_s if unreachable else INTERVAL_S
         for service in unreachable:
-            usable = [
-                server
-                for server in self._servers()
-                if server.service == service and not server.leaving
-            ]
-            if usable:
-                self._probe(self._rng.choice(usable), len(usable))
+            addresses = self._addresses(service)
+            if addresses:
+                server, address = self._rng.choice(sorted(addresses.items()))
+                self._probe(service, server, address, len(addresses))
         self._reach.refresh(self._clock.monotonic())
         return self._interval_s * (1.0 - JITTER * self._rng.random())
 
-    def _probe(self, server: BackendServer, servers: int) -> None:
+    def _probe(self, service: str, server: str, address: str, servers: int) -> None:
         started_at = self._clock.monotonic()
         try:
-            self._connections.prepare(server.address)
+            self._connections.prepare(address)
         except AttemptError:
             now = self._clock.monotonic()
-            self._reach.record_unreachable(server.service, server.id, servers, now)
+            self._reach.record_unreachable(service, server, servers, now)
             return
-        self._reach.record_contact(server.service, started_at, self._clock.monotonic())
+        self._reach.record_contact(service, started_at, self._clock.monotonic())
--- a/hickoryloom/relay/attempts.py
+++ b/hickoryloom/relay/attempts.py
@@ -17,6 +17,7 @@
 from hickoryloom.http import Call
 from hickoryloom.logs import log_event
 from hickoryloom.quarantine import Quarantine, digest_request, part_keys, request_key
+from hickoryloom.reach import Reach
 from hickoryloom.relay.attempt import Attempt, attempt_id
 from hickoryloom.relay.engine import EngineControl
 from hickoryloom.relay.headers import (
@@ -80,6 +81,7 @@
     engine: EngineControl
     credential: str
     quarantine: Quarantine
+    reach: Reach
     buffers: BufferBudget
     rng: random.Random = attrs.field(factory=random.Random)
     open: dict[str, Attempts] = attrs.field(factory=dict)
@@ -183,6 +185,8 @@
             quarantined_s = self._quarantined_s()
             if quarantined_s:
                 return Err(self._refuse_quarantined(quarantined_s))
+            if self._context.reach.is_cut_off(self._request.pool):
+                return Err(self.refusal(RefusalReason.UNREACHABLE, ""))
             attempt = self._choose_backend(first_position)
             if attempt is None:
                 return Err(self.refusal(RefusalReason.NO_BACKEND, "no backend server is left"))
@@ -350,9 +354,13 @@
         address = attempt.choice.backend.address
         new_connection = not self._request.idempotent
         head = self._build_head(attempt, address, len(body))
-        exchange = self._context.connections.open(
-            address, attempt.id, self._call.method, new_connection
-        )
+        try:
+            exchange = self._context.connections.open(
+                address, attempt.id, self._call.method, new_connection
+            )
+        except AttemptError:
+            self._record_unreachable(attempt)
+            raise
         attempt.exchange = exchange
         if self._cancel_reason is not None:
             exchange.interrupt(FailureCause.CANCELLED)
@@ -364,10 +372,20 @@
             raise AttemptError(AttemptFailure(FailureCause.NOT_RUN, Verdict.NOT_RUN, detail))
         self._context.quarantine.record_sent(self._keys, self._context.clock.monotonic())
         exchange.send(head, body)
+        sent_at = self._context.clock.monotonic()
         exchange.read_head()
+        self._context.reach.record_contact(
+            self._request.pool, sent_at, self._context.clock.monotonic()
+        )
         exchange.check_id()
         self._check_status(attempt)
 
+    def _record_unreachable(self, attempt: Attempt) -> None:
+        pool = self._request.pool
+        servers = self._context.router.usable_servers(pool)
+        now = self._context.clock.monotonic()
+        self._context.reach.record_unreachable(pool, attempt.choice.backend.id, servers, now)
+
     def _check_send_permission(self) -> None:
         """Cancel the request if `may_send` no longer allows sending it."""
         if self._may_send is None or self._may_send():
--- a/hickoryloom/relay/task.py
+++ b/hickoryloom/relay/task.py
@@ -12,6 +12,7 @@
 from hickoryloom.evidence import InstanceRanking, SharedRecords
 from hickoryloom.http import Call
 from hickoryloom.quarantine import QUARANTINE_TOPICS, Quarantine
+from hickoryloom.reach import REACH_TOPICS, Reach
 from hickoryloom.relay.assembly import StreamAssembler
 from hickoryloom.relay.attempt import Attempt
 from hickoryloom.relay.attempts import Attempts, ReadmitCallback, RelayContext
@@ -28,6 +29,13 @@
 
 __all__ = ["Relay"]
 
+CONNECT_TIMEOUT_S = 0.4
+"""A hundred round trips; a backend server that takes longer is down or unreachable."""
+
+UNACKNOWLEDGED_TIMEOUT_S = 1.5
+"""A backend server that acknowledges no sent bytes for this long is down or unreachable; a sound
+one may be silent for a second."""
+
 SERVICE_TIMEOUT_S = 30.0
 CALLER_TIMEOUT_S = 60.0
 
@@ -45,6 +53,7 @@
         quarantine: Holds back prompts that crash backend servers; None for one of this relay
             alone.
         buffers: Memory for buffered responses; None for the default limit.
+        reach: Which pools can't be reached; None for what this relay alone sees.
     """
 
     def __init__(
@@ -56,10 +65,15 @@
         caller_timeout_s: float = CALLER_TIMEOUT_S,
         quarantine: Quarantine | None = None,
         buffers: BufferBudget | None = None,
+        reach: Reach | None = None,
     ) -> None:
         self._router = router
         self._clock = clock
-        self._connections = ConnectionPool(clock)
+        self._connections = ConnectionPool(
+            clock,
+            connect_timeout_s=CONNECT_TIMEOUT_S,
+            unacknowledged_s=UNACKNOWLEDGED_TIMEOUT_S,
+        )
         engine = EngineControl(credential)
         self._context = RelayContext(
             router,
@@ -68,6 +82,7 @@
             engine,
             credential,
             quarantine or _build_local_quarantine(),
+            reach or Reach("", SharedRecords("", REACH_TOPICS)),
             buffers or BufferBudget(),
         )
         self._watchdog = Watchdog(self._context, service_timeout_s, caller_timeout_s)
--- a/hickoryloom/routing/router.py
+++ b/hickoryloom/routing/router.py
@@ -96,6 +96,17 @@
             known[id].leave_pool()
         self._rebuild_pools()
 
+    def usable_servers(self, pool: str) -> int:
+        """Return the number of a pool's backend servers that are not leaving."""
+        state = self._pools.get(pool)
+        return len(state.backends) if state is not None else 0
+
+    def usable_addresses(self, pool: str) -> dict[str, str]:
+        """Return the addresses of a pool's backend servers that are not leaving, by id."""
+        state = self._pools.get(pool)
+        backends = state.backends if state is not None else []
+        return {tracked.view.id: tracked.view.address for tracked in backends}
+
     def apply_load_report(self, backend_id: str, report: LoadReport) -> None:
         """Apply a load report of a backend server."""
         tracked = self._backends.get(backend_id)
