Bound the doublings of a server's pause

A server that failed over a thousand times with no success in between made the pause of the next failure overflow (OverflowError), which ended the request with an error of the program.

--- a/hickoryloom/placing/tests/test_placer.py
+++ b/hickoryloom/placing/tests/test_placer.py
@@ -253,3 +253,15 @@
         if is_short and now > 10.0:
             busy[placement.server.id] += 0.03
     assert max(busy.values()) / 10.0 <= 0.5
+
+
+def test_a_server_that_fails_for_hours_is_still_paused():
+    backends = servers(1, "app", 6)
+    placer = build_placer(backends)
+    request = PlacementRequest("app")
+    for attempt in range(1_200):
+        placement = placer.choose(request, frozenset(), float(attempt))
+        placer.start_attempt(placement, request, float(attempt))
+        placer.finish_attempt(
+            placement, request, PlacementOutcome.UNREACHABLE, False, float(attempt)
+        )
--- a/hickoryloom/placing/tracked.py
+++ b/hickoryloom/placing/tracked.py
@@ -23,6 +23,8 @@
 MAX_PAUSE_S = 4.0
 """Maximum pause, so that a backend server that has recovered is used again within seconds."""
 
+MAX_DOUBLINGS = 10
+
 FAILURES_TO_PAUSE = 3
 """Consecutive failed attempts after which a backend server is paused. A single failure must not
 pause it: some services fail one request in seven."""
@@ -136,5 +138,5 @@
 
     def _pause(self, now: float) -> None:
         pause_s = min(MAX_PAUSE_S, INITIAL_PAUSE_S * 2**self._pauses)
-        self._pauses += 1
+        self._pauses = min(self._pauses + 1, MAX_DOUBLINGS)
         self.paused_until = now + pause_s
