Divide the room of brittle servers among the instances

Servers that bear few rejections in a second fell over in a burst, one after the other: 8 falls of 4 servers with 1.7 times the load they take, 20 of 10 with 1.1 times (allowed 2.4 and 3), with a tenth of the slots used. Cause: each instance sees its own part of what a server turns away, and sends on until then. Class: a bound over all instances, guarded by what one of them sees.

The slots of a server that says that it is brittle are divided among the instances; what others leave free is taken up slowly, a rejection makes an instance send less.

--- a/hickoryloom/evidence/records.py
+++ b/hickoryloom/evidence/records.py
@@ -114,6 +114,10 @@
             self._forget(topic.name, key)
         return list(records.values())
 
+    def count(self, topic: Topic) -> int:
+        """Return the number of records of a topic, some of which may have expired."""
+        return len(self._records[topic.name])
+
     def all(self, now: float) -> list[Record]:
         """Return all live records."""
         return [record for topic in self._topics.values() for record in self.live(topic, now)]
--- a/hickoryloom/gateway/attempts.py
+++ b/hickoryloom/gateway/attempts.py
@@ -82,7 +82,12 @@
         self._caller_deadline = arrived + caller_timeout_s
         self._deadline = arrived + min(caller_timeout_s, route.timeout_s)
         shared = request.prompt_segments[:-1]
-        self._placement_request = PlacementRequest(service, request.prompt_tokens, shared)
+        self._placement_request = PlacementRequest(
+            service,
+            request.prompt_tokens,
+            shared,
+            urgency=context.catalog.priority_scale.priority(route, customer),
+        )
         self._guard = CrashGuard(context.quarantine, context.rng, service, shared, self._digest)
         self._progress = RequestProgress(
             route, self._deadline, sends=0 if hand_over is None else hand_over.sends
@@ -169,8 +174,7 @@
                     placement, self._progress.sends, "unreachable", error.failure.detail
                 )
                 continue
-            resting = context.placer.rest_s(server, context.clock.monotonic()) > 0
-            if resting or not context.discovery.is_usable(server):
+            if not self._takes_requests(server):
                 context.connections.close(exchange)
                 self._progress.excluded.add(server.id)
                 continue
@@ -180,6 +184,15 @@
                 return Err(refusal)
             return self._send(placement, exchange, resume_after)
 
+    def _takes_requests(self, server: BackendServer) -> bool:
+        """Return whether a server still takes a request, now that it is connected."""
+        placer, now = self._context.placer, self._context.clock.monotonic()
+        if placer.rest_s(server, now) > 0:
+            return False
+        if not placer.has_room(server, self._placement_request.urgency, now):
+            return False
+        return self._context.discovery.is_usable(server)
+
     def _is_out_of_reach(self) -> bool:
         if self._progress.failed_connects >= MAX_FAILED_CONNECTS:
             return True
@@ -321,6 +334,10 @@
             changed = self._context.placer.note_limit(server, head.limit, attempt.sent, now)
             if changed:
                 self._log.log_limit(server, head.limit)
+        if head.brittle or (head.signed and not head.not_run):
+            self._context.placer.note_brittle(server, head.brittle, attempt.sent, now)
+        if head.turned_away:
+            self._context.placer.record_rejected(server, now)
         if head.leaving:
             self._context.discovery.mark_leaving(server)
         if head.pause:
@@ -427,7 +444,9 @@
         )
 
     def _refuse_unplaced(self, now: float) -> Refusal:
-        rest_s = self._context.placer.shortest_rest_s(self._placement_request.service, now)
+        rest_s = self._context.placer.shortest_rest_s(
+            self._placement_request.service, now, self._placement_request.urgency
+        )
         if rest_s:
             return self.refuse("backend-servers-full", rest_s)
         pinned = self._pin is not None and self._pin.software
--- a/hickoryloom/gateway/messages.py
+++ b/hickoryloom/gateway/messages.py
@@ -70,6 +70,9 @@
             empty if not stated.
         limit: Requests per second that the backend server takes from all instances together, as
             stated; empty if not stated.
+        turned_away: Whether the backend server turned the request away for want of room or time.
+        brittle: Requests that the backend server may turn away in a second without falling over,
+            as stated; empty if not stated.
     """
 
     not_run: bool
@@ -80,6 +83,8 @@
     leaving: bool = False
     pause: str = ""
     limit: str = ""
+    turned_away: bool = False
+    brittle: str = ""
 
 
 @attrs.frozen
--- a/hickoryloom/gateway/process.py
+++ b/hickoryloom/gateway/process.py
@@ -41,7 +41,7 @@
     SoftwareVersions,
     StreamOrigins,
 )
-from hickoryloom.placing import LIMITS, NamedLimits, Placer
+from hickoryloom.placing import BRITTLE, LIMITS, BrittleServers, NamedLimits, Placer
 from hickoryloom.quarantine import QUARANTINE_TOPICS, Quarantine
 from hickoryloom.reach import REACH_TOPICS, Reach, ReachProbe
 from hickoryloom.scaling import Scaler
@@ -132,7 +132,7 @@
         self._ranking = InstanceRanking(identity)
         self._datagrams = DatagramPort(settings.operators)
         records = SharedRecords(
-            self._incarnation, (*QUARANTINE_TOPICS, LIMITS, *ORIGIN_TOPICS, *REACH_TOPICS)
+            self._incarnation, (*QUARANTINE_TOPICS, LIMITS, BRITTLE, *ORIGIN_TOPICS, *REACH_TOPICS)
         )
         self._evidence = EvidenceExchange(self._datagrams, clock, rng, records)
         self._quarantine = Quarantine(settings.instance, records, self._ranking)
@@ -148,7 +148,8 @@
         self._discovery.subscribe(self._origins.set_servers)
         self._reach = Reach(settings.operators, records)
         self._limits = NamedLimits(records, self._ranking)
-        self._placer = Placer(settings.failure_domain, rng, self._limits)
+        self._brittle = BrittleServers(records, self._ranking)
+        self._placer = Placer(settings.failure_domain, rng, self._limits, self._brittle)
         self._discovery.subscribe(self._placer.set_servers)
         self._catalog.subscribe(self._apply_catalog)
         self._connections = ConnectionPool(
@@ -450,6 +451,7 @@
                 "requests_quarantined": self._quarantine.requests,
                 "stream_origins": self._origins.kept,
                 "backend_servers_limited": self._limits.servers,
+                "backend_servers_brittle": self._brittle.servers,
                 "services_unreachable": len(self._reach.unreachable),
                 "store_era": self._client.era,
                 "store_era_changes": self._client.era_changes,
--- a/hickoryloom/placing/__init__.py
+++ b/hickoryloom/placing/__init__.py
@@ -1,6 +1,7 @@
 """Selection of the backend server for a request."""
 
 from hickoryloom.placing import (
+    brittle,
     messages,
     named_limit,
     placer,
@@ -9,6 +10,7 @@
     short_prompts,
     tracked,
 )
+from hickoryloom.placing.brittle import *  # noqa: F403
 from hickoryloom.placing.messages import *  # noqa: F403
 from hickoryloom.placing.named_limit import *  # noqa: F403
 from hickoryloom.placing.placer import *  # noqa: F403
@@ -18,6 +20,7 @@
 from hickoryloom.placing.tracked import *  # noqa: F403
 
 __all__ = [
+    *brittle.__all__,
     *messages.__all__,
     *named_limit.__all__,
     *placer.__all__,
--- a/hickoryloom/placing/messages.py
+++ b/hickoryloom/placing/messages.py
@@ -33,12 +33,14 @@
         prompt_tokens: Length of the prompt; 0 for a request that is not for a model engine.
         shared: Segments of the prompt prefix that other prompts may share, in order.
         software: The only software version whose servers may be selected; empty for any.
+        urgency: Priority of the request at its service; 0 is the most urgent.
     """
 
     service: str
     prompt_tokens: int = 0
     shared: tuple[PromptSegment, ...] = ()
     software: str = ""
+    urgency: int = 0
 
     @property
     def session(self) -> str:
--- a/hickoryloom/placing/placer.py
+++ b/hickoryloom/placing/placer.py
@@ -15,6 +15,7 @@
 
 from hickoryloom.discovery import BackendServer
 from hickoryloom.evidence import InstanceRanking, SharedRecords
+from hickoryloom.placing.brittle import BRITTLE, BrittleServers
 from hickoryloom.placing.messages import Placement, PlacementOutcome, PlacementRequest, ReportedLoad
 from hickoryloom.placing.named_limit import LIMITS, NamedLimits
 from hickoryloom.placing.prefill import PrefillRate
@@ -56,10 +57,15 @@
         failure_domain: Failure domain of the instance.
         rng: Source of random numbers for tie-breaking and jitter.
         limits: Limits that backend servers name; None for those that this instance alone sees.
+        brittle: Brittle backend servers; None for those that this instance alone sees.
     """
 
     def __init__(
-        self, failure_domain: str, rng: random.Random, limits: NamedLimits | None = None
+        self,
+        failure_domain: str,
+        rng: random.Random,
+        limits: NamedLimits | None = None,
+        brittle: BrittleServers | None = None,
     ) -> None:
         self._failure_domain = failure_domain
         self._rng = rng
@@ -69,6 +75,7 @@
         self._short_prompts: dict[str, ShortPromptEngines] = {}
         self._instances = 1
         self._limits = limits or _build_own_limits()
+        self._brittle = brittle or _build_own_brittle_servers()
         self._pauses: dict[tuple[str, int], RequestedPause] = {}
 
     @property
@@ -148,6 +155,13 @@
             and tracked.server.id not in exclude
             and request.software in ("", tracked.server.software)
         ]
+        if self._brittle.servers:
+            self._brittle.note_urgency(request.service, request.urgency, now)
+            usable = [
+                tracked
+                for tracked in usable
+                if not self._room_wait_s(tracked, request.urgency, now)
+            ]
         if self._pauses or self._limits.servers:
             usable = [tracked for tracked in usable if not self.rest_s(tracked.server, now)]
             usable = [tracked for tracked in usable if self._is_allowed(tracked, now)] or usable
@@ -165,6 +179,24 @@
         key = (server.id, server.started_ms)
         self._pauses.setdefault(key, RequestedPause(now)).extend(now + seconds)
 
+    def note_brittle(self, server: BackendServer, value: str, sent_at: float, now: float) -> None:
+        """Note how many rejections in a second a server bears, as its response says.
+
+        Args:
+            server: The backend server.
+            value: The number as stated; empty if the server is not brittle.
+            sent_at: Monotonic time at which the request was sent, in seconds.
+            now: Monotonic time in seconds.
+        """
+        self._brittle.note(server, value, sent_at, now)
+
+    def record_rejected(self, server: BackendServer, now: float) -> None:
+        """Record that a server has turned a request away."""
+        tracked = self._tracked.get(server.id)
+        if tracked is not None and self._brittle.servers:
+            room = tracked.room(now)
+            self._brittle.record_rejected(server, room, self._instances, now)
+
     def note_limit(self, server: BackendServer, limit: str, sent_at: float, now: float) -> bool:
         """Note the limit that a response names.
 
@@ -190,12 +222,29 @@
         limited_s = self._limits.rest_s(server, now)
         return limited_s if pause is None else max(limited_s, pause.rest_s(now))
 
-    def shortest_rest_s(self, service: str, now: float) -> float:
+    def shortest_rest_s(self, service: str, now: float, urgency: int = 0) -> float:
         """Return the seconds until the first of a service's resting servers takes requests."""
-        servers = [tracked.server for tracked in self._by_service.get(service, ())]
-        rests = [self.rest_s(server, now) for server in servers if not server.leaving]
+        rests = [
+            max(
+                self.rest_s(tracked.server, now),
+                self._room_wait_s(tracked, urgency, now) if self._brittle.servers else 0.0,
+            )
+            for tracked in self._by_service.get(service, ())
+            if not tracked.server.leaving
+        ]
         return min((rest_s for rest_s in rests if rest_s), default=0.0)
 
+    def has_room(self, server: BackendServer, urgency: int, now: float) -> bool:
+        """Return whether a server, if it is brittle, has room for a request of this instance."""
+        tracked = self._tracked.get(server.id)
+        if tracked is None or not self._brittle.servers:
+            return True
+        return not self._room_wait_s(tracked, urgency, now)
+
+    def _room_wait_s(self, tracked: TrackedServer, urgency: int, now: float) -> float:
+        room = tracked.room(now)
+        return self._brittle.wait_s(tracked.server, room, urgency, self._instances, now)
+
     def _is_allowed(self, tracked: TrackedServer, now: float) -> bool:
         pause = self._pause_of(tracked.server)
         return pause is None or pause.allows(tracked.in_flight, now)
@@ -262,7 +311,7 @@
         """Record the load reported by a backend server."""
         tracked = self._tracked.get(id)
         if tracked is not None:
-            tracked.on_report(load, now)
+            tracked.on_report(load, now, self._rng.random())
 
     def _choose_engine(
         self, request: PlacementRequest, candidates: list[TrackedServer], now: float
@@ -343,5 +392,12 @@
     return NamedLimits(SharedRecords("", (LIMITS,)), ranking)
 
 
+def _build_own_brittle_servers() -> BrittleServers:
+    """Return brittle servers that no other instance hears of."""
+    ranking = InstanceRanking("")
+    ranking.set_others(())
+    return BrittleServers(SharedRecords("", (BRITTLE,)), ranking)
+
+
 def _is_short(request: PlacementRequest) -> bool:
     return request.prompt_tokens <= LONG_PROMPT_TOKENS
--- a/hickoryloom/placing/tracked.py
+++ b/hickoryloom/placing/tracked.py
@@ -7,6 +7,7 @@
 import attrs
 
 from hickoryloom.discovery import BackendServer
+from hickoryloom.placing.brittle import REPORT_MAX_AGE_S, Room
 from hickoryloom.placing.messages import PlacementOutcome, PlacementRequest, ReportedLoad
 
 __all__ = ["TrackedServer"]
@@ -57,16 +58,21 @@
     _pauses: int = 0
     _load: ReportedLoad | None = None
     _load_at: float = 0.0
+    _draw: float = 0.0
+    _sent_since: int = 0
     _parts: OrderedDict[str, None] = attrs.field(factory=OrderedDict)
 
-    def on_report(self, load: ReportedLoad, now: float) -> None:
-        """Record a load report."""
+    def on_report(self, load: ReportedLoad, now: float, draw: float = 0.0) -> None:
+        """Record a load report, with a random number from 0 to 1."""
+        self._draw = draw
+        self._sent_since = 0
         self._load = load
         self._load_at = now
 
     def on_start(self, request: PlacementRequest, prefill_tokens: int) -> None:
         """Record that a request has been sent; its shared segments count as cached from now on."""
         self.in_flight += 1
+        self._sent_since += 1
         self.unread_tokens += prefill_tokens
         for part in request.shared:
             self._parts[part.id] = None
@@ -131,6 +137,14 @@
             return 0.0
         return float(self._load.running * 0.5 ** ((now - self._load_at) / REPORT_HALF_LIFE_S))
 
+    def room(self, now: float) -> Room:
+        """Return what is known of its room."""
+        free = 0
+        if self._load is not None and now - self._load_at <= REPORT_MAX_AGE_S:
+            busy = self._load.running + self._load.waiting + self._sent_since
+            free = max(0, self.server.slots - busy)
+        return Room(self.server.slots, self.in_flight, free, self._draw)
+
     def occupancy(self, now: float) -> float:
         """Return the ratio of running and queued requests to slots."""
         reported = self.reported_running(now) + self.reported_waiting(now)
--- a/hickoryloom/platform/backends.py
+++ b/hickoryloom/platform/backends.py
@@ -14,7 +14,14 @@
 TURNED_AWAY = 503
 SIGNATURE_HEADER = "replica-signature"
 INTERNAL_RESPONSE_HEADERS = frozenset(
-    ("not-executed", "replica-load", "replica-id", "server-leaving", "server-limit")
+    (
+        "not-executed",
+        "replica-load",
+        "replica-id",
+        "server-brittle",
+        "server-leaving",
+        "server-limit",
+    )
 )
 
 
@@ -54,11 +61,13 @@
         values = dict(headers)
         return ResponseHead(
             not_run="not-executed" in values,
+            turned_away=status == TURNED_AWAY and "not-executed" in values,
             misdirected=status == MISDIRECTED,
             signed=bool(values.get(SIGNATURE_HEADER)),
             load=_read_load(values.get("replica-load", "")),
             keep_alive_s=_read_keep_alive(values.get("keep-alive", "")),
             leaving=values.get("server-leaving", "").strip() == "1",
+            brittle=values.get("server-brittle", "").strip(),
             limit=values.get("server-limit", "").strip(),
             pause=values.get("retry-after", "") if status == TURNED_AWAY else "",
         )
--- a/hickoryloom/platform/tests/test_codecs.py
+++ b/hickoryloom/platform/tests/test_codecs.py
@@ -162,6 +162,9 @@
     codec = PlatformBackends()
     head = codec.read_head(503, (("not-executed", "1"), ("replica-load", "3,1,8")))
     assert head.not_run and not head.signed and head.load.waiting == 1
+    assert head.turned_away and not codec.read_head(421, (("not-executed", "1"),)).turned_away
+    assert codec.read_head(200, (("server-brittle", " 3 "),)).brittle == "3"
+    assert codec.response_headers((("server-brittle", "3"), ("n", "1"))) == (("n", "1"),)
     assert codec.read_head(421, ()).misdirected
     assert codec.read_head(200, (("keep-alive", "timeout=5, max=9"),)).keep_alive_s == 5.0
     assert codec.read_head(200, (("replica-load", "many"),)).load is None
