Keep the connections to a server that is silent for a second

TCP_USER_TIMEOUT was .8 s, and as it also decides when keep-alive probes give up, one probe that stayed unanswered for a second ended connections, with the requests on them, to servers that went on a moment later; their ends then counted against requests in the quarantine. 1.5 s and an interval of 2 s between probes keep them; a server that is gone is still known within three seconds. On both data paths.

--- a/hickoryloom/gateway/process.py
+++ b/hickoryloom/gateway/process.py
@@ -64,8 +64,9 @@
 CONNECT_TIMEOUT_S = 0.4
 """A hundred round trips; a backend server that takes longer is down or unreachable."""
 
-UNACKNOWLEDGED_TIMEOUT_S = 0.8
-"""A backend server that acknowledges no sent bytes for this long is down or unreachable."""
+UNACKNOWLEDGED_TIMEOUT_S = 1.5
+"""A backend server that acknowledges no sent bytes for this long is down or unreachable; a sound
+one may be silent for a second."""
 
 BALANCER_REMOVAL_S = 2.6
 """Time until the load balancer stops sending requests: it checks readiness once a second and
--- a/hickoryloom/upstream/connections.py
+++ b/hickoryloom/upstream/connections.py
@@ -19,9 +19,11 @@
 MAX_IDLE_S = 20.0
 MS_PER_S = 1000.0
 KEEPALIVE_IDLE_S = 1
-KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_INTERVAL_S = 2
 KEEPALIVE_PROBES = 2
-"""TCP keepalive with the shortest times that the operating system supports: whole seconds."""
+"""TCP keepalive: one unanswered probe ends a connection, since `TCP_USER_TIMEOUT` goes before the
+number of probes. A peer that is silent for less than the interval after a probe keeps its
+connections; one that is gone loses them three seconds after its last packet."""
 
 PREPARED_IDLE_S = 1.0
 """Time for which a connection without a request so far is kept: the idle timeout of its peer isn't
