Record the answers to a part from the first end of a server under it

The next answer after each end is now recorded, one for each part and end. The test of bounded memory names the attribute that took the place of the suspects.

--- a/hickoryloom/quarantine/state.py
+++ b/hickoryloom/quarantine/state.py
@@ -18,7 +18,7 @@
 from hickoryloom.quarantine.cut_off_requests import SAME_END_S, CutOffRequests
 from hickoryloom.quarantine.holds import FIRST_TRIAL_S, HOLD_TOPICS, Holds
 from hickoryloom.quarantine.request_digest import is_request_key
-from hickoryloom.quarantine.suspicion import MAX_PARTS, ServerEnd, find_causes, find_suspects
+from hickoryloom.quarantine.suspicion import MAX_PARTS, ServerEnd, find_causes
 
 __all__ = ["QUARANTINE_TOPICS", "Quarantine"]
 
@@ -37,6 +37,9 @@
 ANSWERS = Topic("part-answered", SUSPICION_S)
 QUARANTINE_TOPICS = (CUT_OFF, ENDS, ANSWERS, *HOLD_TOPICS)
 
+MAX_UNANSWERED = 1_000
+"""Parts whose next answer is recorded, because a server ended under them."""
+
 MAX_CUT_OFF = 40
 """Requests that one record names of those that a server cut off."""
 
@@ -67,8 +70,8 @@
         self._instance = instance
         self._records = records
         self._holds = Holds(records, ranking)
-        self._suspects: frozenset[str] = frozenset()
         self._ends: dict[str, ServerEnd] = {}
+        self._unanswered: OrderedDict[str, float] = OrderedDict()
         self._new_ends: list[ServerEnd] = []
         self._cut_off = CutOffRequests(SUSPICION_S)
         self._new_cut_offs: list[tuple[str, float]] = []
@@ -162,7 +165,7 @@
         """Record that a server has responded to a request with these keys and did not end."""
         self._examine(now)
         for key in keys:
-            if key in self._suspects or key in self._holds or self._cut_off.is_suspect(key):
+            if key in self._unanswered or key in self._holds or self._cut_off.is_suspect(key):
                 self._records.put(ANSWERS, key, "", now)
 
     def _examine(self, now: float) -> None:
@@ -187,7 +190,6 @@
         self._ends = dict(recent[-MAX_ENDS:])
         answered = {answer.key: answer.at for answer in self._records.live(ANSWERS, now)}
         ends = self._ends.values()
-        self._suspects = find_suspects(ends, answered)
         causes = find_causes(ends, answered, self._cut_off.ended_servers())
         found = {part for part in causes if part not in self._holds}
         found.update(
@@ -199,6 +201,13 @@
         for part in found:
             self._holds.begin(part, now)
 
+    def _await_answer(self, part: str, ended_at: float) -> None:
+        """Have the next answer to a part recorded, since it may acquit the part."""
+        self._unanswered[part] = max(ended_at, self._unanswered.get(part, ended_at))
+        self._unanswered.move_to_end(part)
+        if len(self._unanswered) > MAX_UNANSWERED:
+            self._unanswered.popitem(last=False)
+
     def _on_cut_off(self, record: Record) -> None:
         service, _, rest = record.key.partition("|")
         server, _, _ = rest.rpartition("|")
@@ -230,11 +239,13 @@
         self._ends[record.key] = end
         self._new_ends.append(end)
         for part in parts:
+            self._await_answer(part, record.at)
             # Only an answer after this end acquits the part.
             self._records.renew(ANSWERS, part, record.at)
 
     def _on_answer(self, record: Record) -> None:
-        self._suspects -= {record.key}
+        if record.at > self._unanswered.get(record.key, float("inf")):
+            del self._unanswered[record.key]
         self._cut_off.acquit(record.key, record.at)
         self._holds.release(record.key, record.at)
 
--- a/hickoryloom/quarantine/suspicion.py
+++ b/hickoryloom/quarantine/suspicion.py
@@ -17,7 +17,7 @@
 
 from hickoryloom.quarantine.moments import Times, count_moments
 
-__all__ = ["ServerEnd", "find_causes", "find_suspects", "part_keys"]
+__all__ = ["ServerEnd", "find_causes", "part_keys"]
 
 MIN_ENDS = 3
 """Ends that make a part the cause if it is in more of them than any other part."""
@@ -57,15 +57,6 @@
     return tuple(f"{service}/{_shorten(id)}" for id in distinct)
 
 
-def find_suspects(ends: Iterable[ServerEnd], answered: Mapping[str, float]) -> frozenset[str]:
-    """Return the parts that one more end might make a cause, unless they are answered before."""
-    return frozenset(
-        part
-        for part, times in _times_by_part(ends, answered).items()
-        if count_moments(times.values()) >= MIN_ENDS - 1
-    )
-
-
 def find_causes(
     ends: Iterable[ServerEnd],
     answered: Mapping[str, float],
--- a/hickoryloom/quarantine/tests/test_quarantine.py
+++ b/hickoryloom/quarantine/tests/test_quarantine.py
@@ -213,5 +213,5 @@
         member.wait_s(parts, fleet.now)
         fleet._records[0].take_changes()
     assert len(member._ends) <= 301
-    assert len(member._suspects) <= 300 * 32
+    assert len(member._unanswered) <= 1_000
     assert member.parts == 0
