Forget requests that were cut off once they no longer count

Digests of bodies were computed from the first cut-off on, for good, because old entries were dropped only when a new one came.

--- a/hickoryloom/quarantine/state.py
+++ b/hickoryloom/quarantine/state.py
@@ -170,6 +170,7 @@
 
     def _examine(self, now: float) -> None:
         """Look for causes among the ends, if there are new ones."""
+        self._cut_off.expire(now)
         if self._new_cut_offs:
             self._examine_requests(now)
         if self._new_ends:
@@ -177,7 +178,6 @@
 
     def _examine_requests(self, now: float) -> None:
         new_cut_offs, self._new_cut_offs = self._new_cut_offs, []
-        self._cut_off.expire(now)
         for request, tied in self._cut_off.find(now).items():
             if request not in self._holds:
                 self._holds.begin(request, now, TIED_TRIAL_S if tied else FIRST_TRIAL_S)
