Count a lost connection as the end of a server only if the server has ended

A server now counts as ended if its registration has gone or names another start, or if it takes no new connection while another server does. An instance that reaches no server reports none. On both data paths; the relay sends a request no further after it has lost three servers, as their ends are known a moment later.

--- a/hickoryloom/gateway/attempts.py
+++ b/hickoryloom/gateway/attempts.py
@@ -88,7 +88,9 @@
             shared,
             urgency=context.catalog.priority_scale.priority(route, customer),
         )
-        self._guard = CrashGuard(context.quarantine, context.rng, service, shared, self._digest)
+        self._guard = CrashGuard(
+            context.quarantine, context.witness, context.rng, service, shared, self._digest
+        )
         self._progress = RequestProgress(
             route, self._deadline, sends=0 if hand_over is None else hand_over.sends
         )
--- a/hickoryloom/gateway/context.py
+++ b/hickoryloom/gateway/context.py
@@ -18,7 +18,7 @@
 from hickoryloom.origins import StreamOrigins
 from hickoryloom.placing import Placement, Placer
 from hickoryloom.quarantine import Quarantine
-from hickoryloom.reach import Reach
+from hickoryloom.reach import EndWitness, Reach
 from hickoryloom.upstream import BufferBudget, ConnectionPool, Exchange
 
 __all__ = ["AnyAttempt", "Attempt", "GatewayContext", "PeerAttempt"]
@@ -41,6 +41,7 @@
     quarantine: Quarantine
     origins: StreamOrigins
     reach: Reach
+    witness: EndWitness
     hand_overs: HandOverClient
     instance: str
     buffers: BufferBudget
--- a/hickoryloom/gateway/crash_guard.py
+++ b/hickoryloom/gateway/crash_guard.py
@@ -11,6 +11,7 @@
 from hickoryloom.gateway.context import Attempt
 from hickoryloom.placing import PromptSegment
 from hickoryloom.quarantine import Quarantine, part_keys, request_key
+from hickoryloom.reach import EndWitness
 
 __all__ = ["CrashGuard", "Hold"]
 
@@ -38,6 +39,7 @@
 
     Args:
         quarantine: The quarantine, shared with other instances.
+        witness: Finds out whether a server has ended.
         rng: Source of jitter.
         service: Service to which the request is sent.
         shared: Segments of its prompt that other prompts may share.
@@ -47,12 +49,14 @@
     def __init__(
         self,
         quarantine: Quarantine,
+        witness: EndWitness,
         rng: random.Random,
         service: str,
         shared: Iterable[PromptSegment],
         digest: Callable[[], str],
     ) -> None:
         self._quarantine = quarantine
+        self._witness = witness
         self._rng = rng
         self._service = service
         self._parts = part_keys(service, (segment.id for segment in shared))
@@ -98,6 +102,16 @@
         request_was_sent = attempt.exchange.last_wait_started_at is not None
         if attempt.answered or not request_was_sent:
             return
+        server = attempt.placement.server
+        self._witness.examine(
+            server.service,
+            server.id,
+            server.started_ms,
+            server.address,
+            lambda: self._report_end(attempt, now),
+        )
+
+    def _report_end(self, attempt: Attempt, now: float) -> None:
         server = f"{attempt.placement.server.id}|{attempt.placement.server.started_ms}"
         self._quarantine.record_cut_off(server, self._request_key(), attempt.sent, now)
         if not attempt.prompt_answered:
--- a/hickoryloom/gateway/process.py
+++ b/hickoryloom/gateway/process.py
@@ -43,7 +43,7 @@
 )
 from hickoryloom.placing import BRITTLE, LIMITS, BrittleServers, NamedLimits, Placer
 from hickoryloom.quarantine import QUARANTINE_TOPICS, Quarantine
-from hickoryloom.reach import REACH_TOPICS, Reach, ReachProbe
+from hickoryloom.reach import REACH_TOPICS, EndWitness, Reach, ReachProbe
 from hickoryloom.scaling import Scaler
 from hickoryloom.sharing import VIEW_PATH, Peer, ViewFollower, ViewServer
 from hickoryloom.store import CallBudget, PlatformClient
@@ -202,6 +202,13 @@
             quarantine=self._quarantine,
             origins=self._origins,
             reach=self._reach,
+            witness=EndWitness(
+                self._connections,
+                self._placer.addresses_by_nearness,
+                self._is_registered,
+                clock,
+                rng,
+            ),
             hand_overs=self._hand_overs,
             instance=settings.instance,
             buffers=BufferBudget(),
@@ -421,6 +428,10 @@
         for budget in self._retry_budgets.values():
             budget.instances = count
 
+    def _is_registered(self, id: str, started_ms: int) -> bool:
+        server = self._discovery.find(id)
+        return server is not None and server.started_ms == started_ms
+
     def _retry_budget(self, service: str) -> SharedRetryBudget:
         if service not in self._retry_budgets:
             settings = self._settings
--- a/hickoryloom/gateway/tests/test_forwarding.py
+++ b/hickoryloom/gateway/tests/test_forwarding.py
@@ -153,6 +153,7 @@
             retries=lambda service: budget,
             buffers=BufferBudget(),
             reach=Reach("", SharedRecords("", REACH_TOPICS)),
+            witness=None,
             hand_overs=None,
             instance="edge-1",
             origins=StreamOrigins(
--- a/hickoryloom/placing/placer.py
+++ b/hickoryloom/placing/placer.py
@@ -97,6 +97,16 @@
         servers = [tracked.server for tracked in self._by_service.get(service, ())]
         return {server.id: server.address for server in servers if not server.leaving}
 
+    def addresses_by_nearness(self, service: str) -> tuple[dict[str, str], dict[str, str]]:
+        """Return the usable addresses of a service by id, and those of all other services."""
+        others = {
+            id: address
+            for name in self._by_service
+            if name != service
+            for id, address in self.usable_addresses(name).items()
+        }
+        return self.usable_addresses(service), others
+
     def set_servers(self, servers: Iterable[BackendServer]) -> None:
         """Replace the list of live backend servers.
 
--- a/hickoryloom/reach/__init__.py
+++ b/hickoryloom/reach/__init__.py
@@ -2,5 +2,6 @@
 
 from hickoryloom.reach.state import REACH_TOPICS, Reach
 from hickoryloom.reach.task import ReachProbe
+from hickoryloom.reach.witness import EndWitness
 
-__all__ = ["REACH_TOPICS", "Reach", "ReachProbe"]
+__all__ = ["REACH_TOPICS", "EndWitness", "Reach", "ReachProbe"]
--- a/hickoryloom/relay/attempts.py
+++ b/hickoryloom/relay/attempts.py
@@ -17,7 +17,7 @@
 from hickoryloom.http import Call
 from hickoryloom.logs import log_event
 from hickoryloom.quarantine import Quarantine, digest_request, part_keys, request_key
-from hickoryloom.reach import Reach
+from hickoryloom.reach import EndWitness, Reach
 from hickoryloom.relay.attempt import Attempt, attempt_id
 from hickoryloom.relay.engine import EngineControl
 from hickoryloom.relay.headers import (
@@ -46,6 +46,10 @@
 log = logbook.Logger("hickoryloom.relay")
 
 MAX_ATTEMPTS = 5
+MAX_LOST_SERVERS = 3
+"""Servers whose connection may be lost under one request before it is no longer sent: it may be
+what ends them."""
+
 RETRY_AFTER_S = 1.0
 CANCEL_WAIT_S = 0.5
 UNAUTHORIZED = 401
@@ -82,6 +86,7 @@
     credential: str
     quarantine: Quarantine
     reach: Reach
+    witness: EndWitness
     buffers: BufferBudget
     rng: random.Random = attrs.field(factory=random.Random)
     open: dict[str, Attempts] = attrs.field(factory=dict)
@@ -115,6 +120,7 @@
         self._attempt_count = 0
         self._resumed_count = 0
         self._verdict = Verdict.NOT_RUN
+        self._lost_servers = 0
         self._cancel_reason: RefusalReason | None = None
         self._readmit: ReadmitCallback | None = None
         self._preemptions = 0
@@ -213,6 +219,7 @@
         if failure.verdict is not Verdict.NOT_RUN:
             self._verdict = Verdict.MAY_HAVE_RUN
         if failure.cause is FailureCause.CONNECTION_LOST and not attempt.answered:
+            self._lost_servers += 1
             self._record_server_end(attempt)
         self._log_failure(attempt, failure)
         self._finish_attempt(attempt, _attempt_end(failure))
@@ -322,11 +329,19 @@
         exchange = attempt.exchange
         if exchange is None or exchange.last_wait_started_at is None:
             return
-        server, now = attempt.choice.backend.id, self._context.clock.monotonic()
-        quarantine = self._context.quarantine
+        backend, now = attempt.choice.backend, self._context.clock.monotonic()
+        self._context.witness.examine(
+            self._request.pool,
+            backend.id,
+            0,
+            backend.address,
+            lambda: self._report_server_end(attempt, exchange.status != 0, now),
+        )
+
+    def _report_server_end(self, attempt: Attempt, begun: bool, now: float) -> None:
+        server, quarantine = attempt.choice.backend.id, self._context.quarantine
         quarantine.record_cut_off(server, self._request_key, attempt.started, now)
         if not attempt.prompt_answered:
-            begun = exchange.status != 0
             quarantine.record_end(server, self._parts, begun, attempt.started, now)
 
     def _choose_backend(self, first_position: int) -> Attempt | None:
@@ -427,6 +442,8 @@
         if self._cancel_reason is not None:
             return self.refusal(self._cancel_reason, "")
         repeatable = failure.verdict is Verdict.NOT_RUN or self._request.idempotent
+        if self._lost_servers >= MAX_LOST_SERVERS:
+            return self.refusal(RefusalReason.BACKEND_FAILED, failure.detail)
         if not repeatable or self._attempt_count - self._preemptions >= MAX_ATTEMPTS:
             return self.refusal(RefusalReason.BACKEND_FAILED, failure.detail)
         budget_exempt = resumable or failure.cause in BUDGET_EXEMPT_CAUSES
--- a/hickoryloom/relay/task.py
+++ b/hickoryloom/relay/task.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
@@ -12,7 +13,7 @@
 from hickoryloom.evidence import InstanceRanking, SharedRecords
 from hickoryloom.http import Call
 from hickoryloom.quarantine import QUARANTINE_TOPICS, Quarantine
-from hickoryloom.reach import REACH_TOPICS, Reach
+from hickoryloom.reach import REACH_TOPICS, EndWitness, Reach
 from hickoryloom.relay.assembly import StreamAssembler
 from hickoryloom.relay.attempt import Attempt
 from hickoryloom.relay.attempts import Attempts, ReadmitCallback, RelayContext
@@ -83,6 +84,13 @@
             credential,
             quarantine or _build_local_quarantine(),
             reach or Reach("", SharedRecords("", REACH_TOPICS)),
+            EndWitness(
+                self._connections,
+                router.addresses_by_nearness,
+                lambda id, started: router.is_registered(id),
+                clock,
+                random.Random(),
+            ),
             buffers or BufferBudget(),
         )
         self._watchdog = Watchdog(self._context, service_timeout_s, caller_timeout_s)
--- a/hickoryloom/routing/router.py
+++ b/hickoryloom/routing/router.py
@@ -107,6 +107,20 @@
         backends = state.backends if state is not None else []
         return {tracked.view.id: tracked.view.address for tracked in backends}
 
+    def addresses_by_nearness(self, pool: str) -> tuple[dict[str, str], dict[str, str]]:
+        """Return the usable addresses of a pool by id, and those of all other pools."""
+        others = {
+            id: address
+            for name in self._pools
+            if name != pool
+            for id, address in self.usable_addresses(name).items()
+        }
+        return self.usable_addresses(pool), others
+
+    def is_registered(self, id: str) -> bool:
+        """Return whether a backend server is registered, leaving or not."""
+        return id in self._backends
+
     def apply_load_report(self, backend_id: str, report: LoadReport) -> None:
         """Apply a load report of a backend server."""
         tracked = self._backends.get(backend_id)
