Failing test: a pause is forgotten when a registration names no start

24 requests reach a server in the rest of 2 s that it asked for, once its registration names no start or names one that it did not name before.

--- a/hickoryloom/platform/tests/test_turned_away_processes.py
+++ b/hickoryloom/platform/tests/test_turned_away_processes.py
@@ -75,3 +75,37 @@
     assert time.monotonic() - started_at < 0.5
     retry_after_s = float({k.lower(): v for k, v in dict(headers).items()}["retry-after"])
     assert retry_after_s > 0.5
+
+
+MAX_IN_PAUSE = 2
+
+
+@pytest.mark.parametrize("changed", ["no start", "the start known later"])
+def test_a_pause_outlasts_a_registration_that_names_no_start(site, changed):
+    asked = []
+
+    def turn_away_once_named(request):
+        """Ask for a pause in the first response only."""
+        named = {} if asked else {"Retry_After": str(PAUSE_S)}
+        asked.append(time.monotonic())
+        yield build_response(request, b"", 503, signed=False, Not_Executed="1", **named)
+
+    full = Backend("i-1", "app", turn_away_once_named)
+    with_start = full.registration(sequence=9)
+    without_start = {name: value for name, value in with_start.items() if name != "born"}
+    first, later = with_start, without_start
+    if changed == "the start known later":
+        first, later = later, first
+    site.backends.append(full)
+    site.store.put("servers", "i-1", first)
+    gateway = site.start()
+    wait_until(lambda: gateway.call("/once/x", id="a")[0] == 503 and asked)
+    site.store.put("servers", "i-1", later)
+    gevent.sleep(0.5)
+    before = len(asked)
+    number = 0
+    while time.monotonic() < asked[0] + PAUSE_S - 0.2:
+        number += 1
+        gateway.call("/once/x", id=f"b{number}")
+        gevent.sleep(0.05)
+    assert len(asked) - before <= MAX_IN_PAUSE
