Take a registration that names no start for that of the known start

What callers of a server saw: a server that had asked for rest got 24 requests in 2 s once its registration lacked its start. Cause: pauses, and the mark of a server that leaves, are kept under id and start, and an unknown start counted as another one. The failing tests pass, with two for the list of servers.

--- a/hickoryloom/discovery/state.py
+++ b/hickoryloom/discovery/state.py
@@ -114,6 +114,7 @@
         """Add or update one registration."""
         if self._is_replaced(server):
             return
+        server = self._with_start(server)
         departure = self._departed.get(server.id)
         if departure is not None:
             same_start = server.started_ms == departure.started_ms
@@ -130,7 +131,7 @@
                 self._withheld.pop(server.id, None)
         self._missing.pop(server.id, None)
         known = self._servers.get(server.id)
-        if known is not None and known.started_ms == server.started_ms and known.leaving:
+        if known is not None and known.leaving and known.started_ms in (0, server.started_ms):
             server = attrs.evolve(server, leaving=True)
         self._servers[server.id] = server
 
@@ -198,6 +199,13 @@
             del self._departed[oldest]
             self._withheld.pop(oldest, None)
 
+    def _with_start(self, server: BackendServer) -> BackendServer:
+        """Return a registration that names no start with that of the server as it is known."""
+        known = self._servers.get(server.id)
+        if server.started_ms or known is None:
+            return server
+        return attrs.evolve(server, started_ms=known.started_ms)
+
     def _is_replaced(self, server: BackendServer) -> bool:
         """Return whether a registration from a copy is that of an earlier start of its server."""
         known = self._servers.get(server.id)
--- a/hickoryloom/discovery/tests/test_live_list.py
+++ b/hickoryloom/discovery/tests/test_live_list.py
@@ -58,6 +58,21 @@
     assert not live.get("a").leaving
 
 
+def test_a_registration_that_names_no_start_is_that_of_the_known_start():
+    live = LiveList()
+    live.put(SERVER)
+    live.put(attrs.evolve(SERVER, started_ms=0, slots=5))
+    assert live.get("a") == attrs.evolve(SERVER, slots=5)
+
+
+def test_a_server_that_leaves_still_does_when_its_start_becomes_known():
+    live = LiveList()
+    live.put(attrs.evolve(SERVER, started_ms=0))
+    assert live.mark_leaving("a", 0)
+    live.put(SERVER)
+    assert live.get("a").leaving
+
+
 class Lapses(RuleBasedStateMachine):
     """A missing server is kept for the rest of the grace period, and never longer than that."""
 
--- a/hickoryloom/placing/placer.py
+++ b/hickoryloom/placing/placer.py
@@ -45,6 +45,8 @@
 another engine while some are reserved. It equals the shortest pause of a stream that counts as
 late."""
 
+UNKNOWN_START = 0
+
 OTHER_DOMAIN_PENALTY = 0.05
 """Occupancy added to a backend server in another failure domain. Random jitter of up to the same
 size is added to every backend server."""
@@ -260,7 +262,9 @@
         return pause is None or pause.allows(tracked.in_flight, now)
 
     def _pause_of(self, server: BackendServer) -> RequestedPause | None:
-        return self._pauses.get((server.id, server.started_ms))
+        pause = self._pauses.get((server.id, server.started_ms))
+        # The server may have asked before its start was known.
+        return pause or self._pauses.get((server.id, UNKNOWN_START))
 
     def prefill_s(self, service: str, tokens: float) -> float:
         """Return the estimated prefill time of `tokens` at an engine of a service, in seconds."""
