Hand a request over that finds servers out of reach while others respond

A request that could not connect to four servers was refused without being handed over if responses from other servers kept its service from counting as out of reach, as where connections live on while new ones are refused. The limit on failed connections now leads to another instance; in the entry, too.

--- a/hickoryloom/gateway/attempts.py
+++ b/hickoryloom/gateway/attempts.py
@@ -11,7 +11,7 @@
 from hickoryloom.gateway.crash_guard import CrashGuard, Hold
 from hickoryloom.gateway.messages import CallerRequest, Refusal, ResponseHead
 from hickoryloom.gateway.peer_attempts import PeerAttempts
-from hickoryloom.gateway.progress import MAX_FAILED_CONNECTS, RequestProgress
+from hickoryloom.gateway.progress import RequestProgress
 from hickoryloom.gateway.refusals import refuse
 from hickoryloom.gateway.request_log import HANDED_OVER, RequestLog
 from hickoryloom.gateway.stream_pin import StreamPin
@@ -196,9 +196,8 @@
         return self._context.discovery.is_usable(server)
 
     def _is_out_of_reach(self) -> bool:
-        if self._progress.failed_connects >= MAX_FAILED_CONNECTS:
-            return True
-        return self._context.reach.is_cut_off(self._placement_request.service)
+        service = self._placement_request.service
+        return self._progress.is_unreachable or self._context.reach.is_cut_off(service)
 
     def _hand_over(self, resume_after: int | None) -> Result[AnyAttempt, Refusal]:
         """Send the request to an instance that may reach its service."""
--- a/hickoryloom/gateway/progress.py
+++ b/hickoryloom/gateway/progress.py
@@ -63,10 +63,13 @@
             return self.cause or "may-have-run"
         if self.sends >= self._max_sends:
             return self.cause or "attempts"
-        if self.failed_connects >= MAX_FAILED_CONNECTS:
-            return "unreachable"
         return ""
 
+    @property
+    def is_unreachable(self) -> bool:
+        """Whether no further connection to a backend server is tried."""
+        return self.failed_connects >= MAX_FAILED_CONNECTS
+
     def may_retry(self, failure: AttemptFailure) -> bool:
         """Return whether the request may be retried after this failure."""
         if self.caller_disconnected:
--- a/hickoryloom/relay/attempts.py
+++ b/hickoryloom/relay/attempts.py
@@ -445,7 +445,9 @@
         if self._lost_servers >= MAX_LOST_SERVERS:
             return self.refusal(RefusalReason.BACKEND_FAILED, failure.detail)
         if not repeatable or self._attempt_count - self._preemptions >= MAX_ATTEMPTS:
-            return self.refusal(RefusalReason.BACKEND_FAILED, failure.detail)
+            unreachable = failure.cause is FailureCause.CONNECT
+            reason = RefusalReason.UNREACHABLE if unreachable else RefusalReason.BACKEND_FAILED
+            return self.refusal(reason, failure.detail)
         budget_exempt = resumable or failure.cause in BUDGET_EXEMPT_CAUSES
         if not budget_exempt and not self._context.router.try_withdraw_retry(self._request):
             return self.refusal(RefusalReason.RETRY_BUDGET, "too many retries in this pool")
