--- a/hickoryloom/handover/client.py
+++ b/hickoryloom/handover/client.py
@@ -30,6 +30,9 @@
 class HandOverClient:
     """Hands requests over to other instances.
 
+    Attributes:
+        peers: The other instances.
+
     Args:
         peers: The other instances.
         connections: Connections to them.
