One piece of code for what the hand-over of gateway and entry share; no work for it on the common path

No behaviour is meant to change: - The headers of a request are filtered for a hand-over only when it is handed over; every request paid for it. - Reading the head of another instance's response, with the refusals after which another may serve, stands once, in the client; the entry's wrapper of a bound call is a partial. - The time-outs of connections to servers and instances stand once, as the pool's own; three copies and two options go. The test of them reads the one pool that both paths use, with the same assertions. - Placer and router list the addresses of one service; who needs those of the others goes through the services. - An answer that doesn't say that its server is brittle costs no look-up while no server is. - Tests: one view of a server with other addresses, for the store's stand-in and the platform's process.

--- a/hickoryloom/entry/app.py
+++ b/hickoryloom/entry/app.py
@@ -4,6 +4,7 @@
 
 import json
 import uuid
+from functools import partial
 from typing import Any
 
 import attrs
@@ -17,7 +18,7 @@
     response_for_client_error,
     response_for_refusal,
 )
-from hickoryloom.entry.hand_over import CallHandOver
+from hickoryloom.entry.hand_over import HandOverCall
 from hickoryloom.entry.identify import identify, is_public_route, parse_request
 from hickoryloom.entry.messages import ClientError, Reply
 from hickoryloom.entry.request_handler import EntryComponents, RequestHandler
@@ -69,14 +70,14 @@
             _send(self._serve_handed_over(call, req.env, request_id), resp)
             return
         own = attrs.evolve(call, headers=without_hand_over_headers(call.headers))
-        hand_over = CallHandOver(self._components.hand_overs, req.env, call.body, now)
+        hand_over = partial(self._components.hand_overs.forward, req.env, call.body, now)
         _send(self._serve(own, req.env, request_id, now, hand_over), resp)
 
     def _serve_handed_over(self, call: Call, environ: dict[str, Any], request_id: str) -> Reply:
         """Handle a call that another entry hands over, as if its caller had come here."""
         now = self._components.clock.monotonic()
         received = read_received_call(environ, call.body)
-        read = self._components.receiver.read(environ, received)
+        read = self._components.receiver.read(received)
         if isinstance(read, Err):
             log_event(log, "hand-over-not-signed", request_id=request_id, detail=read.err_value)
             error = ClientError(403, "hand-over-not-signed", "The call is not signed.")
@@ -85,7 +86,7 @@
         own = attrs.evolve(call, headers=without_hand_over_headers(call.headers))
         arrived = now - hand_over.elapsed_s
         reply = self._serve(own, environ, hand_over.request, arrived, None)
-        result = _result_of(reply, hand_over.request)
+        result = HandOverResult(hand_over.request, reply.refused, reply.verdict)
         return attrs.evolve(reply, headers=[*reply.headers, (RESULT_HEADER, encode_result(result))])
 
     def _serve(
@@ -94,7 +95,7 @@
         environ: dict[str, Any],
         request_id: str,
         arrived: float,
-        hand_over: CallHandOver | None,
+        hand_over: HandOverCall | None,
     ) -> Reply:
         snapshot = self._components.follower.snapshot
         now = self._components.clock.monotonic()
@@ -115,7 +116,7 @@
         environ: dict[str, Any],
         request_id: str,
         arrived: float,
-        hand_over: CallHandOver | None,
+        hand_over: HandOverCall | None,
     ) -> Reply:
         components = self._components
         if call.path == MODELS_PATH and call.method == "GET":
@@ -138,11 +139,6 @@
         return Reply(200, [("Content-Type", "application/json")], [body])
 
 
-def _result_of(reply: Reply, request_id: str) -> HandOverResult:
-    """Return what the entry that handed a call over must know of the reply."""
-    return HandOverResult(request_id, reply.refused, reply.verdict)
-
-
 def _handle_unexpected_error(
     req: falcon.Request, resp: falcon.Response, error: Exception, _: Any
 ) -> None:
--- a/hickoryloom/entry/hand_over.py
+++ b/hickoryloom/entry/hand_over.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Any
 
 import logbook
@@ -12,9 +12,10 @@
 from hickoryloom.entry.errors import reply_with_error, response_for_refusal
 from hickoryloom.entry.messages import Reply
 from hickoryloom.handover import (
+    MAX_PEERS,
     HandOver,
     HandOverClient,
-    Peer,
+    HandOverPeer,
     read_call,
     without_hand_over_headers,
 )
@@ -29,20 +30,17 @@
 )
 from hickoryloom.verdict import Verdict
 
-__all__ = ["CallHandOver", "EntryHandOvers"]
-
-MAX_PEERS = 3
-"""Entries to which one call is handed over, one after the other."""
+__all__ = ["UNABLE_REASONS", "EntryHandOvers", "HandOverCall"]
 
 RESPONSE_TIMEOUT_S = 60.0
 """Longest time for the response of another entry, which limits its attempts by itself."""
 
-IDLE_S = 5.0
-"""Time for which an idle connection to another entry is kept."""
-
 UNABLE_REASONS = frozenset(("unreachable", "stale-view", "stopping", "hand-over-not-signed"))
 """Causes of refusals for which another entry may serve the call all the same."""
 
+HandOverCall = Callable[[str, str], Reply | None]
+"""Hands one call over, given its pool and id; returns None if no other entry can serve it."""
+
 log = logbook.Logger("hickoryloom.entry")
 
 
@@ -61,16 +59,16 @@
         self._instance = instance
 
     def forward(
-        self, environ: dict[str, Any], body: bytes, pool: str, request_id: str, arrived: float
+        self, environ: dict[str, Any], body: bytes, arrived: float, pool: str, request_id: str
     ) -> Reply | None:
         """Hand a call over and return the reply; None if no other entry can serve it.
 
         Args:
             environ: WSGI environment of the call.
             body: Its body.
+            arrived: Monotonic time of its arrival, in seconds.
             pool: Pool that can't be reached.
             request_id: Id of the call.
-            arrived: Monotonic time of its arrival, in seconds.
         """
         call = read_call(environ, body)
         tried: set[str] = set()
@@ -101,22 +99,18 @@
                 return reply_with_error(response_for_refusal(refused, request_id))
         return None
 
-    def _read_reply(self, peer: Peer, exchange: Exchange, watch: DisconnectWatch) -> Reply:
+    def _read_reply(self, peer: HandOverPeer, exchange: Exchange, watch: DisconnectWatch) -> Reply:
         """Return the reply as it arrives.
 
         Raises:
             AttemptError: There is no response, or another entry may serve the call.
         """
-        result = self._client.read_head(exchange)
-        if result.refused in UNABLE_REASONS and result.verdict is Verdict.NOT_RUN:
-            failure = AttemptFailure(FailureCause.NOT_RUN, Verdict.NOT_RUN, result.refused)
-            raise AttemptError(failure)
-        exchange.keep_alive_s = IDLE_S
+        self._client.read_head(exchange)
         headers = without_hand_over_headers(end_to_end_headers(exchange.headers))
         return Reply(exchange.status, list(headers), _Body(self._client, peer, exchange, watch))
 
     def _record_failure(
-        self, peer: Peer, pool: str, request_id: str, failure: AttemptFailure
+        self, peer: HandOverPeer, pool: str, request_id: str, failure: AttemptFailure
     ) -> None:
         self._client.peers.skip(peer, pool, self._clock.monotonic())
         log_event(
@@ -131,34 +125,11 @@
         )
 
 
-class CallHandOver:
-    """Hands one call over, if it becomes clear that its pool can't be reached.
-
-    Args:
-        hand_overs: Hands calls over.
-        environ: WSGI environment of the call.
-        body: Its body.
-        arrived: Monotonic time of its arrival, in seconds.
-    """
-
-    def __init__(
-        self, hand_overs: EntryHandOvers, environ: dict[str, Any], body: bytes, arrived: float
-    ) -> None:
-        self._hand_overs = hand_overs
-        self._environ = environ
-        self._body = body
-        self._arrived = arrived
-
-    def forward(self, pool: str, request_id: str) -> Reply | None:
-        """Hand the call over and return the reply; None if no other entry can serve it."""
-        return self._hand_overs.forward(self._environ, self._body, pool, request_id, self._arrived)
-
-
 class _Body:
     """WSGI body iterable of a response from another entry."""
 
     def __init__(
-        self, client: HandOverClient, peer: Peer, exchange: Exchange, watch: DisconnectWatch
+        self, client: HandOverClient, peer: HandOverPeer, exchange: Exchange, watch: DisconnectWatch
     ) -> None:
         self._client = client
         self._peer = peer
--- a/hickoryloom/entry/process.py
+++ b/hickoryloom/entry/process.py
@@ -20,7 +20,7 @@
 from hickoryloom.entry.accounting import Accounting
 from hickoryloom.entry.app import PEER_PORT_KEY, build_caller_app
 from hickoryloom.entry.decisions import DecisionLog, add_explain_route
-from hickoryloom.entry.hand_over import EntryHandOvers
+from hickoryloom.entry.hand_over import UNABLE_REASONS, EntryHandOvers
 from hickoryloom.entry.messages import ClassSummary
 from hickoryloom.entry.request_handler import EntryComponents
 from hickoryloom.evidence import (
@@ -32,8 +32,13 @@
     record_with_time,
 )
 from hickoryloom.fleet import DemandMeter, add_demand_routes
-from hickoryloom.handover import HandOverClient, HandOverPeers, HandOverReceiver, is_handed_over
-from hickoryloom.handover import Peer as HandOverPeer
+from hickoryloom.handover import (
+    HandOverClient,
+    HandOverPeer,
+    HandOverPeers,
+    HandOverReceiver,
+    is_handed_over,
+)
 from hickoryloom.http import Server
 from hickoryloom.http.admin import build_admin_app
 from hickoryloom.keys import OpenCalls, ViewGuard, WithdrawalTask
@@ -55,10 +60,6 @@
 IDLE_CONNECTION_GRACE_S = 0.5
 UNKNOWN_AGE_S = 1e9
 
-PEER_CONNECT_TIMEOUT_S = 0.4
-PEER_UNACKNOWLEDGED_S = 1.5
-"""Time after which another entry that acknowledges nothing is unreachable."""
-
 HANDED_OVER_WAIT_S = 30.0
 """Longest wait at a planned stop for calls that other entries have handed over."""
 
@@ -132,7 +133,8 @@
         )
         self._hand_overs = HandOverClient(
             HandOverPeers(self._own_address, self._reach.is_cut_off_at, rng),
-            ConnectionPool(clock, "", PEER_CONNECT_TIMEOUT_S, PEER_UNACKNOWLEDGED_S),
+            ConnectionPool(clock, id_header=""),
+            UNABLE_REASONS,
         )
         self._claims = Claims(self._client, clock, self._incarnation, self._is_live)
         self._usage = UsageCounter(
--- a/hickoryloom/entry/request_handler.py
+++ b/hickoryloom/entry/request_handler.py
@@ -15,7 +15,7 @@
 from hickoryloom.configuration import ConfigurationFollower
 from hickoryloom.entry.accounting import Accounting
 from hickoryloom.entry.errors import error_event, reply_with_error, response_for_refusal
-from hickoryloom.entry.hand_over import CallHandOver, EntryHandOvers
+from hickoryloom.entry.hand_over import EntryHandOvers, HandOverCall
 from hickoryloom.entry.messages import Reply
 from hickoryloom.handover import HandOverReceiver
 from hickoryloom.http import Call
@@ -71,7 +71,7 @@
         request: Request,
         call: Call,
         key_hash: str,
-        hand_over: CallHandOver | None = None,
+        hand_over: HandOverCall | None = None,
     ) -> None:
         self._hand_over = hand_over
         self._handed_over = False
@@ -277,7 +277,7 @@
         """Hand the call over; return None if no other entry can serve it."""
         if self._hand_over is None:
             return None
-        reply = self._hand_over.forward(self._request.pool, self._request.id)
+        reply = self._hand_over(self._request.pool, self._request.id)
         if reply is not None:
             self._handed_over = True
             now = self._components.clock.monotonic()
--- a/hickoryloom/gateway/app.py
+++ b/hickoryloom/gateway/app.py
@@ -34,7 +34,7 @@
     read_call,
     without_hand_over_headers,
 )
-from hickoryloom.http import RAW_HEADERS_KEY, DisconnectWatch
+from hickoryloom.http import DisconnectWatch
 from hickoryloom.logs import log_event
 from hickoryloom.origins import origin_key
 from hickoryloom.upstream import BufferBudget, BufferedBody, end_to_end_headers
@@ -88,7 +88,7 @@
         call = self._read_call(environ)
         if isinstance(call, Refusal):
             return _send_refusal(call, start_response)
-        read = self._receiver.read(environ, call)
+        read = self._receiver.read(call)
         if isinstance(read, Err):
             refusal = refuse(403, "hand-over-not-signed", Verdict.NOT_RUN)
             _log_unreadable(refusal, environ)
@@ -115,7 +115,7 @@
         decoded = self._callers.read_request(
             call.method,
             call.target,
-            without_hand_over_headers(environ[RAW_HEADERS_KEY]),
+            without_hand_over_headers(call.headers),
             call.body,
         )
         if isinstance(decoded, Err):
@@ -171,11 +171,9 @@
     ) -> RequestForwarder | Refusal:
         context = self._context
         service = choose_service(route, context.rng.random)
-        # A request is handed over only once.
-        may_hand_over = call if hand_over is None else None
         if route.kind is not RequestKind.STREAM:
             return RequestForwarder(
-                context, request, route, service, customer, arrived, None, may_hand_over, hand_over
+                context, request, route, service, customer, arrived, None, call, hand_over
             )
         customer_name = customer.name if customer is not None else ""
         begun_by, software = request.id, ""
@@ -190,7 +188,7 @@
                 return self._refuse(503, "origin-elsewhere", request)
         pin = StreamPin(context.origins, customer_name, begun_by, software)
         return RequestForwarder(
-            context, request, route, service, customer, arrived, pin, may_hand_over, hand_over
+            context, request, route, service, customer, arrived, pin, call, hand_over
         )
 
     def _refuse(self, status: int, reason: str, request: CallerRequest) -> Refusal:
--- a/hickoryloom/gateway/attempts.py
+++ b/hickoryloom/gateway/attempts.py
@@ -54,7 +54,7 @@
         customer: The customer that is billed; None on a route that requires no key.
         arrived: Monotonic time of its arrival, in seconds.
         pin: Keeps a stream at its software version; None for a request of another kind.
-        call: The request as it is handed over to another instance; None if it may not be.
+        call: The request as it was received; None if it may not be handed over.
         hand_over: What another instance said when it handed the request over; None if none did.
     """
 
@@ -96,7 +96,8 @@
         )
         self._attempt: AnyAttempt | None = None
         self._peers: PeerAttempts | None = None
-        if call is not None:
+        # A request is handed over only once.
+        if call is not None and hand_over is None:
             self._peers = PeerAttempts(
                 context, call, request, arrived, self._deadline, self._progress
             )
@@ -208,7 +209,7 @@
         return Ok(self._attempt)
 
     def _record_unreachable(self, server: BackendServer) -> None:
-        usable = self._context.placer.usable_servers(server.service)
+        usable = len(self._context.placer.usable_addresses(server.service))
         now = self._context.clock.monotonic()
         self._context.reach.record_unreachable(server.service, server.id, usable, now)
 
--- a/hickoryloom/gateway/context.py
+++ b/hickoryloom/gateway/context.py
@@ -12,7 +12,7 @@
 from hickoryloom.discovery import Discovery
 from hickoryloom.gateway.budget import SharedRetryBudget
 from hickoryloom.gateway.ports import BackendCodec
-from hickoryloom.handover import HandOverClient, Peer
+from hickoryloom.handover import HandOverClient, HandOverPeer
 from hickoryloom.metering import UsageMeter
 from hickoryloom.metrics import MetricsRecorder
 from hickoryloom.origins import StreamOrigins
@@ -95,7 +95,7 @@
         ended: Whether its connection has been released.
     """
 
-    peer: Peer
+    peer: HandOverPeer
     service: str
     exchange: Exchange
     sent: float
--- a/hickoryloom/gateway/forwarding.py
+++ b/hickoryloom/gateway/forwarding.py
@@ -59,7 +59,7 @@
         customer: The customer that is billed; None on a route that requires no key.
         arrived: Monotonic time of its arrival, in seconds.
         pin: Keeps a stream at its software version; None for a request of another kind.
-        call: The request as it is handed over to another instance; None if it may not be.
+        call: The request as it was received; None if it may not be handed over.
         hand_over: What another instance said when it handed the request over; None if none did.
     """
 
--- a/hickoryloom/gateway/peer_attempts.py
+++ b/hickoryloom/gateway/peer_attempts.py
@@ -8,18 +8,12 @@
 from hickoryloom.gateway.context import GatewayContext, PeerAttempt
 from hickoryloom.gateway.messages import CallerRequest, Refusal
 from hickoryloom.gateway.progress import RequestProgress
-from hickoryloom.handover import HandOver, Peer, ReceivedCall
+from hickoryloom.handover import MAX_PEERS, HandOver, HandOverPeer, ReceivedCall
 from hickoryloom.logs import log_event
 from hickoryloom.upstream import AttemptError, AttemptFailure, FailureCause
 from hickoryloom.verdict import Verdict
 
-__all__ = ["PeerAttempts", "with_hand_over"]
-
-MAX_PEERS = 3
-"""Instances to which one request is handed over, one after the other."""
-
-PEER_IDLE_S = 5.0
-"""Time for which an idle connection to another instance is kept."""
+__all__ = ["UNABLE_REASONS", "PeerAttempts", "with_hand_over"]
 
 UNABLE_REASONS = frozenset(
     (
@@ -109,14 +103,9 @@
         """
         exchange = attempt.exchange
         result = self._context.hand_overs.read_head(exchange)
-        exchange.keep_alive_s = PEER_IDLE_S
         if not result.refused:
             self._progress.record_accepted()
             return None
-        if result.verdict is Verdict.NOT_RUN and result.refused in UNABLE_REASONS:
-            raise AttemptError(
-                AttemptFailure(FailureCause.NOT_RUN, Verdict.NOT_RUN, result.refused)
-            )
         if result.verdict is not Verdict.NOT_RUN:
             self._progress.verdict = result.verdict
         retry_after_s = _read_seconds(exchange.header("retry-after"))
@@ -139,7 +128,7 @@
             self._context.hand_overs.close(attempt.peer, attempt.exchange)
 
     def _record_failure(
-        self, peer: Peer, service: str, sent: float, failure: AttemptFailure
+        self, peer: HandOverPeer, service: str, sent: float, failure: AttemptFailure
     ) -> None:
         """Record a failure; an attempt that may have reached a server counts as sent to it."""
         if failure.verdict is not Verdict.NOT_RUN:
@@ -150,7 +139,9 @@
             self._context.hand_overs.peers.skip(peer, service, now)
         self._log(peer, service, sent, failure.cause.value, failure.detail)
 
-    def _log(self, peer: Peer, service: str, sent: float, outcome: str, detail: str) -> None:
+    def _log(
+        self, peer: HandOverPeer, service: str, sent: float, outcome: str, detail: str
+    ) -> None:
         log_event(
             log,
             "hand-over",
--- a/hickoryloom/gateway/process.py
+++ b/hickoryloom/gateway/process.py
@@ -19,16 +19,17 @@
 from hickoryloom.gateway.app import ProxyApp
 from hickoryloom.gateway.budget import DEFAULT_INSTANCES, SharedRetryBudget
 from hickoryloom.gateway.context import GatewayContext
+from hickoryloom.gateway.peer_attempts import UNABLE_REASONS
 from hickoryloom.gateway.ports import Dialect
 from hickoryloom.gateway.settings import GatewaySettings
 from hickoryloom.handover import (
     HandOverClient,
+    HandOverPeer,
     HandOverPeers,
     HandOverReceiver,
     is_handed_over,
     new_token,
 )
-from hickoryloom.handover import Peer as HandOverPeer
 from hickoryloom.http import ConnectionLimits, Server
 from hickoryloom.leases import LeaseManager
 from hickoryloom.logs import log_event
@@ -61,13 +62,6 @@
 """Longest pause between probes of an unavailable store, well below the age up to which a view is
 trusted."""
 
-CONNECT_TIMEOUT_S = 0.4
-"""A hundred round trips; a backend server that takes longer is down or unreachable."""
-
-UNACKNOWLEDGED_TIMEOUT_S = 1.5
-"""A backend server that acknowledges no sent bytes for this long is down or unreachable; a sound
-one may be silent for a second."""
-
 BALANCER_REMOVAL_S = 2.6
 """Time until the load balancer stops sending requests: it checks readiness once a second and
 removes an instance after two failed checks."""
@@ -153,15 +147,14 @@
         self._placer = Placer(settings.failure_domain, rng, self._limits, self._brittle)
         self._discovery.subscribe(self._placer.set_servers)
         self._catalog.subscribe(self._apply_catalog)
-        self._connections = ConnectionPool(
-            clock, dialect.backends.id_header, CONNECT_TIMEOUT_S, UNACKNOWLEDGED_TIMEOUT_S
-        )
+        self._connections = ConnectionPool(clock, dialect.backends.id_header)
         self._probe = ReachProbe(
             self._reach, self._connections, self._placer.usable_addresses, clock, rng
         )
         self._hand_overs = HandOverClient(
             HandOverPeers(settings.operators, self._reach.is_cut_off_at, rng),
-            ConnectionPool(clock, "", CONNECT_TIMEOUT_S, UNACKNOWLEDGED_TIMEOUT_S),
+            ConnectionPool(clock, id_header=""),
+            UNABLE_REASONS,
         )
         self._token = new_token()
         self._meter = UsageMeter(clock, settings.usage_window_s or 60.0)
@@ -204,7 +197,8 @@
             reach=self._reach,
             witness=EndWitness(
                 self._connections,
-                self._placer.addresses_by_nearness,
+                lambda: self._placer.services,
+                self._placer.usable_addresses,
                 self._is_registered,
                 clock,
                 rng,
--- a/hickoryloom/handover/__init__.py
+++ b/hickoryloom/handover/__init__.py
@@ -1,13 +1,13 @@
 """Requests that an instance hands over to another one, since it can't reach a service itself."""
 
-from hickoryloom.handover.client import HandOverClient
+from hickoryloom.handover.client import MAX_PEERS, HandOverClient
 from hickoryloom.handover.messages import (
     HAND_OVER_HEADER,
     RESULT_HEADER,
     SIGNATURE_HEADER,
     HandOver,
+    HandOverPeer,
     HandOverResult,
-    Peer,
     ReceivedCall,
     decode_hand_over,
     decode_result,
@@ -21,6 +21,7 @@
 
 __all__ = [
     "HAND_OVER_HEADER",
+    "MAX_PEERS",
     "RESULT_HEADER",
     "SIGNATURE_HEADER",
     "HandOver",
@@ -28,7 +29,7 @@
     "HandOverPeers",
     "HandOverReceiver",
     "HandOverResult",
-    "Peer",
+    "HandOverPeer",
     "ReceivedCall",
     "decode_hand_over",
     "decode_result",
--- a/hickoryloom/handover/client.py
+++ b/hickoryloom/handover/client.py
@@ -2,29 +2,38 @@
 
 from __future__ import annotations
 
+from result import Err
+
 from hickoryloom.handover.messages import (
     HAND_OVER_HEADER,
     RESULT_HEADER,
     SIGNATURE_HEADER,
     HandOver,
+    HandOverPeer,
     HandOverResult,
-    Peer,
     ReceivedCall,
     decode_result,
     encode_hand_over,
-    without_hand_over_headers,
 )
 from hickoryloom.handover.peers import HandOverPeers
 from hickoryloom.handover.signing import sign_call
 from hickoryloom.upstream import (
+    AttemptError,
+    AttemptFailure,
     ConnectionPool,
     Exchange,
     FailureCause,
-    end_to_end_headers,
     request_head,
 )
+from hickoryloom.verdict import Verdict
+
+__all__ = ["MAX_PEERS", "HandOverClient"]
+
+MAX_PEERS = 3
+"""Instances to which one request is handed over, one after the other."""
 
-__all__ = ["HandOverClient"]
+IDLE_S = 5.0
+"""Time for which an idle connection to another instance is kept."""
 
 
 class HandOverClient:
@@ -36,14 +45,19 @@
     Args:
         peers: The other instances.
         connections: Connections to them.
+        unable_reasons: Causes of refusals for which another instance may serve the request all
+            the same.
     """
 
-    def __init__(self, peers: HandOverPeers, connections: ConnectionPool) -> None:
+    def __init__(
+        self, peers: HandOverPeers, connections: ConnectionPool, unable_reasons: frozenset[str]
+    ) -> None:
         self.peers = peers
+        self._unable_reasons = unable_reasons
         self._connections = connections
 
     def send(
-        self, peer: Peer, call: ReceivedCall, hand_over: HandOver, deadline: float
+        self, peer: HandOverPeer, call: ReceivedCall, hand_over: HandOver, deadline: float
     ) -> Exchange:
         """Send a request; the response can be read from the exchange.
 
@@ -56,16 +70,11 @@
         Raises:
             AttemptError: The connection failed; part of the request may have been sent.
         """
-        headers = without_hand_over_headers(end_to_end_headers(call.headers))
         value = encode_hand_over(hand_over)
-        signature = sign_call(
-            peer.token,
-            peer.address,
-            value,
-            ReceivedCall(call.method, call.target, call.host, headers, call.body),
-        )
-        sent = (*headers, (HAND_OVER_HEADER, value), (SIGNATURE_HEADER, signature))
-        head = request_head(call.method, call.target, call.host, sent, len(call.body))
+        signature = sign_call(peer.token, peer.address, value, call)
+        added = ((HAND_OVER_HEADER, value), (SIGNATURE_HEADER, signature))
+        headers = (*call.forwarded_headers, *added)
+        head = request_head(call.method, call.target, call.host, headers, len(call.body))
         exchange = self._connections.open(peer.address, hand_over.request, call.method, False)
         exchange.read_deadline = deadline
         try:
@@ -80,20 +89,24 @@
         """Read the response head.
 
         Raises:
-            AttemptError: There is no response, or it is not that of an instance to this request.
+            AttemptError: There is no response, it is not that of an instance to this request, or
+                another instance may serve the request.
         """
         exchange.read_head()
-        result = decode_result(exchange.header(RESULT_HEADER)).map_err(
-            lambda error: exchange.error(FailureCause.MALFORMED, error)
-        )
-        if result.is_err():
-            raise result.unwrap_err()
-        if result.unwrap().request != exchange.attempt_id:
+        decoded = decode_result(exchange.header(RESULT_HEADER))
+        if isinstance(decoded, Err):
+            raise exchange.error(FailureCause.MALFORMED, decoded.err_value)
+        result = decoded.ok_value
+        if result.request != exchange.attempt_id:
             raise exchange.error(FailureCause.WRONG_RESPONSE, "response to another request")
         exchange.id_confirmed = True
-        return result.unwrap()
+        exchange.keep_alive_s = IDLE_S
+        if result.refused in self._unable_reasons and result.verdict is Verdict.NOT_RUN:
+            failure = AttemptFailure(FailureCause.NOT_RUN, Verdict.NOT_RUN, result.refused)
+            raise AttemptError(failure)
+        return result
 
-    def close(self, peer: Peer, exchange: Exchange) -> None:
+    def close(self, peer: HandOverPeer, exchange: Exchange) -> None:
         """Release an exchange that `send` returned; call it once."""
         self.peers.record_end(peer)
         self._connections.close(exchange)
--- a/hickoryloom/handover/messages.py
+++ b/hickoryloom/handover/messages.py
@@ -13,6 +13,7 @@
 import cattrs
 from result import Err, Ok, Result
 
+from hickoryloom.upstream import end_to_end_headers
 from hickoryloom.verdict import Verdict
 
 __all__ = [
@@ -21,7 +22,7 @@
     "SIGNATURE_HEADER",
     "HandOver",
     "HandOverResult",
-    "Peer",
+    "HandOverPeer",
     "ReceivedCall",
     "decode_hand_over",
     "decode_result",
@@ -44,7 +45,7 @@
 
 
 @attrs.frozen
-class Peer:
+class HandOverPeer:
     """Another instance to which requests may be handed over.
 
     Attributes:
@@ -66,7 +67,7 @@
         method: HTTP method.
         target: Request target, that is path and query.
         host: Value of the header `Host`.
-        headers: End-to-end headers, names in lower case.
+        headers: Headers as received, names in lower case.
         body: The complete body.
     """
 
@@ -76,6 +77,11 @@
     headers: Headers
     body: bytes
 
+    @property
+    def forwarded_headers(self) -> Headers:
+        """The end-to-end headers without those that instances set for each other."""
+        return without_hand_over_headers(end_to_end_headers(self.headers))
+
 
 @attrs.frozen
 class HandOver:
--- a/hickoryloom/handover/peers.py
+++ b/hickoryloom/handover/peers.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable, Iterable
 from random import Random
 
-from hickoryloom.handover.messages import Peer
+from hickoryloom.handover.messages import HandOverPeer
 
 __all__ = ["HandOverPeers"]
 
@@ -38,17 +38,17 @@
         self._address = address
         self._is_cut_off_at = is_cut_off_at
         self._rng = rng
-        self._peers: dict[str, Peer] = {}
+        self._peers: dict[str, HandOverPeer] = {}
         self._in_flight: Counter[str] = Counter()
         self._skipped: dict[tuple[str, str], float] = {}
 
-    def set_peers(self, peers: Iterable[Peer]) -> None:
+    def set_peers(self, peers: Iterable[HandOverPeer]) -> None:
         """Replace the other live instances; those without a token take no requests."""
         self._peers = {
             peer.address: peer for peer in peers if peer.token and peer.address != self._address
         }
 
-    def choose(self, service: str, exclude: frozenset[str], now: float) -> Peer | None:
+    def choose(self, service: str, exclude: frozenset[str], now: float) -> HandOverPeer | None:
         """Return the peer for a request to a service; None if no peer is known to reach it.
 
         Args:
@@ -66,17 +66,17 @@
         drawn = self._rng.sample(usable, min(CHOICES, len(usable)))
         return min(drawn, key=lambda peer: self._in_flight[peer.address], default=None)
 
-    def record_sent(self, peer: Peer) -> None:
+    def record_sent(self, peer: HandOverPeer) -> None:
         """Record that a request was handed over."""
         self._in_flight[peer.address] += 1
 
-    def record_end(self, peer: Peer) -> None:
+    def record_end(self, peer: HandOverPeer) -> None:
         """Record that a request which was handed over has ended."""
         self._in_flight[peer.address] -= 1
         if self._in_flight[peer.address] <= 0:
             del self._in_flight[peer.address]
 
-    def skip(self, peer: Peer, service: str, now: float) -> None:
+    def skip(self, peer: HandOverPeer, service: str, now: float) -> None:
         """Don't choose a peer for a service for a while, since it can't serve."""
         self._skipped = {key: until for key, until in self._skipped.items() if until > now}
         self._skipped[peer.address, service] = now + SKIP_S
--- a/hickoryloom/handover/receiver.py
+++ b/hickoryloom/handover/receiver.py
@@ -12,11 +12,9 @@
     HandOver,
     ReceivedCall,
     decode_hand_over,
-    without_hand_over_headers,
 )
 from hickoryloom.handover.signing import verify_call
 from hickoryloom.http import RAW_HEADERS_KEY, RAW_TARGET_KEY
-from hickoryloom.upstream import end_to_end_headers
 
 __all__ = ["HandOverReceiver", "is_handed_over", "read_call"]
 
@@ -35,9 +33,9 @@
         self._address = address
         self._token = token
 
-    def read(self, environ: dict[str, Any], call: ReceivedCall) -> Result[HandOver, str]:
+    def read(self, call: ReceivedCall) -> Result[HandOver, str]:
         """Return what the sender says of a call; return an error message if it is not signed."""
-        headers = dict(environ[RAW_HEADERS_KEY])
+        headers = dict(call.headers)
         value = headers.get(HAND_OVER_HEADER, "")
         signature = headers.get(SIGNATURE_HEADER, "")
         if not self._token or not verify_call(signature, self._token, self._address, value, call):
@@ -51,12 +49,12 @@
 
 
 def read_call(environ: dict[str, Any], body: bytes) -> ReceivedCall:
-    """Return a request as it was received, without the headers that instances set."""
+    """Return a request as it was received."""
     headers = environ[RAW_HEADERS_KEY]
     return ReceivedCall(
         method=environ["REQUEST_METHOD"],
         target=environ[RAW_TARGET_KEY],
         host=next((value for name, value in headers if name == "host"), ""),
-        headers=without_hand_over_headers(end_to_end_headers(headers)),
+        headers=headers,
         body=body,
     )
--- a/hickoryloom/handover/signing.py
+++ b/hickoryloom/handover/signing.py
@@ -32,7 +32,8 @@
         hand_over: Value of the header that accompanies the request.
         call: The caller's request.
     """
-    signed = json.dumps([address, hand_over, call.method, call.target, call.host, call.headers])
+    headers = call.forwarded_headers
+    signed = json.dumps([address, hand_over, call.method, call.target, call.host, headers])
     digest = hashlib.sha256(signed.encode() + b"\n" + call.body).digest()
     return hmac.digest(token.encode(), digest, "sha256").hex()
 
--- a/hickoryloom/handover/tests/test_peers.py
+++ b/hickoryloom/handover/tests/test_peers.py
@@ -3,7 +3,7 @@
 import random
 from collections import Counter
 
-from hickoryloom.handover import HandOverPeers, Peer
+from hickoryloom.handover import HandOverPeer, HandOverPeers
 
 SERVICE = "s"
 NOW = 10.0
@@ -11,7 +11,7 @@
 
 def build_peers(number, cut=(), own="a:0"):
     peers = HandOverPeers(own, lambda address, service, now: address in cut, random.Random(1))
-    peers.set_peers(Peer(f"a:{index}", f"d{index % 3}", "token") for index in range(number))
+    peers.set_peers(HandOverPeer(f"a:{index}", f"d{index % 3}", "token") for index in range(number))
     return peers
 
 
@@ -55,5 +55,5 @@
 
 def test_a_peer_without_a_token_takes_no_requests():
     peers = HandOverPeers("a:0", lambda *_: False, random.Random(1))
-    peers.set_peers([Peer("a:1", "d", "")])
+    peers.set_peers([HandOverPeer("a:1", "d", "")])
     assert peers.choose(SERVICE, frozenset(), NOW) is None
--- a/hickoryloom/placing/brittle.py
+++ b/hickoryloom/placing/brittle.py
@@ -153,6 +153,8 @@
             sent_at: Monotonic time at which the request was sent, in seconds.
             now: Monotonic time in seconds.
         """
+        if not value and not self.servers:
+            return
         key = _key(server)
         known = self._records.get(BRITTLE, key, now)
         if not value:
--- a/hickoryloom/placing/placer.py
+++ b/hickoryloom/placing/placer.py
@@ -85,30 +85,21 @@
         """Number of requests of this instance at backend servers."""
         return sum(tracked.in_flight for tracked in self._tracked.values())
 
+    @property
+    def services(self) -> list[str]:
+        """Names of the services that have registered servers."""
+        return list(self._by_service)
+
     def in_flight_at(self, id: str) -> int:
         """Return the number of requests of this instance at a backend server."""
         tracked = self._tracked.get(id)
         return 0 if tracked is None else tracked.in_flight
 
-    def usable_servers(self, service: str) -> int:
-        """Return the number of a service's servers that are not leaving."""
-        return len(self.usable_addresses(service))
-
     def usable_addresses(self, service: str) -> dict[str, str]:
         """Return the addresses of a service's servers that are not leaving, by id."""
         servers = [tracked.server for tracked in self._by_service.get(service, ())]
         return {server.id: server.address for server in servers if not server.leaving}
 
-    def addresses_by_nearness(self, service: str) -> tuple[dict[str, str], dict[str, str]]:
-        """Return the usable addresses of a service by id, and those of all other services."""
-        others = {
-            id: address
-            for name in self._by_service
-            if name != service
-            for id, address in self.usable_addresses(name).items()
-        }
-        return self.usable_addresses(service), others
-
     def set_servers(self, servers: Iterable[BackendServer]) -> None:
         """Replace the list of live backend servers.
 
--- a/hickoryloom/platform/tests/partition.py
+++ b/hickoryloom/platform/tests/partition.py
@@ -109,11 +109,16 @@
             pass
 
 
-class StoreView:
-    """The store as one gateway sees it, with addresses of its own for the backend servers."""
+class AddressView:
+    """A server as one process sees it, with addresses of its own for the backend servers.
 
-    def __init__(self, store, wires):
-        self._store = store
+    Args:
+        serve: WSGI application of the server.
+        wires: Wires by the address of the backend server that they lead to.
+    """
+
+    def __init__(self, serve, wires):
+        self._application = serve
         self._wires = wires
         self._server = WSGIServer(("127.0.0.1", 0), self._serve, log=None, error_log=None)
         self._server.start()
@@ -124,11 +129,10 @@
 
     def _serve(self, environ, start_response):
         replies = []
-        chunks = self._store._serve(environ, lambda *reply: replies.append(reply))
+        chunks = self._application(environ, lambda *reply: replies.append(reply))
         text = b"".join(chunks).decode()
-        if environ["PATH_INFO"].startswith("/objects/servers"):
-            for target, wire in self._wires.items():
-                text = text.replace(f'"{target}"', f'"{wire.address}"')
+        for target, wire in self._wires.items():
+            text = text.replace(f'"{target}"', f'"{wire.address}"')
         body = text.encode()
         status, headers = replies[0]
         kept = [pair for pair in headers if pair[0].lower() != "content-length"]
@@ -143,7 +147,7 @@
         self.folder = site.folder
         self.duties = site.duties
         self.wires = {backend.address: Wire(backend.address) for backend in site.backends}
-        self.store = StoreView(site.store, self.wires)
+        self.store = AddressView(site.store._serve, self.wires)
 
     def stop(self):
         self.store.stop()
--- a/hickoryloom/reach/tests/test_witness.py
+++ b/hickoryloom/reach/tests/test_witness.py
@@ -27,7 +27,8 @@
         self.registered = set(self.addresses)
         self.witness = EndWitness(
             ConnectionPool(SystemClock()),
-            lambda service: (self.addresses, {}),
+            lambda: ["s"],
+            lambda service: self.addresses,
             lambda id, started: id in self.registered,
             SystemClock(),
             random.Random(1),
--- a/hickoryloom/reach/witness.py
+++ b/hickoryloom/reach/witness.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from random import Random
 
 import gevent
@@ -36,7 +36,8 @@
 
     Args:
         connections: Connections to backend servers.
-        addresses: Returns the addresses of a service's servers by id, and those of all others.
+        services: Returns the names of all services.
+        addresses: Returns the addresses of a service's usable servers by id.
         is_registered: Returns whether a start of a server is registered, by its id and start.
         clock: Source of time.
         rng: Selects the other servers.
@@ -45,12 +46,14 @@
     def __init__(
         self,
         connections: ConnectionPool,
-        addresses: Callable[[str], tuple[Mapping[str, str], Mapping[str, str]]],
+        services: Callable[[], Iterable[str]],
+        addresses: Callable[[str], Mapping[str, str]],
         is_registered: Callable[[str, int], bool],
         clock: Clock,
         rng: Random,
     ) -> None:
         self._connections = connections
+        self._services = services
         self._addresses = addresses
         self._is_registered = is_registered
         self._clock = clock
@@ -116,10 +119,15 @@
 
     def _reaches_another(self, service: str, server: str) -> bool:
         """Return whether another server takes connections, or none is known."""
-        same_service, far = self._addresses(service)
-        near = [address for id, address in same_service.items() if id != server]
+        near = [address for id, address in self._addresses(service).items() if id != server]
+        far = [
+            address
+            for name in self._services()
+            if name != service
+            for address in self._addresses(name).values()
+        ]
         tried = self._rng.sample(near, min(MAX_OTHERS, len(near)))
-        tried += self._rng.sample(sorted(far.values()), min(MAX_OTHERS, len(far)))
+        tried += self._rng.sample(far, min(MAX_OTHERS, len(far)))
         return not tried or any(self._opens(address) for address in tried)
 
     def _opens(self, address: str) -> bool:
--- a/hickoryloom/relay/attempts.py
+++ b/hickoryloom/relay/attempts.py
@@ -397,7 +397,7 @@
 
     def _record_unreachable(self, attempt: Attempt) -> None:
         pool = self._request.pool
-        servers = self._context.router.usable_servers(pool)
+        servers = len(self._context.router.usable_addresses(pool))
         now = self._context.clock.monotonic()
         self._context.reach.record_unreachable(pool, attempt.choice.backend.id, servers, now)
 
--- a/hickoryloom/relay/task.py
+++ b/hickoryloom/relay/task.py
@@ -30,13 +30,6 @@
 
 __all__ = ["Relay"]
 
-CONNECT_TIMEOUT_S = 0.4
-"""A hundred round trips; a backend server that takes longer is down or unreachable."""
-
-UNACKNOWLEDGED_TIMEOUT_S = 1.5
-"""A backend server that acknowledges no sent bytes for this long is down or unreachable; a sound
-one may be silent for a second."""
-
 SERVICE_TIMEOUT_S = 30.0
 CALLER_TIMEOUT_S = 60.0
 
@@ -70,11 +63,7 @@
     ) -> None:
         self._router = router
         self._clock = clock
-        self._connections = ConnectionPool(
-            clock,
-            connect_timeout_s=CONNECT_TIMEOUT_S,
-            unacknowledged_s=UNACKNOWLEDGED_TIMEOUT_S,
-        )
+        self._connections = ConnectionPool(clock)
         engine = EngineControl(credential)
         self._context = RelayContext(
             router,
@@ -86,7 +75,8 @@
             reach or Reach("", SharedRecords("", REACH_TOPICS)),
             EndWitness(
                 self._connections,
-                router.addresses_by_nearness,
+                lambda: router.pools,
+                router.usable_addresses,
                 lambda id, started: router.is_registered(id),
                 clock,
                 random.Random(),
--- a/hickoryloom/routing/router.py
+++ b/hickoryloom/routing/router.py
@@ -81,6 +81,11 @@
         self._backends: dict[str, TrackedBackend] = {}
         self._pools: dict[str, _PoolState] = {}
 
+    @property
+    def pools(self) -> list[str]:
+        """Names of the pools that have, or had, registered backend servers."""
+        return list(self._pools)
+
     def set_views(self, views: Iterable[BackendView]) -> None:
         """Apply the directory's current views, keeping measurements of known backend servers."""
         now = self._clock.monotonic()
@@ -96,27 +101,12 @@
             known[id].leave_pool()
         self._rebuild_pools()
 
-    def usable_servers(self, pool: str) -> int:
-        """Return the number of a pool's backend servers that are not leaving."""
-        state = self._pools.get(pool)
-        return len(state.backends) if state is not None else 0
-
     def usable_addresses(self, pool: str) -> dict[str, str]:
         """Return the addresses of a pool's backend servers that are not leaving, by id."""
         state = self._pools.get(pool)
         backends = state.backends if state is not None else []
         return {tracked.view.id: tracked.view.address for tracked in backends}
 
-    def addresses_by_nearness(self, pool: str) -> tuple[dict[str, str], dict[str, str]]:
-        """Return the usable addresses of a pool by id, and those of all other pools."""
-        others = {
-            id: address
-            for name in self._pools
-            if name != pool
-            for id, address in self.usable_addresses(name).items()
-        }
-        return self.usable_addresses(pool), others
-
     def is_registered(self, id: str) -> bool:
         """Return whether a backend server is registered, leaving or not."""
         return id in self._backends
--- a/hickoryloom/upstream/connections.py
+++ b/hickoryloom/upstream/connections.py
@@ -14,7 +14,13 @@
 
 __all__ = ["ConnectionPool"]
 
-CONNECT_TIMEOUT_S = 2.0
+CONNECT_TIMEOUT_S = 0.4
+"""A hundred round trips; a peer that takes longer is down or unreachable."""
+
+UNACKNOWLEDGED_TIMEOUT_S = 1.5
+"""A peer that acknowledges no sent bytes for this long is down or unreachable; a sound one may be
+silent for a second."""
+
 MAX_IDLE_PER_ADDRESS = 64
 MAX_IDLE_S = 20.0
 MS_PER_S = 1000.0
@@ -47,22 +53,11 @@
     Args:
         clock: Source of time.
         id_header: Response header, in lower case, that carries the id of the request.
-        connect_timeout_s: Timeout for opening a connection, in seconds.
-        unacknowledged_s: Seconds after which a connection with unacknowledged bytes is closed; None
-            for the operating system's default.
     """
 
-    def __init__(
-        self,
-        clock: Clock,
-        id_header: str = "x-request-id",
-        connect_timeout_s: float = CONNECT_TIMEOUT_S,
-        unacknowledged_s: float | None = None,
-    ) -> None:
+    def __init__(self, clock: Clock, id_header: str = "x-request-id") -> None:
         self._clock = clock
         self._id_header = id_header
-        self._connect_timeout_s = connect_timeout_s
-        self._unacknowledged_s = unacknowledged_s
         self._idle: dict[str, list[_IdleConnection]] = {}
         self._in_use = 0
 
@@ -91,7 +86,7 @@
         """
         sock = None if new_connection else self._take_idle(address)
         if sock is None:
-            sock = self._open_socket(address)
+            sock = _connect(address)
         self._in_use += 1
         return Exchange(sock, address, attempt_id, method, self._clock, self._id_header)
 
@@ -101,7 +96,7 @@
         Raises:
             AttemptError: The connection failed.
         """
-        sock, now = self._open_socket(address), self._clock.monotonic()
+        sock, now = _connect(address), self._clock.monotonic()
         idle = _IdleConnection(sock, now, now + PREPARED_IDLE_S)
         self._idle.setdefault(address, []).append(idle)
 
@@ -144,12 +139,6 @@
                 idle.sock.close()
         self._idle.clear()
 
-    def _open_socket(self, address: str) -> Any:
-        sock = _connect(address, self._connect_timeout_s)
-        if self._unacknowledged_s is not None:
-            _enable_peer_timeouts(sock, self._unacknowledged_s)
-        return sock
-
     def _take_idle(self, address: str) -> Any:
         pooled = self._idle.get(address)
         while pooled:
@@ -160,21 +149,22 @@
         return None
 
 
-def _connect(address: str, timeout_s: float) -> Any:
+def _connect(address: str) -> Any:
     host, _, port = address.rpartition(":")
     try:
-        sock = socket.create_connection((host, int(port)), timeout=timeout_s)
+        sock = socket.create_connection((host, int(port)), timeout=CONNECT_TIMEOUT_S)
     except (OSError, ValueError) as error:
         raise AttemptError(AttemptFailure(FailureCause.CONNECT, Verdict.NOT_RUN, str(error)))
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.settimeout(None)
+    _enable_peer_timeouts(sock)
     return sock
 
 
-def _enable_peer_timeouts(sock: Any, unacknowledged_s: float) -> None:
+def _enable_peer_timeouts(sock: Any) -> None:
     """Configure TCP timeouts so that an unresponsive peer is detected quickly."""
     tcp = socket.IPPROTO_TCP
-    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, round(unacknowledged_s * MS_PER_S))
+    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, round(UNACKNOWLEDGED_TIMEOUT_S * MS_PER_S))
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
--- a/hickoryloom/upstream/tests/test_peer_timeouts.py
+++ b/hickoryloom/upstream/tests/test_peer_timeouts.py
@@ -3,12 +3,9 @@
 import socket
 
 import gevent
-import pytest
 from gevent.server import StreamServer
 
 from hickoryloom.clock import SystemClock
-from hickoryloom.gateway.process import UNACKNOWLEDGED_TIMEOUT_S as GATEWAY_TIMEOUT_S
-from hickoryloom.relay.task import UNACKNOWLEDGED_TIMEOUT_S as RELAY_TIMEOUT_S
 from hickoryloom.upstream import ConnectionPool
 
 SOUND_SILENCE_S = 1.2
@@ -18,11 +15,10 @@
 """Time after which a connection to a server that is gone must not be used."""
 
 
-@pytest.mark.parametrize("timeout_s", [GATEWAY_TIMEOUT_S, RELAY_TIMEOUT_S])
-def test_a_sound_server_may_be_silent_for_a_second_and_a_lost_one_is_known_in_three(timeout_s):
+def test_a_sound_server_may_be_silent_for_a_second_and_a_lost_one_is_known_in_three():
     server = StreamServer(("127.0.0.1", 0), lambda sock, address: gevent.sleep(1.0))
     server.start()
-    pool = ConnectionPool(SystemClock(), unacknowledged_s=timeout_s)
+    pool = ConnectionPool(SystemClock())
     exchange = pool.open(f"127.0.0.1:{server.server_port}", "a", "GET", True)
     option = exchange._sock.getsockopt
     unacknowledged_s = option(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT) / 1000
--- a/tests/test_hand_over_processes.py
+++ b/tests/test_hand_over_processes.py
@@ -2,10 +2,9 @@
 
 import gevent
 import pytest
-from gevent.pywsgi import WSGIServer
 from geventhttpclient import HTTPClient
 
-from hickoryloom.platform.tests.partition import Wire
+from hickoryloom.platform.tests.partition import AddressView, Wire
 from tests.harness import wait_until
 from tests.site import Site, call
 
@@ -15,39 +14,25 @@
 MIN_SERVED = 0.95
 
 
-class PlatformView:
-    """The platform as one entry sees it, with addresses of its own for the backend servers."""
+def forward_to(address):
+    """Return a WSGI application that passes calls on to the platform."""
+    host, _, port = address.rpartition(":")
 
-    def __init__(self, address, wires):
-        self._host, _, port = address.rpartition(":")
-        self._port = int(port)
-        self._wires = wires
-        self._server = WSGIServer(("127.0.0.1", 0), self._serve, log=None, error_log=None)
-        self._server.start()
-        self.address = f"127.0.0.1:{self._server.server_port}"
-
-    def stop(self):
-        self._server.stop(timeout=0.1)
-
-    def _serve(self, environ, start_response):
-        client = HTTPClient(self._host, self._port, network_timeout=60.0)
+    def serve(environ, start_response):
+        client = HTTPClient(host, int(port), network_timeout=60.0)
         target = environ["PATH_INFO"] + "?" + environ["QUERY_STRING"]
         headers = {"Content-Type": "application/json"}
         body = environ["wsgi.input"].read()
         try:
             response = client.request(environ["REQUEST_METHOD"], target, body, headers)
-            text = bytes(response.read()).decode()
+            data = bytes(response.read())
         finally:
             client.close()
-        for address, wire in self._wires.items():
-            text = text.replace(f'"{address}"', f'"{wire.address}"')
-        data = text.encode()
-        start_response(
-            f"{response.status_code} Status",
-            [("Content-Type", "application/json"), ("Content-Length", str(len(data)))],
-        )
+        start_response(f"{response.status_code} Status", [("Content-Type", "application/json")])
         return [data]
 
+    return serve
+
 
 @pytest.fixture
 def site(tmp_path):
@@ -60,7 +45,7 @@
     site.wires = {
         site.addresses[name]["address"]: Wire(site.addresses[name]["address"]) for name in names
     }
-    view = PlatformView(site.platform_address, site.wires)
+    view = AddressView(forward_to(site.platform_address), site.wires)
     site.add_entry(platform=view.address)
     site.add_entry()
     yield site
