Http, gateway: log each request whose connection ends without a response, and the steps of a stop

An instance that lost a request said nothing of it: OSErrors of a handler were swallowed, idle connections were closed without a count, and a stop's only line gave the requests in progress. No change of logic.

--- a/hickoryloom/gateway/app.py
+++ b/hickoryloom/gateway/app.py
@@ -37,7 +37,7 @@
     read_claim,
     without_hand_over_headers,
 )
-from hickoryloom.http import WRITES_KEY, CallerWrites, DisconnectWatch
+from hickoryloom.http import REQUEST_KEY, WRITES_KEY, CallerWrites, DisconnectWatch
 from hickoryloom.logs import log_event
 from hickoryloom.origins import origin_key
 from hickoryloom.upstream import BufferBudget, BufferedBody, Holder, end_to_end_headers
@@ -141,6 +141,7 @@
             _log_unreadable(refusal, environ)
             return _send_refusal(refusal, start_response, hand_over)
         received = decoded.ok_value
+        environ[REQUEST_KEY] = received.id
         request = attrs.evolve(received, headers=end_to_end_headers(received.headers))
         if hand_over is not None:
             request = with_hand_over(request, hand_over)
--- a/hickoryloom/gateway/process.py
+++ b/hickoryloom/gateway/process.py
@@ -329,10 +329,10 @@
         )
         receiver = HandOverReceiver(settings.operators, self._token)
         self._app = ProxyApp(context, dialect.callers, receiver)
-        self._proxy_server = Server(self._app, settings.listen, self._write_watch)
+        self._proxy_server = Server(self._app, settings.listen, self._write_watch, "callers")
         self._readiness_server = Server(self._serve_operators, settings.readiness)
         self._operators_server = (
-            Server(self._serve_operators, settings.operators, self._write_watch)
+            Server(self._serve_operators, settings.operators, self._write_watch, "operators")
             if settings.operators
             else None
         )
@@ -434,23 +434,41 @@
         self._proxy_server.drain()
         if self._duties is not None:
             self._duties.stop()
+            self._log_stop_step("duties-stopped", started_at)
         gevent.sleep(BALANCER_REMOVAL_S)
         self._proxy_server.stop_accepting()
         self._app.stop_admitting()
+        self._log_stop_step("requests-refused", started_at)
         self._proxy_server.close_idle()
         end = started_at + self._settings.stop_s - STOP_MARGIN_S
         self._proxy_server.wait_idle(max(0.0, end - self._clock.monotonic()))
         if self._operators_server is not None:
             self._operators_server.wait_idle(max(0.0, end - self._clock.monotonic()))
+        self._log_stop_step("requests-ended", started_at)
         self._view_follower.stop()
         self._version_lists.stop()
         self._peer_views.stop()
         self._probe.stop()
         self._evidence.stop()
         self._datagrams.stop()
+        self._log_stop_step("tasks-stopped", started_at)
         self._meter_task.stop(until=end)
+        self._log_stop_step("counts-written", started_at)
         log_event(log, "stopped", open_requests=self._proxy_server.active)
 
+    def _log_stop_step(self, step: str, started_at: float) -> None:
+        """Log that a step of a stop has ended, and what callers have still at this process."""
+        log_event(
+            log,
+            "stop-step",
+            step=step,
+            after_ms=round((self._clock.monotonic() - started_at) * 1000),
+            open_requests=self._proxy_server.active,
+            reading=self._proxy_server.reading,
+            unread=self._proxy_server.unread,
+            handed_over=self._operators_server.active if self._operators_server else None,
+        )
+
     def _serve_operators(self, environ: dict[str, Any], start_response: Any) -> Any:
         """Serve operators and other instances; also readiness checks on their own port.
 
@@ -744,6 +762,7 @@
                     self._usage_reporter.late_requests if self._usage_reporter else 0
                 ),
                 **self._evacuation_gauges(),
+                **self._proxy_server.ends.gauges(),
             }
         )
 
--- a/hickoryloom/http/server.py
+++ b/hickoryloom/http/server.py
@@ -11,6 +11,7 @@
 from gevent import socket
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
+from hickoryloom.http.connection_log import ConnectionLog, Phase, RequestStage, unread_bytes
 from hickoryloom.http.framing import StrictFraming
 from hickoryloom.http.limits import (
     BoundedLineReader,
@@ -21,7 +22,7 @@
 from hickoryloom.http.write_watch import CallerWrites, WriteWatch
 from hickoryloom.logs import log_event
 
-__all__ = ["SOCKET_KEY", "WRITES_KEY", "Server"]
+__all__ = ["REQUEST_KEY", "SOCKET_KEY", "WRITES_KEY", "Server"]
 
 log = logbook.Logger("hickoryloom.http")
 
@@ -40,6 +41,9 @@
 takes 1 MB for a caller that reads nothing, which no budget of the process counts."""
 
 MAX_CONNECTIONS = 8192
+REQUEST_KEY = "hickoryloom.request"
+"""Key of the WSGI environment for the id of a request, which an application notes for the log."""
+
 SOCKET_KEY = "hickoryloom.socket"
 WRITES_KEY = "hickoryloom.writes"
 
@@ -57,15 +61,24 @@
 
     Attributes:
         limits: Limits for each connection, which may be replaced at any time.
+        ends: Logs and counts the requests whose connection ends without a complete response.
 
     Args:
         app: The WSGI application.
         address: `host:port`; port 0 selects a free port.
         write_watch: Notices callers that don't read; None if nothing is done about them.
+        name: Name of the server in the log.
     """
 
-    def __init__(self, app: WsgiApp, address: str, write_watch: WriteWatch | None = None) -> None:
+    def __init__(
+        self,
+        app: WsgiApp,
+        address: str,
+        write_watch: WriteWatch | None = None,
+        name: str = "",
+    ) -> None:
         host, _, port = address.rpartition(":")
+        self.ends = ConnectionLog(name or address)
         self.write_watch = write_watch
         self._app = app
         self.limits = ConnectionLimits()
@@ -82,6 +95,7 @@
         )
         self._server.owner = self
         self._idle: set[Any] = set()
+        self._reading: set[Any] = set()
 
     @property
     def address(self) -> str:
@@ -93,6 +107,16 @@
         """The number of requests in progress."""
         return self._active
 
+    @property
+    def reading(self) -> int:
+        """The number of requests of which a part has been read, but not all headers."""
+        return len(self._reading)
+
+    @property
+    def unread(self) -> int:
+        """The number of connections with bytes of a request that the process has not read yet."""
+        return sum(1 for handler in self._idle if unread_bytes(handler.socket))
+
     def bind(self) -> None:
         """Bind the address without serving yet, so that it can be announced.
 
@@ -112,15 +136,19 @@
     def drain(self) -> None:
         """Keep accepting connections, but ask callers to close them after each response."""
         self._stopping = True
+        self.ends.phase = Phase.DRAINING
 
     def stop_accepting(self) -> None:
         """Stop accepting new connections and keep serving open ones."""
         self._stopping = True
+        self.ends.phase = Phase.CLOSING
         self._server.stop_accepting()
 
     def close_idle(self) -> None:
         """Close the connections that are waiting for the first byte of a request."""
+        self.ends.log_idle_closed(len(self._idle), self.unread)
         for handler in list(self._idle):
+            handler.closed_idle = True
             try:
                 handler.socket.shutdown(socket.SHUT_RDWR)
             except OSError as error:
@@ -133,6 +161,13 @@
         else:
             self._idle.discard(handler)
 
+    def set_reading(self, handler: Any, reading: bool) -> None:
+        """Record whether the headers of a request are being read on a connection."""
+        if reading:
+            self._reading.add(handler)
+        else:
+            self._reading.discard(handler)
+
     def wait_idle(self, timeout_s: float | None = None) -> bool:
         """Wait until no request is in progress; return False if the timeout expires first."""
         with gevent.Timeout(timeout_s, False):
@@ -173,6 +208,8 @@
 
     _header_timer: gevent.Timeout | None = None
     _writes: CallerWrites | None = None
+    _write_failed = False
+    closed_idle = False
 
     def handle(self) -> None:
         """Serve one connection and close it if a read or write stalls for too long."""
@@ -193,15 +230,18 @@
             return self._handle_client_error(error)
         finally:
             self._stop_header_timer()
+            self.server.owner.set_reading(self, False)
 
     def read_requestline(self) -> Any:
         """Read the request line; the connection is idle until the first byte arrives."""
         owner = self.server.owner
         owner.set_idle(self, True)
         try:
-            self.rfile.peek(1)
+            begun = bool(self.rfile.peek(1))
         finally:
             owner.set_idle(self, False)
+        if begun:
+            owner.set_reading(self, True)
         self._header_timer = gevent.Timeout.start_new(
             owner.limits.header_timeout_s, HeadersTooSlowError("headers took too long")
         )
@@ -218,6 +258,7 @@
     def _handle_client_error(self, ex: Exception) -> tuple[str, bytes]:
         """Reject an unreadable request with a specific status, where gevent always sends 400."""
         response: tuple[str, bytes] = super()._handle_client_error(ex)
+        self.server.owner.ends.log_unanswered(RequestStage.READING, ex)
         if isinstance(ex, HeadersTooSlowError):
             response = STATUS_TOO_SLOW, REJECTION % STATUS_TOO_SLOW.encode()
         elif isinstance(ex, HeadersTooLargeError):
@@ -240,12 +281,35 @@
             environ[WRITES_KEY] = self._writes
         return environ
 
+    def run_application(self) -> None:
+        """Serve one request whose headers have been read; log it if its response isn't complete."""
+        self.server.owner.set_reading(self, False)
+        self._write_failed = False
+        try:
+            super().run_application()
+        except Exception as error:
+            stage = RequestStage.SERVING
+            if self._write_failed:
+                stage = RequestStage.SENDING
+            self.server.owner.ends.log_unanswered(
+                stage,
+                error,
+                self.environ.get(REQUEST_KEY, ""),
+                response_begun=self.headers_sent,
+                closed_idle=self.closed_idle,
+            )
+            raise
+
     def _sendall(self, data: bytes | bytearray) -> None:
-        if self._writes is None:
-            super()._sendall(data)
-            return
-        self._writes.send_all(data)
-        self.response_length += len(data)
+        try:
+            if self._writes is None:
+                super()._sendall(data)
+                return
+            self._writes.send_all(data)
+            self.response_length += len(data)
+        except OSError:
+            self._write_failed = True
+            raise
 
     @property
     def _ends_with_connection(self) -> bool:
