Http: slow callers that read steadily are not cut off

Callers saw: a response that was still being read broke off. On a connection that nobody watches, the timeout of 60 s held for a whole write, so that a large response failed however steadily it was read; on a watched one it held between two moments at which the kernel takes further bytes, which a caller that reads half a KB per second doesn't reach in 60 s.

Evidence: test_a_slow_but_steady_caller_is_not_cut_off fails before, watched and unwatched: `TimeoutError: timed out` in send_all and sendall.

The timeout now counts from the last bytes that the caller took, also those that only the length of the kernel's send queue shows. An unwatched caller that takes nothing is disconnected after two timeouts, since the first one only tells the length of the queue.

--- a/hickoryloom/http/server.py
+++ b/hickoryloom/http/server.py
@@ -19,7 +19,7 @@
     HeadersTooLargeError,
     HeadersTooSlowError,
 )
-from hickoryloom.http.write_watch import CallerWrites, WriteWatch
+from hickoryloom.http.write_watch import CallerWrites, WriteWatch, send_all
 from hickoryloom.logs import log_event
 
 __all__ = ["REQUEST_KEY", "SOCKET_KEY", "WRITES_KEY", "Server"]
@@ -303,9 +303,9 @@
     def _sendall(self, data: bytes | bytearray) -> None:
         try:
             if self._writes is None:
-                super()._sendall(data)
-                return
-            self._writes.send_all(data)
+                send_all(self.socket, data)
+            else:
+                self._writes.send_all(data)
             self.response_length += len(data)
         except OSError:
             self._write_failed = True
--- a/hickoryloom/http/write_watch.py
+++ b/hickoryloom/http/write_watch.py
@@ -15,7 +15,7 @@
 from hickoryloom.logs import log_event
 from hickoryloom.loops import TaskLoop
 
-__all__ = ["CallerWrites", "WriteWatch"]
+__all__ = ["CallerWrites", "WriteWatch", "send_all"]
 
 log = logbook.Logger("hickoryloom.http")
 
@@ -63,7 +63,13 @@
         self._watch.pending.add(self)
         try:
             while view:
-                sent = self._sock.send(view)
+                started_at = self._watch.monotonic()
+                try:
+                    sent = self._sock.send(view)
+                except TimeoutError:
+                    if self.progress_at > started_at:
+                        continue
+                    raise
                 if sent:
                     view = view[sent:]
                     self.progress_at = self._watch.monotonic()
@@ -76,11 +82,10 @@
             return
         self._looked_at = now
         try:
-            answer = fcntl.ioctl(self._sock.fileno(), termios.TIOCOUTQ, bytes(4))
-        except OSError as error:
+            queued = _queued_bytes(self._sock)
+        except (OSError, ValueError) as error:
             log_event(log, "connection-gone", error=str(error))
             return
-        (queued,) = struct.unpack("i", answer)
         if queued < self._queued_bytes:
             self.progress_at = now
         self._queued_bytes = queued
@@ -97,6 +102,35 @@
         self.timeout_s = self.on_blocked = None
 
 
+def send_all(sock: Any, data: bytes | bytearray) -> None:
+    """Send bytes on a connection that nobody watches.
+
+    Its timeout holds for a caller that takes nothing, not for the whole data.
+
+    Raises:
+        OSError: The caller has disconnected, or has taken nothing within two timeouts.
+    """
+    view = memoryview(data)
+    queued: int | None = None
+    while view:
+        try:
+            sent = sock.send(view)
+        except TimeoutError:
+            before, queued = queued, _queued_bytes(sock)
+            # The kernel takes further bytes only once a good part of its queue is free.
+            if before is not None and queued >= before:
+                raise
+            continue
+        view = view[sent:]
+        queued = None
+
+
+def _queued_bytes(sock: Any) -> int:
+    """Return the number of sent bytes that the other side has not taken yet."""
+    (queued,) = struct.unpack("i", fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4)))
+    return int(queued)
+
+
 class WriteWatch:
     """Checks the writes that block.
 
