Http: a server that stops answers what has arrived

Callers saw: a request on a kept connection, or on a connection that had just been opened, ended without an answer when an instance was stopped.

Cause: close_idle shut down each connection whose handler waited for a first byte, also if bytes had arrived. Only requests whose application had been called counted as in progress, not those being read, unread, on an accepted connection without a running handler, or in the accept queue. The listening socket stayed open after stop_accepting, and gevent's pool began to accept again when a connection ended.

Fix: a connection is recorded from its acceptance to its end in the set of what it waits for. finish accepts the queue, stops listening, and closes a connection once it is idle and FIONREAD shows no unread bytes, without a greenlet switch between look and close. Requests in progress are counted around the application, so that no error between can leave the counter raised, and waiting is woken by the end of a request instead of a poll. `Connection: close` is left out while another request is waiting on the connection.

The module is split into server, handler, connections and the reader of a connection. A rejected request (400, 408, 431) is logged as unanswered only if the rejection could not be sent.

--- a/hickoryloom/http/connection_log.py
+++ b/hickoryloom/http/connection_log.py
@@ -86,12 +86,13 @@
             error=f"{type(error).__name__}: {error}"[:MAX_DETAIL_CHARS],
         )
 
-    def log_idle_closed(self, connections: int, unread: int) -> None:
+    def log_idle_closed(self, connections: int, unread: int, kept: int) -> None:
         """Log that the server closes its idle connections.
 
         Args:
-            connections: Number of connections.
-            unread: Number of those on which bytes of a request have arrived.
+            connections: Number of connections that were closed.
+            unread: Number of those on which bytes of a request arrived in the moment of the close.
+            kept: Number of connections that stay open, as unread bytes were found on them.
         """
         self.closed_unread += unread
         log_event(
@@ -101,6 +102,7 @@
             phase=self.phase.value,
             connections=connections,
             unread=unread,
+            kept=kept,
         )
 
     def gauges(self) -> dict[str, float]:
@@ -118,7 +120,7 @@
     """Return the number of received bytes of a connection that have not been read."""
     try:
         answer = fcntl.ioctl(sock.fileno(), termios.FIONREAD, bytes(4))
-    except OSError as error:
+    except (OSError, ValueError) as error:
         log_event(log, "connection-gone", error=str(error))
         return 0
     (size,) = struct.unpack("i", answer)
--- a/hickoryloom/http/disconnect_watch.py
+++ b/hickoryloom/http/disconnect_watch.py
@@ -6,7 +6,7 @@
 
 import gevent
 
-from hickoryloom.http.server import SOCKET_KEY
+from hickoryloom.http.handler import SOCKET_KEY
 
 __all__ = ["DisconnectWatch"]
 
--- /dev/null
+++ b/hickoryloom/http/handler.py
@@ -0,0 +1,263 @@
+"""Handles one connection: limits slow callers, and answers each request or ends it visibly."""
+
+from __future__ import annotations
+
+import io
+import struct
+from typing import Any
+
+import gevent
+import logbook
+from gevent import socket
+from gevent.pywsgi import WSGIHandler
+
+from hickoryloom.http.caller_input import CallerReader
+from hickoryloom.http.connection_log import RequestStage, unread_bytes
+from hickoryloom.http.framing import StrictFraming
+from hickoryloom.http.limits import BoundedLineReader, HeadersTooLargeError, HeadersTooSlowError
+from hickoryloom.http.write_watch import CallerWrites, send_all
+from hickoryloom.logs import log_event
+
+__all__ = ["REQUEST_KEY", "SOCKET_KEY", "WRITES_KEY", "Handler"]
+
+log = logbook.Logger("hickoryloom.http")
+
+MAX_LOGGED_DETAIL_CHARS = 200
+"""Maximum length of a logged error, which may quote parts of the request."""
+
+IO_TIMEOUT_S = 60.0
+"""Minimum timeout of a stalled read or write, which closes the connection."""
+
+IDLE_MARGIN_S = 1.0
+"""Time added to the idle timeout for a request in transit when the timeout expires."""
+
+SEND_BUFFER_BYTES = 64 * 1024
+"""Send buffer of a watched connection, for a round trip at 85 Mbit/s. Left to itself, the kernel
+takes 1 MB for a caller that reads nothing, which no budget of the process counts."""
+
+REQUEST_KEY = "hickoryloom.request"
+"""Key of the WSGI environment for the id of a request, which an application notes for the log."""
+
+SOCKET_KEY = "hickoryloom.socket"
+WRITES_KEY = "hickoryloom.writes"
+
+CLOSE_HEADER = ("Connection", "close")
+REJECTION = b"HTTP/1.1 %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+"""Response to a request whose headers could not be read."""
+
+STATUS_INVALID = "400 Bad Request"
+STATUS_TOO_SLOW = "408 Request Timeout"
+STATUS_TOO_LARGE = "431 Request Header Fields Too Large"
+STATUS_FAILED = "500 Internal Server Error"
+
+
+class Handler(StrictFraming, WSGIHandler):
+    """Handles the requests on one connection. It writes no access log.
+
+    Attributes:
+        idle_since: Monotonic time at which the connection last became idle.
+        closed_idle: Whether the server has closed the connection as an idle one.
+    """
+
+    idle_since = 0.0
+    closed_idle = False
+    _header_timer: gevent.Timeout | None = None
+    _writes: CallerWrites | None = None
+    _write_failed = False
+    _promised_bytes: int | None = None
+    _is_logged = False
+
+    def __init__(self, sock: Any, address: Any, server: Any) -> None:
+        super().__init__(sock, address, server)
+        self._reader = CallerReader(sock)
+        self.rfile = io.BufferedReader(self._reader)
+        self._owner = server.owner
+        self._connections = server.owner.connections
+
+    def handle(self) -> None:
+        """Serve one connection and close it if a read or write stalls for too long."""
+        self._connections.starting.discard(self.socket)
+        self._connections.open.add(self)
+        try:
+            self.socket.settimeout(
+                max(IO_TIMEOUT_S, self._owner.limits.idle_timeout_s + IDLE_MARGIN_S)
+            )
+            self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            if self._owner.write_watch is not None:
+                self._writes = CallerWrites(self._owner.write_watch, self.socket)
+                self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+            super().handle()
+        finally:
+            self._connections.end(self)
+
+    def handle_one_request(self) -> Any:
+        """Serve one request, or reject it if its headers can't be read in time."""
+        try:
+            result = super().handle_one_request()
+        except Exception as error:
+            result = self._handle_client_error(error)
+        finally:
+            self._stop_header_timer()
+            self._connections.reading.discard(self)
+        if isinstance(result, tuple):
+            self._reject(*result)
+            return None
+        return result
+
+    def read_requestline(self) -> Any:
+        """Read the request line; the connection is idle until the first byte arrives."""
+        self._connections.add_idle(self)
+        try:
+            begun = self._wait_for_request()
+        finally:
+            self._connections.idle.discard(self)
+        if not begun:
+            return ""
+        self._connections.reading.add(self)
+        self._header_timer = gevent.Timeout.start_new(
+            self._owner.limits.header_timeout_s, HeadersTooSlowError("headers took too long")
+        )
+        try:
+            return super().read_requestline()
+        except OSError as error:
+            self._owner.ends.log_unanswered(RequestStage.READING, error)
+            raise
+
+    def _wait_for_request(self) -> bool:
+        """Return whether a request has begun, rather than the connection ended."""
+        begun = bool(self.rfile.peek(1))
+        if begun and self.closed_idle:
+            crossed = ConnectionAbortedError("arrived while the connection was being closed")
+            self._owner.ends.log_unanswered(RequestStage.READING, crossed, closed_idle=True)
+            return False
+        return begun
+
+    def MessageClass(self, file: Any, *rest: Any) -> Any:  # noqa: N802
+        """Parse the headers, limited in size and time."""
+        reader = BoundedLineReader(file, self._owner.limits.header_bytes)
+        try:
+            return super().MessageClass(reader, *rest)
+        finally:
+            self._stop_header_timer()
+
+    def _handle_client_error(self, ex: Exception) -> tuple[str, bytes]:
+        """Return a specific rejection of an unreadable request, where gevent always sends 400."""
+        status = STATUS_INVALID
+        if isinstance(ex, HeadersTooSlowError | TimeoutError):
+            status = STATUS_TOO_SLOW
+        elif isinstance(ex, HeadersTooLargeError):
+            status = STATUS_TOO_LARGE
+        elif not isinstance(ex, ValueError | OSError):
+            status = STATUS_FAILED
+        log_event(
+            log,
+            "request-unreadable",
+            status=status,
+            detail=f"{type(ex).__name__}: {ex}"[:MAX_LOGGED_DETAIL_CHARS],
+        )
+        return status, REJECTION % status.encode()
+
+    def _reject(self, status: str, response: bytes) -> None:
+        self._connections.reading.add(self)
+        try:
+            send_all(self.socket, response)
+        except OSError as error:
+            self._owner.ends.log_unanswered(RequestStage.READING, error)
+        finally:
+            self._connections.reading.discard(self)
+
+    def _stop_header_timer(self) -> None:
+        if self._header_timer is not None:
+            self._header_timer.close()
+            self._header_timer = None
+
+    def get_environ(self) -> dict[str, Any]:
+        """Add the socket, so that an application can detect that the caller disconnected."""
+        environ: dict[str, Any] = super().get_environ()
+        environ[SOCKET_KEY] = self.socket
+        if self._writes is not None:
+            environ[WRITES_KEY] = self._writes
+        return environ
+
+    def start_response(self, status: str, headers: Any, exc_info: Any = None) -> Any:
+        """Ask the caller to close the connection if the server stops and no request follows."""
+        if self._owner.is_stopping and CLOSE_HEADER not in headers and not self._next_has_arrived():
+            headers = [*headers, CLOSE_HEADER]
+        write = super().start_response(status, headers, exc_info)
+        self._promised_bytes = None
+        if self.provided_content_length is not None and self.code not in (204, 304):
+            self._promised_bytes = int(self.provided_content_length)
+        return write
+
+    def _next_has_arrived(self) -> bool:
+        self._reader.blocked = True
+        try:
+            return bool(self.rfile.peek(1)) or unread_bytes(self.socket) > 0
+        finally:
+            self._reader.blocked = False
+
+    def run_application(self) -> None:
+        """Serve one request whose headers have been read."""
+        self._connections.reading.discard(self)
+        self._connections.serving.add(self)
+        self._write_failed = self._is_logged = False
+        try:
+            super().run_application()
+        except Exception as error:
+            stage = RequestStage.SENDING if self._write_failed else RequestStage.SERVING
+            self._log_unanswered(stage, error)
+            raise
+        finally:
+            self._connections.end_request(self)
+
+    def _sendall(self, data: bytes | bytearray) -> None:
+        try:
+            if self._writes is None:
+                send_all(self.socket, data)
+            else:
+                self._writes.send_all(data)
+        except OSError:
+            self._write_failed = True
+            raise
+        self.response_length += len(data)
+
+    def handle_error(self, type_: Any, value: Any, tb: Any) -> None:
+        """Ignore connection errors and report others as pywsgi does."""
+        if isinstance(value, OSError):
+            self.close_connection = True
+            self._reset_if_unmarked()
+            return
+        super().handle_error(type_, value, tb)
+
+    def _log_unanswered(self, stage: RequestStage, error: BaseException) -> None:
+        """Log once that the request ends without a complete response."""
+        if self._is_logged:
+            return
+        self._is_logged = True
+        self._owner.ends.log_unanswered(
+            stage,
+            error,
+            self.environ.get(REQUEST_KEY, ""),
+            response_begun=self.headers_sent,
+            closed_idle=self.closed_idle,
+        )
+
+    def abandon(self, error: BaseException) -> None:
+        """Log the request in progress, which the end of the process will cut off."""
+        self._log_unanswered(RequestStage.SERVING, error)
+        self._reset_if_unmarked()
+
+    def _reset_if_unmarked(self) -> None:
+        """Make closing an incomplete response reset its connection, unless it is visibly short.
+
+        Only the end of the connection marks the end of a response without chunks and length.
+        """
+        if self.headers_sent and not self.response_use_chunked and self._promised_bytes is None:
+            try:
+                linger = struct.pack("ii", 1, 0)
+                self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            except OSError as error:
+                log_event(log, "connection-gone", error=str(error))
+
+    def log_request(self) -> None:
+        """Write no access log, since each package logs its own events."""
--- a/hickoryloom/http/server.py
+++ b/hickoryloom/http/server.py
@@ -2,56 +2,20 @@
 
 from __future__ import annotations
 
-import struct
 from collections.abc import Callable, Iterable
 from typing import Any
 
-import gevent
-import logbook
-from gevent import socket
-from gevent.pywsgi import WSGIHandler, WSGIServer
-
-from hickoryloom.http.connection_log import ConnectionLog, Phase, RequestStage, unread_bytes
-from hickoryloom.http.framing import StrictFraming
-from hickoryloom.http.limits import (
-    BoundedLineReader,
-    ConnectionLimits,
-    HeadersTooLargeError,
-    HeadersTooSlowError,
-)
-from hickoryloom.http.write_watch import CallerWrites, WriteWatch, send_all
-from hickoryloom.logs import log_event
+from gevent.pywsgi import WSGIServer
 
-__all__ = ["REQUEST_KEY", "SOCKET_KEY", "WRITES_KEY", "Server"]
-
-log = logbook.Logger("hickoryloom.http")
-
-MAX_LOGGED_DETAIL_CHARS = 200
-"""Maximum length of a logged error, which may quote parts of the request."""
-
-CLOSE_POLL_S = 0.02
-IO_TIMEOUT_S = 60.0
-"""Minimum timeout of a stalled read or write, which closes the connection."""
+from hickoryloom.http.connection_log import ConnectionLog, Phase
+from hickoryloom.http.connections import Connections
+from hickoryloom.http.handler import REQUEST_KEY, SOCKET_KEY, WRITES_KEY, Handler
+from hickoryloom.http.limits import ConnectionLimits
+from hickoryloom.http.write_watch import WriteWatch
 
-IDLE_MARGIN_S = 1.0
-"""Time added to the idle timeout for a request in transit when the timeout expires."""
-
-SEND_BUFFER_BYTES = 64 * 1024
-"""Send buffer of a watched connection, for a round trip at 85 Mbit/s. Left to itself, the kernel
-takes 1 MB for a caller that reads nothing, which no budget of the process counts."""
+__all__ = ["REQUEST_KEY", "SOCKET_KEY", "WRITES_KEY", "Server"]
 
 MAX_CONNECTIONS = 8192
-REQUEST_KEY = "hickoryloom.request"
-"""Key of the WSGI environment for the id of a request, which an application notes for the log."""
-
-SOCKET_KEY = "hickoryloom.socket"
-WRITES_KEY = "hickoryloom.writes"
-
-REJECTION = b"HTTP/1.1 %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-"""Response to a request whose headers could not be read."""
-
-STATUS_TOO_SLOW = "408 Request Timeout"
-STATUS_TOO_LARGE = "431 Request Header Fields Too Large"
 
 WsgiApp = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
 
@@ -62,6 +26,10 @@
     Attributes:
         limits: Limits for each connection, which may be replaced at any time.
         ends: Logs and counts the requests whose connection ends without a complete response.
+        connections: The open connections.
+        write_watch: Notices callers that don't read; None if nothing is done about them.
+        name: Name of the server in the log.
+        is_stopping: Whether callers are asked to close their connections.
 
     Args:
         app: The WSGI application.
@@ -78,24 +46,22 @@
         name: str = "",
     ) -> None:
         host, _, port = address.rpartition(":")
-        self.ends = ConnectionLog(name or address)
+        self.name = name or address
+        self.ends = ConnectionLog(self.name)
+        self.connections = Connections(self.ends)
         self.write_watch = write_watch
-        self._app = app
         self.limits = ConnectionLimits()
-        self._active = 0
-        self._stopping = False
-        self._server = WSGIServer(
+        self.is_stopping = False
+        self._server = _Listener(
             (host, int(port)),
-            self._handle,
-            handler_class=_Handler,
+            app,
+            handler_class=Handler,
             log=None,
             error_log=None,
             spawn=MAX_CONNECTIONS,
             environ={"SERVER_NAME": host},
         )
         self._server.owner = self
-        self._idle: set[Any] = set()
-        self._reading: set[Any] = set()
 
     @property
     def address(self) -> str:
@@ -105,17 +71,17 @@
     @property
     def active(self) -> int:
         """The number of requests in progress."""
-        return self._active
+        return len(self.connections.serving)
 
     @property
     def reading(self) -> int:
         """The number of requests of which a part has been read, but not all headers."""
-        return len(self._reading)
+        return len(self.connections.reading)
 
     @property
     def unread(self) -> int:
         """The number of connections with bytes of a request that the process has not read yet."""
-        return sum(1 for handler in self._idle if unread_bytes(handler.socket))
+        return self.connections.unread
 
     def bind(self) -> None:
         """Bind the address without serving yet, so that it can be announced.
@@ -135,225 +101,84 @@
 
     def drain(self) -> None:
         """Keep accepting connections, but ask callers to close them after each response."""
-        self._stopping = True
+        self.is_stopping = True
         self.ends.phase = Phase.DRAINING
 
     def stop_accepting(self) -> None:
-        """Stop accepting new connections and keep serving open ones."""
-        self._stopping = True
+        """Accept the connections in the queue, stop listening and keep serving open connections."""
+        self.is_stopping = True
         self.ends.phase = Phase.CLOSING
-        self._server.stop_accepting()
+        self._accept_queued()
+        self._server.close()
 
     def close_idle(self) -> None:
-        """Close the connections that are waiting for the first byte of a request."""
-        self.ends.log_idle_closed(len(self._idle), self.unread)
-        for handler in list(self._idle):
-            handler.closed_idle = True
-            try:
-                handler.socket.shutdown(socket.SHUT_RDWR)
-            except OSError as error:
-                log_event(log, "idle-connection-gone", error=str(error))
-
-    def set_idle(self, handler: Any, idle: bool) -> None:
-        """Record whether a connection is waiting for its next request."""
-        if idle:
-            self._idle.add(handler)
-        else:
-            self._idle.discard(handler)
-
-    def set_reading(self, handler: Any, reading: bool) -> None:
-        """Record whether the headers of a request are being read on a connection."""
-        if reading:
-            self._reading.add(handler)
-        else:
-            self._reading.discard(handler)
+        """Close the connections that wait for a request and have no unread bytes."""
+        self.connections.close_idle()
 
     def wait_idle(self, timeout_s: float | None = None) -> bool:
         """Wait until no request is in progress; return False if the timeout expires first."""
-        with gevent.Timeout(timeout_s, False):
-            while self._active:
-                gevent.sleep(CLOSE_POLL_S)
-        return self._active == 0
+        return self.connections.wait_until(lambda: not self.active, timeout_s)
 
-    def close(self) -> None:
-        """Close the listening socket and all connections."""
-        self._server.stop(timeout=0)
+    def wait_quiet(self, timeout_s: float) -> bool:
+        """Wait until no request is in progress, being read or unread, nor a connection queued.
 
-    def _handle(self, environ: dict[str, Any], start_response: Callable[..., Any]) -> Any:
-        self._active += 1
-        try:
-            response = self._app(environ, self._start_response(start_response))
-        except BaseException:
-            self._active -= 1
-            raise
-        return _TrackedResponse(response, self._on_end)
+        Args:
+            timeout_s: Maximum time to wait.
 
-    def _start_response(self, start_response: Callable[..., Any]) -> Callable[..., Any]:
-        def start(status: str, headers: list[tuple[str, str]], *rest: Any) -> Any:
-            if self._stopping:
-                headers = [*headers, ("Connection", "close")]
-            return start_response(status, headers, *rest)
+        Returns:
+            Whether that was reached.
+        """
+        return self.connections.wait_until(self._is_quiet, timeout_s)
 
-        return start
+    def finish(self, timeout_s: float) -> int:
+        """Stop listening, answer what has arrived, and close all connections.
 
-    def _on_end(self) -> None:
-        self._active -= 1
+        The process may end afterwards. Requests that arrive on a connection in the moment of its
+        close are not read.
 
+        Args:
+            timeout_s: Maximum time to wait for the responses.
 
-class _Handler(StrictFraming, WSGIHandler):
-    """A handler that limits slow callers, disables Nagle's algorithm and ignores disconnects.
+        Returns:
+            The number of requests that have arrived and are left unanswered.
+        """
+        self.stop_accepting()
+        return self.connections.finish(timeout_s)
 
-    It writes no access log.
-    """
+    def close(self) -> None:
+        """Close the listening socket and all connections."""
+        self._server.stop(timeout=0)
 
-    _header_timer: gevent.Timeout | None = None
-    _writes: CallerWrites | None = None
-    _write_failed = False
-    closed_idle = False
+    def _is_quiet(self) -> bool:
+        self._accept_queued()
+        return self.connections.is_quiet
 
-    def handle(self) -> None:
-        """Serve one connection and close it if a read or write stalls for too long."""
-        self.socket.settimeout(
-            max(IO_TIMEOUT_S, self.server.owner.limits.idle_timeout_s + IDLE_MARGIN_S)
-        )
-        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        if self.server.owner.write_watch is not None:
-            self._writes = CallerWrites(self.server.owner.write_watch, self.socket)
-            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
-        super().handle()
-
-    def handle_one_request(self) -> Any:
-        """Serve one request, or reject it if its headers don't arrive in time."""
-        try:
-            return super().handle_one_request()
-        except HeadersTooSlowError as error:
-            return self._handle_client_error(error)
-        finally:
-            self._stop_header_timer()
-            self.server.owner.set_reading(self, False)
-
-    def read_requestline(self) -> Any:
-        """Read the request line; the connection is idle until the first byte arrives."""
-        owner = self.server.owner
-        owner.set_idle(self, True)
-        try:
-            begun = bool(self.rfile.peek(1))
-        finally:
-            owner.set_idle(self, False)
-        if begun:
-            owner.set_reading(self, True)
-        self._header_timer = gevent.Timeout.start_new(
-            owner.limits.header_timeout_s, HeadersTooSlowError("headers took too long")
-        )
-        return super().read_requestline()
-
-    def MessageClass(self, file: Any, *rest: Any) -> Any:  # noqa: N802
-        """Parse the headers, limited in size and time."""
-        reader = BoundedLineReader(file, self.server.owner.limits.header_bytes)
-        try:
-            return super().MessageClass(reader, *rest)
-        finally:
-            self._stop_header_timer()
-
-    def _handle_client_error(self, ex: Exception) -> tuple[str, bytes]:
-        """Reject an unreadable request with a specific status, where gevent always sends 400."""
-        response: tuple[str, bytes] = super()._handle_client_error(ex)
-        self.server.owner.ends.log_unanswered(RequestStage.READING, ex)
-        if isinstance(ex, HeadersTooSlowError):
-            response = STATUS_TOO_SLOW, REJECTION % STATUS_TOO_SLOW.encode()
-        elif isinstance(ex, HeadersTooLargeError):
-            response = STATUS_TOO_LARGE, REJECTION % STATUS_TOO_LARGE.encode()
-        log_event(
-            log, "request-unreadable", status=response[0], detail=str(ex)[:MAX_LOGGED_DETAIL_CHARS]
-        )
-        return response
-
-    def _stop_header_timer(self) -> None:
-        if self._header_timer is not None:
-            self._header_timer.close()
-            self._header_timer = None
-
-    def get_environ(self) -> dict[str, Any]:
-        """Add the socket, so that an application can detect that the caller disconnected."""
-        environ: dict[str, Any] = super().get_environ()
-        environ[SOCKET_KEY] = self.socket
-        if self._writes is not None:
-            environ[WRITES_KEY] = self._writes
-        return environ
-
-    def run_application(self) -> None:
-        """Serve one request whose headers have been read; log it if its response isn't complete."""
-        self.server.owner.set_reading(self, False)
-        self._write_failed = False
-        try:
-            super().run_application()
-        except Exception as error:
-            stage = RequestStage.SERVING
-            if self._write_failed:
-                stage = RequestStage.SENDING
-            self.server.owner.ends.log_unanswered(
-                stage,
-                error,
-                self.environ.get(REQUEST_KEY, ""),
-                response_begun=self.headers_sent,
-                closed_idle=self.closed_idle,
-            )
-            raise
-
-    def _sendall(self, data: bytes | bytearray) -> None:
-        try:
-            if self._writes is None:
-                send_all(self.socket, data)
-            else:
-                self._writes.send_all(data)
-            self.response_length += len(data)
-        except OSError:
-            self._write_failed = True
-            raise
-
-    @property
-    def _ends_with_connection(self) -> bool:
-        """Whether only the end of the connection marks the end of the response (HTTP/1.0)."""
-        return not self.response_use_chunked and self.provided_content_length is None
-
-    def log_request(self) -> None:
-        """Write no access log, since each package logs its own events."""
-
-    def handle_error(self, type_: Any, value: Any, tb: Any) -> None:
-        """Ignore connection errors and report others as pywsgi does."""
-        if isinstance(value, OSError):
-            self.close_connection = True
-            if self.headers_sent and self._ends_with_connection:
-                _reset_on_close(self.socket)
+    def _accept_queued(self) -> None:
+        """Accept the connections that the kernel has established."""
+        if not self._server.started:
             return
-        super().handle_error(type_, value, tb)
-
+        accepted = -1
+        while accepted < len(self.connections.starting):
+            accepted = len(self.connections.starting)
+            self._server.accept_now()
 
-def _reset_on_close(sock: Any) -> None:
-    """Make closing the socket reset its connection, which no caller takes for a complete end."""
-    try:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    except OSError as error:
-        log_event(log, "connection-gone", error=str(error))
 
+class _Listener(WSGIServer):
+    """Records the connections that have been accepted until their handlers run."""
 
-class _TrackedResponse:
-    """A WSGI response that runs a callback once it has been sent or abandoned."""
+    owner: Server
 
-    def __init__(self, response: Iterable[bytes], on_end: Callable[[], None]) -> None:
-        self._response = response
-        self._on_end: Callable[[], None] | None = on_end
+    def accept_now(self) -> None:
+        """Accept connections without waiting for the event loop."""
+        self._do_read()
 
-    def __iter__(self) -> Any:
-        return iter(self._response)
+    def do_handle(self, *args: Any) -> None:
+        """Start the handler of a connection."""
+        self.owner.connections.starting.add(args[0])
+        super().do_handle(*args)
 
-    def close(self) -> None:
-        """Close the wrapped response and run the callback once."""
-        try:
-            close = getattr(self._response, "close", None)
-            if close is not None:
-                close()
-        finally:
-            if self._on_end is not None:
-                on_end, self._on_end = self._on_end, None
-                on_end()
+    def do_close(self, *args: Any) -> None:
+        """Close a connection whose handler has ended or could not be started."""
+        self.owner.connections.starting.discard(args[0])
+        super().do_close(*args)
+        self.owner.connections.notify()
