Http: a longer idle timeout holds for open connections too

Callers saw: a connection that they may still use was closed, after the configuration had lengthened the idle timeout. Cause: the timeout was taken from the limits once, when the connection was opened.

Evidence: test_the_idle_timeout_in_force_holds_for_open_connections failed before: read_response returned b'', as the connection had been closed.

The limit is read again when the wait for a request times out. The wait for a request that has been interrupted can be repeated, since the reader of a connection, unlike gevent's file object, can be read after a timeout. `idle-connection-expired` is logged when a connection is closed for it.

--- a/hickoryloom/http/handler.py
+++ b/hickoryloom/http/handler.py
@@ -4,6 +4,7 @@
 
 import io
 import struct
+import time
 from typing import Any
 
 import gevent
@@ -79,9 +80,6 @@
         self._connections.starting.discard(self.socket)
         self._connections.open.add(self)
         try:
-            self.socket.settimeout(
-                max(IO_TIMEOUT_S, self._owner.limits.idle_timeout_s + IDLE_MARGIN_S)
-            )
             self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             if self._owner.write_watch is not None:
                 self._writes = CallerWrites(self._owner.write_watch, self.socket)
@@ -125,12 +123,24 @@
 
     def _wait_for_request(self) -> bool:
         """Return whether a request has begun, rather than the connection ended."""
-        begun = bool(self.rfile.peek(1))
-        if begun and self.closed_idle:
-            crossed = ConnectionAbortedError("arrived while the connection was being closed")
-            self._owner.ends.log_unanswered(RequestStage.READING, crossed, closed_idle=True)
-            return False
-        return begun
+        while True:
+            # The limit may change while the connection is idle.
+            timeout_s = max(IO_TIMEOUT_S, self._owner.limits.idle_timeout_s + IDLE_MARGIN_S)
+            left_s = self.idle_since + timeout_s - time.monotonic()
+            self.socket.settimeout(max(0.0, left_s))
+            try:
+                begun = bool(self.rfile.peek(1))
+            except (TimeoutError, BlockingIOError):
+                if left_s > 0:
+                    continue
+                log_event(log, "idle-connection-expired", idle_s=round(timeout_s))
+                return False
+            if begun and self.closed_idle:
+                crossed = ConnectionAbortedError("arrived while the connection was being closed")
+                self._owner.ends.log_unanswered(RequestStage.READING, crossed, closed_idle=True)
+                return False
+            self.socket.settimeout(timeout_s)
+            return begun
 
     def MessageClass(self, file: Any, *rest: Any) -> Any:  # noqa: N802
         """Parse the headers, limited in size and time."""
--- a/hickoryloom/http/tests/test_stopping_server.py
+++ b/hickoryloom/http/tests/test_stopping_server.py
@@ -223,3 +223,16 @@
     app.gate.set()
     assert server.wait_idle(STOP_S) and server.wait_quiet(STOP_S)
     assert server.active == 0
+
+
+def test_the_idle_timeout_in_force_holds_for_open_connections(server, monkeypatch):
+    """Guards against closing connections that callers may still use, after a longer timeout."""
+    module = server._server.handler_class.__module__
+    monkeypatch.setattr(f"{module}.IO_TIMEOUT_S", 0.2)
+    monkeypatch.setattr(f"{module}.IDLE_MARGIN_S", 0.0)
+    server.limits = server.limits.__class__(idle_timeout_s=0.2)
+    with used_connection(server) as sock:
+        server.limits = server.limits.__class__(idle_timeout_s=STOP_S)
+        gevent.sleep(0.4)
+        sock.sendall(REQUEST)
+        assert read_response(sock).startswith(b"HTTP/1.1 200")
