Http: an error of the application is answered, or ends the response visibly

Callers saw: connections that ended without an answer and without a log line, answers to HTTP/1.0 that had broken off and looked complete, and an instance that was gone.

Cause: an OSError of the application was taken for a caller that had left, and gevent ignores EPIPE and ECONNRESET of any origin before that. An OSError without arguments failed in gevent's own handler. An error other than OSError after the first part of an unmarked response ended its connection as a complete response does. SystemExit and SystemError were passed to the main greenlet, which ends the process.

Only the error that a write to the caller has raised, compared by identity, counts as the caller's. Any other one is logged as `request-failed` and answered with 500, or 400 or 408 if reading from the caller failed; once a part has been sent, the connection ends, with a reset if nothing else marks the end. An error in close of a complete response closes the connection only. KeyboardInterrupt still ends the process.

--- a/hickoryloom/http/handler.py
+++ b/hickoryloom/http/handler.py
@@ -10,7 +10,7 @@
 import gevent
 import logbook
 from gevent import socket
-from gevent.pywsgi import WSGIHandler
+from gevent.pywsgi import WSGIHandler, _InvalidClientInput
 
 from hickoryloom.http.caller_input import CallerReader
 from hickoryloom.http.connection_log import RequestStage, unread_bytes
@@ -55,6 +55,9 @@
 class Handler(StrictFraming, WSGIHandler):
     """Handles the requests on one connection. It writes no access log.
 
+    An error of the application is answered with status 500. Once a part of the response has been
+    sent, the connection ends such that no caller takes the response for a complete one.
+
     Attributes:
         idle_since: Monotonic time at which the connection last became idle.
         closed_idle: Whether the server has closed the connection as an idle one.
@@ -64,8 +67,9 @@
     closed_idle = False
     _header_timer: gevent.Timeout | None = None
     _writes: CallerWrites | None = None
-    _write_failed = False
+    _write_error: OSError | None = None
     _promised_bytes: int | None = None
+    _is_complete = False
     _is_logged = False
 
     def __init__(self, sock: Any, address: Any, server: Any) -> None:
@@ -210,34 +214,72 @@
         """Serve one request whose headers have been read."""
         self._connections.reading.discard(self)
         self._connections.serving.add(self)
-        self._write_failed = self._is_logged = False
+        self._write_error = self._reader.error = self._promised_bytes = None
+        self._is_complete = self._is_logged = False
         try:
             super().run_application()
-        except Exception as error:
-            stage = RequestStage.SENDING if self._write_failed else RequestStage.SERVING
-            self._log_unanswered(stage, error)
-            raise
+        except BaseException as error:
+            self._end_failed(error)
+            if isinstance(error, KeyboardInterrupt):
+                raise
         finally:
             self._connections.end_request(self)
 
+    def process_result(self) -> None:
+        """Send the response."""
+        super().process_result()
+        self._is_complete = True
+
     def _sendall(self, data: bytes | bytearray) -> None:
         try:
             if self._writes is None:
                 send_all(self.socket, data)
             else:
                 self._writes.send_all(data)
-        except OSError:
-            self._write_failed = True
+        except OSError as error:
+            self._write_error = error
             raise
         self.response_length += len(data)
 
-    def handle_error(self, type_: Any, value: Any, tb: Any) -> None:
-        """Ignore connection errors and report others as pywsgi does."""
-        if isinstance(value, OSError):
-            self.close_connection = True
+    def _end_failed(self, error: BaseException) -> None:
+        """End a request whose application or connection has failed."""
+        self.close_connection = True
+        if error is self._write_error:
+            self._log_unanswered(RequestStage.SENDING, error)
             self._reset_if_unmarked()
             return
-        super().handle_error(type_, value, tb)
+        status = self._status_for(error)
+        log_event(
+            log,
+            "request-failed",
+            server=self._owner.name,
+            request=self.environ.get(REQUEST_KEY),
+            status=None if self.headers_sent else status,
+            response_begun=self.headers_sent,
+            error=f"{type(error).__name__}: {error}"[:MAX_LOGGED_DETAIL_CHARS],
+        )
+        if isinstance(error, Exception) and not isinstance(error, OSError | SystemError):
+            self._log_error(type(error), error, error.__traceback__)
+        if self._is_complete:
+            return
+        if self.headers_sent:
+            self._log_unanswered(RequestStage.SERVING, error)
+            self._reset_if_unmarked()
+            return
+        try:
+            body = status.encode()
+            length = str(len(body))
+            self.start_response(status, [CLOSE_HEADER, ("Content-Length", length)])
+            self.write(body)
+        except OSError as failure:
+            self._log_unanswered(RequestStage.SENDING, failure)
+
+    def _status_for(self, error: BaseException) -> str:
+        if isinstance(error, TimeoutError) and error is self._reader.error:
+            return STATUS_TOO_SLOW
+        if isinstance(error, _InvalidClientInput) or error is self._reader.error:
+            return STATUS_INVALID
+        return STATUS_FAILED
 
     def _log_unanswered(self, stage: RequestStage, error: BaseException) -> None:
         """Log once that the request ends without a complete response."""
--- /dev/null
+++ b/hickoryloom/http/tests/test_failing_requests.py
@@ -0,0 +1,99 @@
+"""An unexpected error in one request costs neither its answer nor other requests."""
+
+import gevent
+import pytest
+
+from hickoryloom.http import Server
+from hickoryloom.http.connection_log import RequestStage
+from hickoryloom.http.tests.test_stopping_server import REQUEST, connect, read_all, read_response
+
+ERRORS = [
+    OSError(),
+    OSError(9, "Bad file descriptor"),
+    ConnectionResetError(104, "Connection reset by peer"),
+    BrokenPipeError(32, "Broken pipe"),
+    TimeoutError("timed out"),
+    ValueError("unexpected"),
+    SystemError("unexpected"),
+    SystemExit(1),
+    gevent.GreenletExit(),
+    gevent.Timeout(1.0),
+]
+STAGES = ["call", "first part", "later part", "close"]
+
+
+class Response:
+    def __init__(self, error, stage):
+        self._error = error
+        self._stage = stage
+
+    def __iter__(self):
+        if self._stage == "first part":
+            raise self._error
+        yield b"part"
+        if self._stage == "later part":
+            raise self._error
+
+    def close(self):
+        if self._stage == "close":
+            raise self._error
+
+
+@pytest.fixture
+def serve():
+    servers = []
+
+    def start(app):
+        server = Server(app, "127.0.0.1:0")
+        servers.append(server)
+        server.start()
+        return server
+
+    yield start
+    for server in servers:
+        server.close()
+
+
+@pytest.mark.parametrize("stage", STAGES)
+@pytest.mark.parametrize("error", ERRORS, ids=lambda error: f"{type(error).__name__}{error.args}")
+def test_an_error_of_the_application_is_answered_or_visibly_ends_the_response(serve, error, stage):
+    """Guards against errors that are taken for a caller that has disconnected."""
+
+    def app(environ, start_response):
+        if environ["PATH_INFO"] == "/sound":
+            start_response("200 OK", [("Content-Length", "2")])
+            return [b"ok"]
+        if stage == "call":
+            raise error
+        start_response("200 OK", [])
+        return Response(error, stage)
+
+    server = serve(app)
+    with connect(server) as sock:
+        sock.sendall(REQUEST)
+        received = read_all(sock)
+    if stage in ("call", "first part"):
+        assert received.startswith(b"HTTP/1.1 500") and b"Connection: close" in received
+    else:
+        assert received.startswith(b"HTTP/1.1 200")
+        assert received.endswith(b"0\r\n\r\n") is (stage == "close")
+    assert server.ends.unanswered.total() == (stage == "later part")
+    assert server.active == 0
+    with connect(server) as sock:
+        sock.sendall(REQUEST.replace(b"/", b"/sound", 1))
+        assert read_response(sock).startswith(b"HTTP/1.1 200")
+
+
+def test_a_caller_that_has_left_is_logged_as_such(serve):
+    def app(environ, start_response):
+        start_response("200 OK", [])
+        peer.close()
+        while True:
+            yield b"x" * 65536
+
+    server = serve(app)
+    peer = connect(server)
+    peer.sendall(REQUEST)
+    gevent.sleep(0)
+    assert server.connections.wait_until(lambda: server.ends.unanswered.total() == 1, 3.0)
+    assert server.ends.unanswered == {RequestStage.SENDING: 1}
--- a/hickoryloom/http/tests/test_incomplete_responses.py
+++ b/hickoryloom/http/tests/test_incomplete_responses.py
@@ -1,5 +1,6 @@
 """A response that ends early does not look complete, whatever marks its end."""
 
+import gevent
 import pytest
 from gevent import socket
 
@@ -23,10 +24,22 @@
     return received, reset
 
 
-def incomplete(environ, start_response):
-    start_response("200 OK", [])
-    yield b"part"
-    raise ConnectionAbortedError("the response is incomplete")
+ERRORS = [
+    ConnectionAbortedError("the response is incomplete"),
+    ConnectionResetError(104, "Connection reset by peer"),
+    ValueError("unexpected"),
+    gevent.Timeout(1.0),
+]
+
+
+@pytest.fixture(params=ERRORS, ids=lambda error: type(error).__name__)
+def incomplete(request):
+    def app(environ, start_response):
+        start_response("200 OK", [])
+        yield b"part"
+        raise request.param
+
+    return app
 
 
 def complete(environ, start_response):
@@ -35,13 +48,13 @@
 
 
 @pytest.mark.parametrize("headers", ["", "Connection: keep-alive\r\n"])
-def test_a_response_that_ends_with_its_connection_is_reset(headers):
+def test_a_response_that_ends_with_its_connection_is_reset(headers, incomplete):
     received, reset = receive("1.0", headers, incomplete)
     assert reset
     assert not received or received.endswith(b"part")
 
 
-def test_a_chunked_response_has_no_last_chunk():
+def test_a_chunked_response_has_no_last_chunk(incomplete):
     received, _ = receive("1.1", "", incomplete)
     assert received.endswith(b"4\r\npart\r\n")
 
