Http: a watch for disconnected callers ends with its request

Callers saw: all connections of an instance ended at once. Cause: an application that failed between creating a DisconnectWatch and handing its response to the server, such as for a response header that the server rejects, left the watch behind. The event loop aborts the process once a watched descriptor is closed.

Evidence: test_a_watch_ends_with_its_request_if_the_application_fails_before_it_stops_it ended pytest before: `Fatal Python error: Aborted`.

The handler keeps the watches of a request in its environment and stops them after the response, before the connection can be closed.

--- a/hickoryloom/http/disconnect_watch.py
+++ b/hickoryloom/http/disconnect_watch.py
@@ -6,7 +6,7 @@
 
 import gevent
 
-from hickoryloom.http.handler import SOCKET_KEY
+from hickoryloom.http.handler import SOCKET_KEY, WATCHES_KEY
 
 __all__ = ["DisconnectWatch"]
 
@@ -17,6 +17,8 @@
 class DisconnectWatch:
     """Runs a callback once if the caller closes its connection before the response is complete.
 
+    It ends with its request at the latest, also if the application fails before it calls `stop`.
+
     Args:
         environ: WSGI environment of the request, created by `Server`.
         on_disconnect: Callback, which runs in another greenlet.
@@ -27,6 +29,7 @@
         self._socket = environ.get(SOCKET_KEY)
         self._task: gevent.Greenlet | None = None
         self._watcher: Any = None
+        environ.get(WATCHES_KEY, []).append(self)
         if self._socket is not None:
             self._watcher = gevent.get_hub().loop.io(self._socket.fileno(), READ)
             self._watcher.start(self._on_readable)
--- a/hickoryloom/http/handler.py
+++ b/hickoryloom/http/handler.py
@@ -19,7 +19,7 @@
 from hickoryloom.http.write_watch import CallerWrites, send_all
 from hickoryloom.logs import log_event
 
-__all__ = ["REQUEST_KEY", "SOCKET_KEY", "WRITES_KEY", "Handler"]
+__all__ = ["REQUEST_KEY", "SOCKET_KEY", "WATCHES_KEY", "WRITES_KEY", "Handler"]
 
 log = logbook.Logger("hickoryloom.http")
 
@@ -40,6 +40,9 @@
 """Key of the WSGI environment for the id of a request, which an application notes for the log."""
 
 SOCKET_KEY = "hickoryloom.socket"
+WATCHES_KEY = "hickoryloom.watches"
+"""Key for the list of objects whose `stop` is called when the request ends."""
+
 WRITES_KEY = "hickoryloom.writes"
 
 CLOSE_HEADER = ("Connection", "close")
@@ -189,6 +192,7 @@
         """Add the socket, so that an application can detect that the caller disconnected."""
         environ: dict[str, Any] = super().get_environ()
         environ[SOCKET_KEY] = self.socket
+        environ[WATCHES_KEY] = []
         if self._writes is not None:
             environ[WRITES_KEY] = self._writes
         return environ
@@ -224,6 +228,8 @@
                 raise
         finally:
             self._connections.end_request(self)
+            for watch in self.environ[WATCHES_KEY]:
+                watch.stop()
 
     def process_result(self) -> None:
         """Send the response."""
--- a/hickoryloom/http/server.py
+++ b/hickoryloom/http/server.py
@@ -9,11 +9,11 @@
 
 from hickoryloom.http.connection_log import ConnectionLog, Phase
 from hickoryloom.http.connections import Connections
-from hickoryloom.http.handler import REQUEST_KEY, SOCKET_KEY, WRITES_KEY, Handler
+from hickoryloom.http.handler import REQUEST_KEY, SOCKET_KEY, WATCHES_KEY, WRITES_KEY, Handler
 from hickoryloom.http.limits import ConnectionLimits
 from hickoryloom.http.write_watch import WriteWatch
 
-__all__ = ["REQUEST_KEY", "SOCKET_KEY", "WRITES_KEY", "Server"]
+__all__ = ["REQUEST_KEY", "SOCKET_KEY", "WATCHES_KEY", "WRITES_KEY", "Server"]
 
 MAX_CONNECTIONS = 8192
 
--- a/hickoryloom/http/tests/test_failing_requests.py
+++ b/hickoryloom/http/tests/test_failing_requests.py
@@ -3,7 +3,7 @@
 import gevent
 import pytest
 
-from hickoryloom.http import Server
+from hickoryloom.http import DisconnectWatch, Server
 from hickoryloom.http.connection_log import RequestStage
 from hickoryloom.http.tests.test_stopping_server import REQUEST, connect, read_all, read_response
 
@@ -97,3 +97,20 @@
     gevent.sleep(0)
     assert server.connections.wait_until(lambda: server.ends.unanswered.total() == 1, 3.0)
     assert server.ends.unanswered == {RequestStage.SENDING: 1}
+
+
+def test_a_watch_ends_with_its_request_if_the_application_fails_before_it_stops_it(serve):
+    """Guards against a watched descriptor that is closed, which ends the process."""
+    watches = []
+
+    def app(environ, start_response):
+        watches.append(DisconnectWatch(environ, lambda: watches.append("disconnected")))
+        start_response("200 OK", [("X-Invalid", "a\r\nb")])
+        return [b"ok"]
+
+    server = serve(app)
+    with connect(server) as sock:
+        sock.sendall(REQUEST)
+        assert read_all(sock).startswith(b"HTTP/1.1 500")
+    gevent.sleep(0.01)
+    assert len(watches) == 1 and watches[0]._watcher is None
