Http: a response ends where its head says

Callers saw: bytes that are no response, or the start of a next response as the rest of a short one; requests that waited for a body that had arrived.

Cause: a response with more or fewer bytes than its Content-Length left the connection open; the response to HEAD without a length was followed by a last chunk, and by a body if there was one; the body of a request with `Connection: Upgrade` was read up to the end of the connection, including the requests that follow.

Evidence: test_a_response_of_another_length_than_promised_ends_its_connection (three cases), test_the_response_to_head_has_no_body_and_no_last_chunk and test_the_body_of_a_request_for_an_upgrade_ends_with_its_length failed before.

The server counts the bytes of a body with a length, and treats another number as an error of the application. Nothing is sent after the head of a response to HEAD. Upgrades are ignored, as no application supports them.

--- a/hickoryloom/http/handler.py
+++ b/hickoryloom/http/handler.py
@@ -55,6 +55,10 @@
 STATUS_FAILED = "500 Internal Server Error"
 
 
+class ResponseLengthError(Exception):
+    """A response has more or fewer bytes than its `Content-Length` says."""
+
+
 class Handler(StrictFraming, WSGIHandler):
     """Handles the requests on one connection. It writes no access log.
 
@@ -72,6 +76,7 @@
     _writes: CallerWrites | None = None
     _write_error: OSError | None = None
     _promised_bytes: int | None = None
+    _body_bytes = 0
     _is_complete = False
     _is_logged = False
 
@@ -188,6 +193,14 @@
             self._header_timer.close()
             self._header_timer = None
 
+    def _connection_upgrade_requested(self) -> bool:
+        """Ignore requests for another protocol.
+
+        The body of an upgraded request would be read to the end of the connection, and with it the
+        requests that follow.
+        """
+        return False
+
     def get_environ(self) -> dict[str, Any]:
         """Add the socket, so that an application can detect that the caller disconnected."""
         environ: dict[str, Any] = super().get_environ()
@@ -220,6 +233,7 @@
         self._connections.serving.add(self)
         self._write_error = self._reader.error = self._promised_bytes = None
         self._is_complete = self._is_logged = False
+        self._body_bytes = 0
         try:
             super().run_application()
         except BaseException as error:
@@ -234,8 +248,30 @@
     def process_result(self) -> None:
         """Send the response."""
         super().process_result()
+        if self._promised_bytes is not None and self.command != "HEAD":
+            self._check_length(self._body_bytes == self._promised_bytes)
         self._is_complete = True
 
+    def finalize_headers(self) -> None:
+        """Complete the headers; a response to HEAD has no body, not even a last chunk."""
+        super().finalize_headers()
+        if self.command == "HEAD":
+            self.response_use_chunked = False
+
+    def _write(self, data: bytes) -> None:
+        if self.command == "HEAD" or not data:
+            return
+        self._body_bytes += len(data)
+        if self._promised_bytes is not None:
+            self._check_length(self._body_bytes <= self._promised_bytes)
+        super()._write(data)
+
+    def _check_length(self, is_right: bool) -> None:
+        if not is_right:
+            raise ResponseLengthError(
+                f"response has {self._body_bytes} of {self._promised_bytes} bytes"
+            )
+
     def _sendall(self, data: bytes | bytearray) -> None:
         try:
             if self._writes is None:
--- a/hickoryloom/http/tests/test_failing_requests.py
+++ b/hickoryloom/http/tests/test_failing_requests.py
@@ -19,6 +19,7 @@
     gevent.GreenletExit(),
     gevent.Timeout(1.0),
 ]
+LAST_REQUEST = REQUEST.replace(b"Host", b"Connection: close\r\nHost")
 STAGES = ["call", "first part", "later part", "close"]
 
 
@@ -114,3 +115,50 @@
         assert read_all(sock).startswith(b"HTTP/1.1 500")
     gevent.sleep(0.01)
     assert len(watches) == 1 and watches[0]._watcher is None
+
+
+@pytest.mark.parametrize("sent", [b"", b"o", b"okok"])
+def test_a_response_of_another_length_than_promised_ends_its_connection(serve, sent):
+    """Guards against a next response whose bytes are taken for the rest of a short one."""
+
+    def app(environ, start_response):
+        start_response("200 OK", [("Content-Length", "2")])
+        return [sent]
+
+    with connect(serve(app)) as sock:
+        sock.sendall(REQUEST * 2)
+        received = read_all(sock)
+    assert received.count(b"HTTP/1.1") == 1
+    assert not received.endswith(b"okok")
+
+
+def test_the_response_to_head_has_no_body_and_no_last_chunk(serve):
+    """Guards against bytes that the caller takes for the start of the next response."""
+
+    def app(environ, start_response):
+        start_response("200 OK", [])
+        return iter([b"body"])
+
+    with connect(serve(app)) as sock:
+        sock.sendall(REQUEST.replace(b"GET", b"HEAD"))
+        sock.sendall(LAST_REQUEST)
+        received = read_all(sock)
+    head, _, rest = received.partition(b"\r\n\r\n")
+    assert b"Transfer-Encoding: chunked" in head
+    assert rest.startswith(b"HTTP/1.1 200")
+
+
+def test_the_body_of_a_request_for_an_upgrade_ends_with_its_length(serve):
+    """Guards against requests that wait for bytes of the next request as their own body."""
+
+    def app(environ, start_response):
+        body = environ["wsgi.input"].read()
+        start_response("200 OK", [("Content-Length", str(len(body)))])
+        return [body]
+
+    with connect(serve(app)) as sock:
+        upgrade = b"Connection: Upgrade\r\nUpgrade: h2c\r\nContent-Length: 2\r\nHost"
+        sock.sendall(REQUEST.replace(b"Host", upgrade) + b"ok" + LAST_REQUEST)
+        received = read_all(sock)
+    assert received.count(b"HTTP/1.1 200") == 2
+    assert b"\r\n\r\nokHTTP/1.1 200" in received
