Http: bodies that trickle or don't end are bounded in time

Operators saw: requests and connections that never ended while a byte came now and then.

Cause: a timeout held for each single read. gevent reads the rest of a body after the response, and the trailers of a chunked body, without any limit, and without other greenlets running if bytes come fast enough. After a failed read of the rest, the connection was used on in the middle of a body.

A connection whose body was not read to its end is closed.

--- a/hickoryloom/http/handler.py
+++ b/hickoryloom/http/handler.py
@@ -12,7 +12,7 @@
 from gevent import socket
 from gevent.pywsgi import WSGIHandler, _InvalidClientInput
 
-from hickoryloom.http.caller_input import CallerReader
+from hickoryloom.http.caller_input import CallerReader, discard_body
 from hickoryloom.http.connection_log import RequestStage, unread_bytes
 from hickoryloom.http.framing import StrictFraming
 from hickoryloom.http.limits import BoundedLineReader, HeadersTooLargeError, HeadersTooSlowError
@@ -32,6 +32,14 @@
 IDLE_MARGIN_S = 1.0
 """Time added to the idle timeout for a request in transit when the timeout expires."""
 
+BODY_TIMEOUT_S = 60.0
+"""Maximum time from the head of a request to the last byte of its body, for applications without a
+limit of their own."""
+
+DISCARD_TIMEOUT_S = 5.0
+"""Maximum time for reading the rest of a body after the response. Closing at once would reset the
+connection, and the caller could lose the response."""
+
 SEND_BUFFER_BYTES = 64 * 1024
 """Send buffer of a watched connection, for a round trip at 85 Mbit/s. Left to itself, the kernel
 takes 1 MB for a caller that reads nothing, which no budget of the process counts."""
@@ -139,6 +147,7 @@
             # The limit may change while the connection is idle.
             timeout_s = max(IO_TIMEOUT_S, self._owner.limits.idle_timeout_s + IDLE_MARGIN_S)
             left_s = self.idle_since + timeout_s - time.monotonic()
+            self._reader.deadline = None
             self.socket.settimeout(max(0.0, left_s))
             try:
                 begun = bool(self.rfile.peek(1))
@@ -234,6 +243,7 @@
         self._write_error = self._reader.error = self._promised_bytes = None
         self._is_complete = self._is_logged = False
         self._body_bytes = 0
+        self._reader.deadline = time.monotonic() + BODY_TIMEOUT_S
         try:
             super().run_application()
         except BaseException as error:
@@ -244,6 +254,7 @@
             self._connections.end_request(self)
             for watch in self.environ[WATCHES_KEY]:
                 watch.stop()
+        self._discard_body()
 
     def process_result(self) -> None:
         """Send the response."""
@@ -353,5 +364,9 @@
             except OSError as error:
                 log_event(log, "connection-gone", error=str(error))
 
+    def _discard_body(self) -> None:
+        if not discard_body(self.wsgi_input, DISCARD_TIMEOUT_S):
+            self.close_connection = True
+
     def log_request(self) -> None:
         """Write no access log, since each package logs its own events."""
--- a/hickoryloom/http/tests/test_failing_requests.py
+++ b/hickoryloom/http/tests/test_failing_requests.py
@@ -2,6 +2,7 @@
 
 import gevent
 import pytest
+from gevent.event import Event
 
 from hickoryloom.http import DisconnectWatch, Server
 from hickoryloom.http.connection_log import RequestStage
@@ -162,3 +163,68 @@
         received = read_all(sock)
     assert received.count(b"HTTP/1.1 200") == 2
     assert b"\r\n\r\nokHTTP/1.1 200" in received
+
+
+@pytest.fixture
+def endless_caller(serve):
+    """Return a function that sends a head and then the same bytes without end."""
+    tasks = []
+
+    def start(server, head, repeated):
+        sock = connect(server)
+
+        def send():
+            try:
+                sock.sendall(head)
+                while True:
+                    sock.sendall(repeated)
+            except OSError:
+                sock.close()
+
+        tasks.append(gevent.spawn(send))
+        return sock
+
+    yield start
+    gevent.killall(tasks)
+
+
+CHUNKED = b"POST /slow HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n"
+
+
+def test_endless_trailers_end_in_time(serve, endless_caller, monkeypatch):
+    """Guards against one request that never ends and leaves others no time."""
+    monkeypatch.setattr("hickoryloom.http.handler.BODY_TIMEOUT_S", 0.2)
+
+    begun = Event()
+
+    def app(environ, start_response):
+        begun.set()
+        body = environ["wsgi.input"].read()
+        start_response("200 OK", [("Content-Length", "2")])
+        return [b"ok", body]
+
+    server = serve(app)
+    endless_caller(server, CHUNKED, b"a:b\r\n" * 10_000)
+    assert begun.wait(3.0)
+    with connect(server) as sock:
+        sock.sendall(REQUEST)
+        assert read_response(sock).startswith(b"HTTP/1.1 200")
+    assert server.wait_idle(3.0)
+
+
+def test_a_body_that_trickles_after_the_response_does_not_keep_its_connection(serve, monkeypatch):
+    """Guards against connections that a byte now and then keeps open for ever."""
+    monkeypatch.setattr("hickoryloom.http.handler.DISCARD_TIMEOUT_S", 0.2)
+
+    def app(environ, start_response):
+        start_response("413 Content Too Large", [("Content-Length", "2")])
+        return [b"ok"]
+
+    head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n"
+    with connect(serve(app)) as sock, gevent.Timeout(3.0):
+        sock.sendall(head)
+        assert read_response(sock).startswith(b"HTTP/1.1 413")
+        with pytest.raises(OSError):
+            while True:
+                sock.sendall(b"x")
+                gevent.sleep(0.02)
