Gateway: a stop keeps to its times, whatever its duties and the store do

Callers saw: an instance that holds the duties accepts requests until 4.6 s after SIGTERM if calls of the duties hang, and cuts off 7.3 s after it what it accepted then. While the store is silent, a stop lasts longer than the grace period and ends by SIGKILL.

Cause: Gateway.stop ran its steps one after the other, and only the wait for requests had a limit. The duties (calls of 1.5 s, lease) came before the 2.6 s for the load balancer; the tasks and the final counts (a step in progress, then writes of 1 s each) had no limit.

hickoryloom/shutdown runs a stop as a list of steps with a start and a limit each; a step that takes too long is logged and left behind, one that fails does not prevent the others. The duties stop in the background, in their order: tasks, open calls, lease. Requests are refused by the application, and the server listens until they have ended. The final counts are offered to other instances if the store has not answered after 0.3 s, which costs no call in the ordinary case. The followers and the probe are not stopped any more: nothing depends on the end of their last step, as with the other followers.

The counts are not written ahead of the end: a final record says that nothing follows, and the other counts are written every 1.4 s anyway.

--- a/hickoryloom/gateway/process.py
+++ b/hickoryloom/gateway/process.py
@@ -74,6 +74,7 @@
 from hickoryloom.reach import REACH_TOPICS, EndWitness, Reach, ReachProbe
 from hickoryloom.scaling import Scaler
 from hickoryloom.sharing import VIEW_PATH, Peer, ViewFollower, ViewServer
+from hickoryloom.shutdown import StopStep, finish_server, run_stop_steps, wait_quiet
 from hickoryloom.store import CallBudget, PlatformClient
 from hickoryloom.upstream import BufferBudget, ConnectionPool, buffer_limit_bytes
 
@@ -107,7 +108,13 @@
 removes an instance after two failed checks."""
 
 STOP_MARGIN_S = 0.7
-"""Time reserved at the end of a shutdown for the final writes to the store."""
+"""Time reserved at the end of a shutdown for the last answers and the final usage counts."""
+
+EXIT_MARGIN_S = 0.25
+"""Part of that in which nothing is waited for, so that the process ends before it is killed, also
+on half a core."""
+
+OPEN_POLL_S = 0.02
 
 DUTIES_LEASE = "duties"
 MAX_LEASE_CANDIDATES = 6
@@ -424,50 +431,69 @@
             self._duties.start()
 
     def stop(self) -> None:
-        """Shut down gracefully.
+        """Shut down gracefully within `stop_s`.
 
         Fails readiness checks, releases the lease, completes the requests in progress, and writes
         the final usage counts.
         """
-        started_at = self._clock.monotonic()
+        run_stop_steps(self._stop_steps(), self._clock, log, self._describe_open)
+        log_event(log, "stopped", **self._describe_open())
+
+    def _stop_steps(self) -> tuple[StopStep, ...]:
+        """Return the steps of a stop, with times in seconds since the request to stop."""
+        ends_s = max(0.0, self._settings.stop_s - STOP_MARGIN_S)
+        exits_s = max(0.0, self._settings.stop_s - EXIT_MARGIN_S)
+        refused_s = min(BALANCER_REMOVAL_S, ends_s)
+        exits_at = self._clock.monotonic() + exits_s
+        return (
+            StopStep("draining", self._drain, until_s=refused_s),
+            StopStep("duties-stopped", self._stop_duties, until_s=exits_s, in_background=True),
+            StopStep("requests-refused", self._app.stop_admitting, refused_s, ends_s),
+            StopStep("requests-ended", self._wait_for_requests, until_s=ends_s),
+            StopStep(
+                "requests-answered",
+                lambda: finish_server(self._proxy_server, exits_at - self._clock.monotonic()),
+                until_s=exits_s,
+                in_background=True,
+            ),
+            StopStep("evidence-sent", self._stop_evidence, until_s=exits_s),
+            StopStep("counts-written", lambda: self._meter_task.stop(exits_at), until_s=exits_s),
+            StopStep("hand-overs-answered", self._finish_operators, until_s=exits_s),
+        )
+
+    def _drain(self) -> None:
         self._stopping = True
         self._proxy_server.drain()
+
+    def _stop_duties(self) -> None:
         if self._duties is not None:
             self._duties.stop()
-            self._log_stop_step("duties-stopped", started_at)
-        gevent.sleep(BALANCER_REMOVAL_S)
-        self._proxy_server.stop_accepting()
-        self._app.stop_admitting()
-        self._log_stop_step("requests-refused", started_at)
-        self._proxy_server.close_idle()
-        end = started_at + self._settings.stop_s - STOP_MARGIN_S
-        self._proxy_server.wait_idle(max(0.0, end - self._clock.monotonic()))
+
+    def _wait_for_requests(self) -> None:
+        """Wait for all requests of callers, and those that other instances have handed over."""
+        servers = [self._proxy_server]
         if self._operators_server is not None:
-            self._operators_server.wait_idle(max(0.0, end - self._clock.monotonic()))
-        self._log_stop_step("requests-ended", started_at)
-        self._view_follower.stop()
-        self._version_lists.stop()
-        self._peer_views.stop()
-        self._probe.stop()
+            servers.append(self._operators_server)
+        while not all(wait_quiet(server, OPEN_POLL_S) for server in servers):
+            gevent.sleep(OPEN_POLL_S)
+
+    def _stop_evidence(self) -> None:
         self._evidence.stop()
         self._datagrams.stop()
-        self._log_stop_step("tasks-stopped", started_at)
-        self._meter_task.stop(until=end)
-        self._log_stop_step("counts-written", started_at)
-        log_event(log, "stopped", open_requests=self._proxy_server.active)
-
-    def _log_stop_step(self, step: str, started_at: float) -> None:
-        """Log that a step of a stop has ended, and what callers have still at this process."""
-        log_event(
-            log,
-            "stop-step",
-            step=step,
-            after_ms=round((self._clock.monotonic() - started_at) * 1000),
-            open_requests=self._proxy_server.active,
-            reading=self._proxy_server.reading,
-            unread=self._proxy_server.unread,
-            handed_over=self._operators_server.active if self._operators_server else None,
-        )
+
+    def _finish_operators(self) -> None:
+        if self._operators_server is not None:
+            finish_server(self._operators_server, EXIT_MARGIN_S)
+
+    def _describe_open(self) -> dict[str, object]:
+        """Return what callers still have at this process, for the log."""
+        operators = self._operators_server
+        return {
+            "open_requests": self._proxy_server.active,
+            "reading": self._proxy_server.reading,
+            "unread": self._proxy_server.unread,
+            "handed_over": operators.active if operators is not None else None,
+        }
 
     def _serve_operators(self, environ: dict[str, Any], start_response: Any) -> Any:
         """Serve operators and other instances; also readiness checks on their own port.
--- a/hickoryloom/metering/task.py
+++ b/hickoryloom/metering/task.py
@@ -34,6 +34,10 @@
 RETRY_INTERVAL_S = 0.4
 """Interval for repeating a failed write, as a report may be waiting for it."""
 
+WRITE_PATIENCE_S = 0.3
+"""Time after which a final write without a response no longer delays the hand-over to other
+instances: longer than the response time of a slow store. Both may take effect."""
+
 INSTANCE_COUNT_INTERVAL_S = 8.0
 """Interval for counting live instances, which start and stop within tens of seconds."""
 
@@ -154,17 +158,24 @@
         Args:
             until: Monotonic time after which it is not repeated.
         """
-        self._loop.stop()
-        while not self._finish():
+        writing = gevent.spawn(self._finish)
+        writing.join(WRITE_PATIENCE_S)
+        while not writing.value and not self._hand_over():
             if self._clock.monotonic() + RETRY_INTERVAL_S > until:
                 log_event(log, "final-counts-lost", key=self._key)
                 return
-            gevent.sleep(RETRY_INTERVAL_S)
+            if writing.ready():
+                gevent.sleep(RETRY_INTERVAL_S)
+                writing = gevent.spawn(self._finish)
+            writing.join(RETRY_INTERVAL_S)
 
     def _finish(self) -> bool:
-        """Write the final counts, or hand them over; return whether they are safe."""
-        if self._write(final=True) and (self._custody is None or self._custody.store()):
-            return True
+        """Write the final counts after the step in progress; return whether they are safe."""
+        self._loop.stop()
+        return self._write(final=True) and (self._custody is None or self._custody.store())
+
+    def _hand_over(self) -> bool:
+        """Hand the final counts to other instances; return whether they are safe."""
         if self._custody is None:
             return False
         return self._custody.hand_over({self._key: self._own_counts(final=True)})
--- a/hickoryloom/platform/tests/standin.py
+++ b/hickoryloom/platform/tests/standin.py
@@ -185,11 +185,13 @@
 
     Attributes:
         checks_tokens: Whether it rejects them.
+        delay_s: Seconds until it responds.
         calls: Time, holder and fencing token of each call.
     """
 
     def __init__(self):
         self.checks_tokens = True
+        self.delay_s = 0.0
         self.calls = []
         self.usage = []
         self.orders = []
@@ -205,6 +207,7 @@
         body = json.loads(environ["wsgi.input"].read())
         token = int(environ["HTTP_FENCING_TOKEN"])
         self.calls.append((time.monotonic(), environ["HTTP_DUTY_HOLDER"], token))
+        gevent.sleep(self.delay_s)
         if self.checks_tokens and token < self.highest_token:
             return _reply(start_response, 409, {"error": "a higher fence was seen"})
         self.highest_token = token
