Gateway: a request that is left at the end of a stop gets an answer

Callers saw: a request accepted before or during a stop and still without a response 7.3 s after SIGTERM ends with a closed connection, also one that certainly has not run. The sender of a handed-over request answers its caller 502 for the same reason. A stream that is cut at the end leaves no line in the log.

Cause: at the end of its time the process ended whatever was in progress. Requests of other instances were waited for, but not ended.

A body that is still arriving is no longer read. A stream that has begun breaks off and is logged; a complete response is still delivered. A request that is just being handed over is ended too.

The wait for requests counts those of the application, so that polls of other instances at the operators' port do not prolong a stop.

--- a/hickoryloom/gateway/app.py
+++ b/hickoryloom/gateway/app.py
@@ -7,7 +7,9 @@
 from __future__ import annotations
 
 import json
+import math
 from collections.abc import Callable, Iterable, Iterator
+from functools import partial
 from http import HTTPStatus
 from typing import Any
 
@@ -21,10 +23,10 @@
 from hickoryloom.gateway.messages import CallerRequest, Refusal, Reply
 from hickoryloom.gateway.peer_attempts import with_hand_over
 from hickoryloom.gateway.ports import CallerCodec
-from hickoryloom.gateway.progress import NO_MEMORY
+from hickoryloom.gateway.progress import NO_MEMORY, STOPPING
 from hickoryloom.gateway.read_ahead import ReadAhead
 from hickoryloom.gateway.refusals import refuse
-from hickoryloom.gateway.request_body import read_body
+from hickoryloom.gateway.request_body import read_body, stop_reading
 from hickoryloom.gateway.stream_pin import StreamPin
 from hickoryloom.handover import (
     RESULT_HEADER,
@@ -70,11 +72,25 @@
         self._callers = callers
         self._receiver = receiver
         self._admitting = True
+        self._open: set[_HeldRequest] = set()
+
+    @property
+    def open_requests(self) -> int:
+        """The number of requests of callers and other instances that have not ended."""
+        return len(self._open)
 
     def stop_admitting(self) -> None:
         """Refuse all further requests, because too little time is left to complete them."""
         self._admitting = False
 
+    def end_requests(self) -> None:
+        """End all requests whose response is not complete, because the process ends.
+
+        Those whose response has not begun get a final answer; the others are cut off.
+        """
+        for held in list(self._open):
+            held.end()
+
     def __call__(self, environ: dict[str, Any], start_response: StartResponse) -> Iterable[bytes]:
         """Handle one request of a caller."""
         arrived = self._context.clock.monotonic()
@@ -104,9 +120,10 @@
             return self._serve(environ, start_response, call, began, hand_over, held)
 
     def _hold(self, environ: dict[str, Any]) -> _HeldRequest:
-        return _HeldRequest(self._context.buffers, environ.get(WRITES_KEY))
+        return _HeldRequest(self._context.buffers, environ.get(WRITES_KEY), self._open)
 
     def _read_call(self, environ: dict[str, Any], held: _HeldRequest) -> ReceivedCall | Refusal:
+        held.on_end = partial(stop_reading, environ)
         body = read_body(
             environ,
             self._context.catalog.catalog.limits,
@@ -114,10 +131,16 @@
             held.body,
             self._context.rng,
         )
+        held.on_end = None
         if isinstance(body, Err):
-            self._context.buffers.refused += body.err_value.reason == NO_MEMORY
-            _log_unreadable(body.err_value, environ)
-            return body.err_value
+            refusal = body.err_value
+            if held.is_ended:
+                # The caller's deadline is not known before the request has been decoded.
+                refusal = refuse(0, STOPPING, Verdict.NOT_RUN, math.inf, self._context.rng)
+                refusal = attrs.evolve(refusal, close=True)
+            self._context.buffers.refused += refusal.reason == NO_MEMORY
+            _log_unreadable(refusal, environ)
+            return refusal
         return read_call(environ, body.ok_value)
 
     def _serve(
@@ -166,7 +189,7 @@
         context = self._context
         follower = context.catalog
         if not self._admitting:
-            return self._refuse(503, "stopping", request)
+            return self._refuse(503, STOPPING, request)
         if not follower.catalog.version:
             return self._refuse(503, "no-configuration", request)
         view_is_recent = follower.view.age(arrived) <= MAX_DENIAL_VIEW_AGE_S
@@ -270,6 +293,9 @@
     def start(self, start_response: StartResponse) -> Iterable[bytes]:
         """Run the request up to the response head and return the response body."""
         self._held.holder.give_up = self._give_up
+        self._held.on_end = self._end
+        if self._held.is_ended:
+            self._end()
         try:
             response = self._forwarder.run()
             if (
@@ -320,10 +346,15 @@
 
     def _give_up(self) -> None:
         """End the request because memory is short; cut a response that is being delivered."""
-        self._forwarder.give_up()
+        self._forwarder.give_up(NO_MEMORY)
         if self._reply is not None and self._held.writes is not None:
             self._held.writes.disconnect()
 
+    def _end(self) -> None:
+        """End the request because the process ends; what is complete is still delivered."""
+        if self._reply is None or self._reply.length is None:
+            self._forwarder.give_up(STOPPING)
+
 
 class _HeldRequest:
     """What is held in memory for one request.
@@ -336,14 +367,30 @@
         body: The part for its body.
         writes: Writes to its caller; None if nobody watches them.
         is_passed_on: Whether the response has been passed on; closing it releases the memory.
+        on_end: Ends the request; None if nothing waits for it at present.
+        is_ended: Whether it is to end because the process ends.
+
+    Args:
+        buffers: Memory of the process.
+        writes: Writes to its caller; None if nobody watches them.
+        open_requests: The requests that have not ended.
     """
 
-    def __init__(self, buffers: BufferBudget, writes: CallerWrites | None) -> None:
+    def __init__(
+        self,
+        buffers: BufferBudget,
+        writes: CallerWrites | None,
+        open_requests: set[_HeldRequest],
+    ) -> None:
         self.buffers = buffers
         self.holder = buffers.hold()
         self.body = self.holder.reserve()
         self.writes = writes
         self.is_passed_on = False
+        self.on_end: Callable[[], None] | None = None
+        self.is_ended = False
+        self._open_requests = open_requests
+        open_requests.add(self)
 
     def __enter__(self) -> _HeldRequest:
         return self
@@ -352,8 +399,15 @@
         if not self.is_passed_on:
             self.release()
 
+    def end(self) -> None:
+        """End the request because the process ends."""
+        self.is_ended = True
+        if self.on_end is not None:
+            self.on_end()
+
     def release(self) -> None:
         """Release the memory; idempotent."""
+        self._open_requests.discard(self)
         self.holder.give_up = None
         if self.writes is not None:
             self.writes.reset()
--- a/hickoryloom/gateway/attempts.py
+++ b/hickoryloom/gateway/attempts.py
@@ -171,12 +171,23 @@
         if self._attempt is not None:
             self._attempt.exchange.interrupt(FailureCause.CANCELLED)
 
-    def give_up(self) -> None:
-        """End the request because memory is short; may be called from any greenlet."""
+    def give_up(self, reason: str) -> None:
+        """End the request; may be called from any greenlet."""
         self._progress.given_up = True
+        self._progress.given_up_because = reason
         if self._attempt is not None:
             self._attempt.exchange.interrupt(FailureCause.CANCELLED)
 
+    @property
+    def given_up(self) -> str:
+        """Why this instance has ended the request; empty if it has not."""
+        return self._progress.given_up_because if self._progress.given_up else ""
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether its caller or this instance has ended the request."""
+        return self._progress.caller_disconnected or self._progress.given_up
+
     @property
     def may_run_again(self) -> bool:
         """Whether the request is repeatable, or is at no backend server and has not run."""
@@ -298,6 +309,8 @@
             self._attempt = self._peers.start(self._placement_request.service, resume_after)
         if self._attempt is None:
             return Err(self.refuse("unreachable"))
+        if self.has_ended:
+            self._attempt.exchange.interrupt(FailureCause.CANCELLED)
         return Ok(self._attempt)
 
     def _record_unreachable(self, server: BackendServer) -> None:
--- a/hickoryloom/gateway/forwarding.py
+++ b/hickoryloom/gateway/forwarding.py
@@ -102,16 +102,21 @@
         """Abort the request after its caller disconnected; may be called from any greenlet."""
         self._attempts.cancel()
 
-    def give_up(self) -> None:
-        """End the request because memory is short; may be called from any greenlet."""
+    def give_up(self, reason: str) -> None:
+        """End the request; may be called from any greenlet.
+
+        Args:
+            reason: Short name of the cause.
+        """
         log_event(
             log,
             "request-given-up",
             request=self._request.id,
+            reason=reason,
             held_bytes=self._holder.size_bytes,
             delivering=self._holder.is_complete,
         )
-        self._attempts.give_up()
+        self._attempts.give_up(reason)
 
     @property
     def timeout_s(self) -> float:
@@ -223,7 +228,7 @@
         if not buffers.is_bounded:
             return False
         until = min(clock.monotonic() + ROOM_WAIT_S, self._attempts.deadline)
-        while clock.monotonic() < until and not self._holder.given_up:
+        while clock.monotonic() < until and not self._attempts.given_up:
             gevent.sleep(ROOM_CHECK_S)
             if self._buffered.resize(size):
                 return True
@@ -317,7 +322,7 @@
             ConnectionAbortedError: The stream can't be resumed. The response is cut off, so that
                 the caller notices that it is incomplete.
         """
-        while self._route.resumable and not self._attempts.caller_disconnected:
+        while self._route.resumable and not self._attempts.has_ended:
             splitter.discard_incomplete()
             started = self._attempts.start(splitter.last_id)
             if isinstance(started, Err):
@@ -335,6 +340,8 @@
                 continue
             self._attempts.record_event(attempt)
             return attempt, events
+        if self._attempts.given_up:
+            failure = attrs.evolve(failure, detail=self._attempts.given_up)
         self._attempts.log_end(
             "abandoned" if self._attempts.caller_disconnected else "broken-off", 200, failure.detail
         )
--- a/hickoryloom/gateway/peer_attempts.py
+++ b/hickoryloom/gateway/peer_attempts.py
@@ -7,7 +7,7 @@
 
 from hickoryloom.gateway.context import GatewayContext, PeerAttempt
 from hickoryloom.gateway.messages import CallerRequest, Refusal
-from hickoryloom.gateway.progress import NO_MEMORY, RequestProgress
+from hickoryloom.gateway.progress import NO_MEMORY, STOPPING, RequestProgress
 from hickoryloom.handover import MAX_PEERS, HandOver, HandOverPeer, ReceivedCall
 from hickoryloom.logs import log_event
 from hickoryloom.upstream import AttemptError, AttemptFailure, FailureCause
@@ -24,7 +24,7 @@
         "no-configuration",
         NO_MEMORY,
         "stale-view",
-        "stopping",
+        STOPPING,
         "unknown-key",
         "unknown-route",
         "unreachable",
--- a/hickoryloom/gateway/process.py
+++ b/hickoryloom/gateway/process.py
@@ -450,6 +450,8 @@
             StopStep("duties-stopped", self._stop_duties, until_s=exits_s, in_background=True),
             StopStep("requests-refused", self._app.stop_admitting, refused_s, ends_s),
             StopStep("requests-ended", self._wait_for_requests, until_s=ends_s),
+            # What still runs can't change the usage counts from here on.
+            StopStep("requests-given-up", self._app.end_requests, until_s=exits_s),
             StopStep(
                 "requests-answered",
                 lambda: finish_server(self._proxy_server, exits_at - self._clock.monotonic()),
@@ -471,10 +473,7 @@
 
     def _wait_for_requests(self) -> None:
         """Wait for all requests of callers, and those that other instances have handed over."""
-        servers = [self._proxy_server]
-        if self._operators_server is not None:
-            servers.append(self._operators_server)
-        while not all(wait_quiet(server, OPEN_POLL_S) for server in servers):
+        while self._app.open_requests or not wait_quiet(self._proxy_server, OPEN_POLL_S):
             gevent.sleep(OPEN_POLL_S)
 
     def _stop_evidence(self) -> None:
--- a/hickoryloom/gateway/progress.py
+++ b/hickoryloom/gateway/progress.py
@@ -13,11 +13,14 @@
 from hickoryloom.upstream import AttemptFailure, FailureCause
 from hickoryloom.verdict import Verdict
 
-__all__ = ["MAX_FAILED_CONNECTS", "NO_MEMORY", "RequestProgress"]
+__all__ = ["MAX_FAILED_CONNECTS", "NO_MEMORY", "STOPPING", "RequestProgress"]
 
 NO_MEMORY = "no-memory"
 """Cause of refusals of requests for which there is no memory left."""
 
+STOPPING = "stopping"
+"""Cause of refusals of requests that are not completed since their process stops."""
+
 MAX_FAILED_CONNECTS = 4
 """Maximum number of failed connection attempts per request. They are counted apart from
 sends, since nothing was sent on them."""
@@ -35,7 +38,8 @@
         failed_connects: Number of failed connection attempts.
         excluded: Ids of the backend servers that must not be chosen again.
         caller_disconnected: Whether the caller has closed its connection.
-        given_up: Whether the request has ended because memory is short.
+        given_up: Whether the request has been ended by this instance.
+        given_up_because: Cause of that.
         handed_over: Whether it may have been sent to another instance.
         cause: Cause of the last failed attempt; empty if none has failed.
     """
@@ -48,6 +52,7 @@
     excluded: set[str] = attrs.field(factory=set)
     caller_disconnected: bool = False
     given_up: bool = False
+    given_up_because: str = NO_MEMORY
     handed_over: bool = False
     cause: str = ""
 
@@ -65,7 +70,7 @@
         if self.caller_disconnected:
             return "caller-left"
         if self.given_up:
-            return NO_MEMORY
+            return self.given_up_because
         if now >= self.deadline:
             return "timeout"
         if self.verdict is not Verdict.NOT_RUN and not self.route.repeatable:
@@ -106,7 +111,7 @@
         """Record a failed attempt at a backend server."""
         self.cause = "timeout" if failure.cause is FailureCause.TIMED_OUT else failure.cause.value
         if self.given_up:
-            self.cause = NO_MEMORY
+            self.cause = self.given_up_because
         self.excluded.add(server)
         if failure.verdict is not Verdict.NOT_RUN:
             self.verdict = Verdict.MAY_HAVE_RUN
--- a/hickoryloom/gateway/request_body.py
+++ b/hickoryloom/gateway/request_body.py
@@ -21,7 +21,7 @@
 from hickoryloom.upstream import BufferReservation, Holder
 from hickoryloom.verdict import Verdict
 
-__all__ = ["read_body"]
+__all__ = ["read_body", "stop_reading"]
 
 log = logbook.Logger("hickoryloom.gateway")
 
@@ -52,7 +52,7 @@
         return Err(_refuse(413, "body-too-large"))
     if not reservation.resize_body(length):
         return Err(_refuse_without_memory(rng))
-    holder.give_up = lambda: _stop_reading(environ)
+    holder.give_up = lambda: stop_reading(environ)
     chunks: list[bytes] = []
     size = 0
     try:
@@ -76,7 +76,7 @@
     return Ok(b"".join(chunks))
 
 
-def _stop_reading(environ: dict[str, Any]) -> None:
+def stop_reading(environ: dict[str, Any]) -> None:
     """End the wait for further bytes of the body; the connection can still be written to."""
     try:
         environ[SOCKET_KEY].shutdown(socket.SHUT_RD)
--- a/hickoryloom/platform/tests/test_stop_processes.py
+++ b/hickoryloom/platform/tests/test_stop_processes.py
@@ -1,6 +1,7 @@
 """Real gateway processes that stop while calls to the outside hang or requests outlast the stop."""
 
 import json
+import random
 import signal
 import time
 
@@ -10,11 +11,23 @@
 from geventhttpclient._parser import HTTPParseError
 from geventhttpclient.response import HTTPConnectionClosed
 
+from hickoryloom.clock import SystemClock
+from hickoryloom.gateway.peer_attempts import UNABLE_REASONS
+from hickoryloom.handover import (
+    HandOver,
+    HandOverClient,
+    HandOverPeer,
+    HandOverPeers,
+    HandOverResult,
+    ReceivedCall,
+)
 from hickoryloom.platform.tests.site import HOST, KEY, route
 from hickoryloom.platform.tests.standin import Backend, build_event, build_stream_head, respond
+from hickoryloom.upstream import ConnectionPool
+from hickoryloom.verdict import Verdict
 from tests.harness import wait_until
 
-pytestmark = [pytest.mark.processes, pytest.mark.seconds(25)]
+pytestmark = [pytest.mark.processes, pytest.mark.seconds(75)]
 
 REFUSED_AFTER_S = 3.0
 GRACE_PERIOD_S = 8.0
@@ -97,6 +110,69 @@
     assert isinstance(stream.get(), Exception)
 
 
+@pytest.mark.parametrize("path", ["/once/x", "/read/x", "/answer/x"])
+def test_a_request_without_a_response_at_the_end_of_the_stop_is_answered(slow_site, path):
+    """Guards against accepted requests whose connections the end of the process closes."""
+    gateway = slow_site.start()
+    task = gevent.spawn(call_long, gateway, path, **ENGINE_HEADERS)
+    wait_until(lambda: slow_site.backends[0].requests)
+    gateway.signal(signal.SIGTERM)
+    assert gateway.wait(GRACE_PERIOD_S) == 0
+    status, headers, body = task.get()
+    error = json.loads(body)["error"]
+    assert (status, error) == (502, {"type": "stopping", "verdict": "may-have-run"})
+    assert any(
+        "status=502" in line and "detail=stopping" in line for line in gateway.events("request")
+    )
+
+
+def test_a_request_of_another_instance_at_the_end_of_the_stop_is_answered(slow_site):
+    """Guards against the same for a request that another instance has handed over."""
+    gateway = slow_site.start()
+    stored = slow_site.store.objects
+    wait_until(lambda: any(kind == "counts" for kind, _ in stored))
+    (counts,) = [stored[key]["spec"] for key in stored if key[0] == "counts"]
+    clock = SystemClock()
+    peers = HandOverPeers("", lambda address, service, now: False, random.Random(1))
+    client = HandOverClient(peers, ConnectionPool(clock, id_header=""), UNABLE_REASONS)
+    headers = (("attempt-id", "long"), ("x-api-key", KEY), ("deadline-ms", str(LONG_MS)))
+    call = ReceivedCall("POST", "/once/x", HOST, headers, b"")
+    peer = HandOverPeer(counts["address"], "zone-a", counts["token"])
+    sent = HandOver("edge-2", "long", 0.0)
+    exchange = client.send(peer, call, sent, clock.monotonic() + 2 * GRACE_PERIOD_S)
+    wait_until(lambda: slow_site.backends[0].requests)
+    gateway.signal(signal.SIGTERM)
+    assert client.read_head(exchange) == HandOverResult("long", "stopping", Verdict.MAY_HAVE_RUN)
+    assert exchange.status == 502
+    assert gateway.wait(GRACE_PERIOD_S) == 0
+
+
+def test_a_body_that_is_still_arriving_at_the_end_of_the_stop_is_refused(slow_site):
+    """Guards against a closed connection for a request that can't have run."""
+    gateway = slow_site.start()
+    head = f"POST /once/x HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: b\r\nX-Api-Key: {KEY}\r\n"
+    begun = (head + "Content-Length: 10\r\n\r\npart").encode()
+    task = gevent.spawn(gateway.send_raw, begun, 2 * GRACE_PERIOD_S)
+    gevent.sleep(0.2)
+    gateway.signal(signal.SIGTERM)
+    assert gateway.wait(GRACE_PERIOD_S) == 0
+    received = task.get()
+    assert received.startswith(b"HTTP/1.1 503 ") and b"Retry-After: " in received
+    assert b'"stopping"' in received
+
+
+def test_a_stream_that_outlasts_the_stop_ends_visibly_incomplete(slow_site):
+    """Guards against a cut stream of which the log of the instance says nothing."""
+    gateway = slow_site.start()
+    task = gevent.spawn(call_long, gateway, "/draft/x", **ENGINE_HEADERS)
+    wait_until(lambda: slow_site.backends[1].requests)
+    gateway.signal(signal.SIGTERM)
+    assert gateway.wait(GRACE_PERIOD_S) == 0
+    assert isinstance(task.get(), Exception)
+    (line,) = gateway.events("request")
+    assert "outcome=broken-off" in line and "stopping" in line
+
+
 def test_a_stop_ends_in_time_while_the_store_is_silent(slow_site):
     """Guards against a stop that waits for the store until the process is killed."""
     gateways = [slow_site.start(f"edge-{number}") for number in (1, 2)]
