Entry: close idle connections before the state is handed over

Callers saw: a call sent on a kept connection to a stopping entry while the platform is slow gets 200 and a part of its stream, then the end of the connection.

Cause: after the wait for requests in progress, the entry hands over outcomes, usage and presence, which takes seconds while the platform is away. Kept connections stayed open and were served all the while, and the process then ended under them. Their usage was lost as well.

The entry ends its server for callers once drain_s is over: it stops listening, closes idle connections and completes what is in progress, without a limit as before. The steps are those of hickoryloom/shutdown, so that one that fails does not prevent the next.

--- a/hickoryloom/entry/process.py
+++ b/hickoryloom/entry/process.py
@@ -49,6 +49,7 @@
 from hickoryloom.reach import REACH_TOPICS, Reach, ReachProbe
 from hickoryloom.relay import Relay
 from hickoryloom.routing import BackendDirectory, BackendView, Router
+from hickoryloom.shutdown import StopStep, finish_server, run_stop_steps, wait_quiet
 from hickoryloom.store import PlatformClient
 from hickoryloom.upstream import ConnectionPool
 from hickoryloom.usage import UsageCounter
@@ -57,7 +58,6 @@
 
 FIRST_GENERATION_WAIT_S = 5.0
 FIRST_GENERATION_POLL_S = 0.02
-IDLE_CONNECTION_GRACE_S = 0.5
 UNKNOWN_AGE_S = 1e9
 
 HANDED_OVER_WAIT_S = 30.0
@@ -237,18 +237,34 @@
 
     def stop(self) -> None:
         """Shut down gracefully: notify the load balancer, finish requests, hand over state."""
+        steps = (
+            StopStep("draining", self._drain),
+            # Without a limit: a planned stop interrupts no request.
+            StopStep(
+                "requests-ended",
+                lambda: finish_server(self._api_server, None),
+                from_s=self._settings.drain_s,
+            ),
+            StopStep("hand-overs-ended", lambda: wait_quiet(self._peer_server, HANDED_OVER_WAIT_S)),
+            StopStep("outcomes-written", self._claims.stop),
+            StopStep("usage-written", self._usage.stop),
+            StopStep("peers-notified", self._membership.stop),
+            StopStep("tasks-stopped", self._stop_tasks),
+        )
+        run_stop_steps(steps, self._clock, log, self._describe_open)
+
+    def _drain(self) -> None:
         self._stopping = True
         self._api_server.drain()
-        gevent.sleep(self._settings.drain_s)
-        self._api_server.stop_accepting()
-        self._api_server.wait_idle()
-        gevent.sleep(IDLE_CONNECTION_GRACE_S)
-        self._api_server.wait_idle()
-        self._peer_server.wait_idle(HANDED_OVER_WAIT_S)
-        self._claims.stop()
-        self._usage.stop()
-        self._membership.stop()
-        self._stop_tasks()
+
+    def _describe_open(self) -> dict[str, object]:
+        """Return what callers still have at this process, for the log."""
+        return {
+            "open_requests": self._api_server.active,
+            "reading": self._api_server.reading,
+            "unread": self._api_server.unread,
+            "handed_over": self._peer_server.active,
+        }
 
     def _stop_tasks(self) -> None:
         self._withdrawals.stop()
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -1,6 +1,7 @@
 """A planned stop interrupts no request, and a rolling replacement of all entries fails none."""
 
 import signal
+import socket
 
 import gevent
 import pytest
@@ -13,6 +14,8 @@
 pytestmark = [pytest.mark.processes, pytest.mark.seconds(23)]
 
 LOAD_CALLERS = 12
+CLOSED_WITHIN_S = 3.0
+"""`drain_s` of the site, and the rest of the target of 3 s for the balancer."""
 
 
 @pytest.fixture
@@ -138,3 +141,14 @@
     assert reply.status == 200 and reply.complete
     assert len(reply.events) >= 400
     assert entry.terminate() == 0
+
+
+def test_an_entry_closes_idle_connections_before_it_hands_over_its_state(site):
+    """Guards against calls that are read while the platform is waited for, and cut off then."""
+    entry = site.entries[0]
+    host, _, port = site.listen("entry-1").rpartition(":")
+    site.processes[0].suspend()
+    with socket.create_connection((host, int(port)), timeout=CLOSED_WITHIN_S) as idle:
+        entry.signal(signal.SIGTERM)
+        assert idle.recv(1) == b""
+        assert entry.exit_code is None
