--- a/hickoryloom/entry/process.py
+++ b/hickoryloom/entry/process.py
@@ -49,7 +49,7 @@
 from hickoryloom.reach import REACH_TOPICS, Reach, ReachProbe
 from hickoryloom.relay import Relay
 from hickoryloom.routing import BackendDirectory, BackendView, Router
-from hickoryloom.shutdown import StopStep, finish_server, run_stop_steps, wait_quiet
+from hickoryloom.shutdown import StopStep, run_stop_steps
 from hickoryloom.store import PlatformClient
 from hickoryloom.upstream import ConnectionPool
 from hickoryloom.usage import UsageCounter
@@ -242,10 +242,10 @@
             # Without a limit: a planned stop interrupts no request.
             StopStep(
                 "requests-ended",
-                lambda: finish_server(self._api_server, None),
+                lambda: self._api_server.finish(None),
                 from_s=self._settings.drain_s,
             ),
-            StopStep("hand-overs-ended", lambda: wait_quiet(self._peer_server, HANDED_OVER_WAIT_S)),
+            StopStep("hand-overs-ended", lambda: self._peer_server.wait_quiet(HANDED_OVER_WAIT_S)),
             StopStep("outcomes-written", self._claims.stop),
             StopStep("usage-written", self._usage.stop),
             StopStep("peers-notified", self._membership.stop),
--- a/hickoryloom/gateway/process.py
+++ b/hickoryloom/gateway/process.py
@@ -74,7 +74,7 @@
 from hickoryloom.reach import REACH_TOPICS, EndWitness, Reach, ReachProbe
 from hickoryloom.scaling import Scaler
 from hickoryloom.sharing import VIEW_PATH, Peer, ViewFollower, ViewServer
-from hickoryloom.shutdown import StopStep, finish_server, run_stop_steps, wait_quiet
+from hickoryloom.shutdown import StopStep, run_stop_steps
 from hickoryloom.store import CallBudget, PlatformClient
 from hickoryloom.upstream import BufferBudget, ConnectionPool, buffer_limit_bytes
 
@@ -454,7 +454,7 @@
             StopStep("requests-given-up", self._app.end_requests, until_s=exits_s),
             StopStep(
                 "requests-answered",
-                lambda: finish_server(self._proxy_server, exits_at - self._clock.monotonic()),
+                lambda: self._proxy_server.finish(exits_at - self._clock.monotonic()),
                 until_s=exits_s,
                 in_background=True,
             ),
@@ -473,7 +473,7 @@
 
     def _wait_for_requests(self) -> None:
         """Wait for all requests of callers, and those that other instances have handed over."""
-        while self._app.open_requests or not wait_quiet(self._proxy_server, OPEN_POLL_S):
+        while self._app.open_requests or not self._proxy_server.wait_quiet(OPEN_POLL_S):
             gevent.sleep(OPEN_POLL_S)
 
     def _stop_evidence(self) -> None:
@@ -482,7 +482,7 @@
 
     def _finish_operators(self) -> None:
         if self._operators_server is not None:
-            finish_server(self._operators_server, EXIT_MARGIN_S)
+            self._operators_server.finish(EXIT_MARGIN_S)
 
     def _describe_open(self) -> dict[str, object]:
         """Return what callers still have at this process, for the log."""
--- a/hickoryloom/http/connections.py
+++ b/hickoryloom/http/connections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from collections.abc import Callable
 from typing import Any
@@ -129,16 +130,16 @@
         if closed or idle_since is None:
             self._ends.log_idle_closed(closed, crossed, kept)
 
-    def finish(self, timeout_s: float) -> int:
+    def finish(self, timeout_s: float | None) -> int:
         """Close each connection once it is idle and nothing on it is unread.
 
         Args:
-            timeout_s: Maximum time to wait for the requests that have arrived.
+            timeout_s: Maximum time to wait for the requests that have arrived; None for no limit.
 
         Returns:
             The number of requests that are left unanswered.
         """
-        end = time.monotonic() + timeout_s
+        end = math.inf if timeout_s is None else time.monotonic() + timeout_s
         while self.starting or self.open:
             now = time.monotonic()
             if now >= end:
@@ -149,7 +150,8 @@
                 for handler in self.idle
                 if not handler.closed_idle and handler.idle_since + REUSE_GRACE_S > now
             ]
-            self.wait(min([end, *due]) - now)
+            left_s = min([end, *due]) - now
+            self.wait(None if math.isinf(left_s) else left_s)
         self.close_idle()
         return self._abandon()
 
--- a/hickoryloom/http/server.py
+++ b/hickoryloom/http/server.py
@@ -130,14 +130,14 @@
         """
         return self.connections.wait_until(self._is_quiet, timeout_s)
 
-    def finish(self, timeout_s: float) -> int:
+    def finish(self, timeout_s: float | None) -> int:
         """Stop listening, answer what has arrived, and close all connections.
 
         The process may end afterwards. Requests that arrive on a connection in the moment of its
         close are not read.
 
         Args:
-            timeout_s: Maximum time to wait for the responses.
+            timeout_s: Maximum time to wait for the responses; None for no limit.
 
         Returns:
             The number of requests that have arrived and are left unanswered.
--- a/hickoryloom/shutdown/__init__.py
+++ b/hickoryloom/shutdown/__init__.py
@@ -1,7 +1,6 @@
-"""Planned stop of a process: its steps with their times, and the end of its servers."""
+"""Planned stop of a process: its steps and their times."""
 
-from hickoryloom.shutdown import servers, steps
-from hickoryloom.shutdown.servers import *  # noqa: F403
+from hickoryloom.shutdown import steps
 from hickoryloom.shutdown.steps import *  # noqa: F403
 
-__all__ = [*servers.__all__, *steps.__all__]
+__all__ = [*steps.__all__]
