--- a/hickoryloom/http/handler.py
+++ b/hickoryloom/http/handler.py
@@ -5,6 +5,7 @@
 import io
 import struct
 import time
+from http.client import HTTPException
 from typing import Any
 
 import gevent
@@ -178,7 +179,7 @@
             status = STATUS_TOO_SLOW
         elif isinstance(ex, HeadersTooLargeError):
             status = STATUS_TOO_LARGE
-        elif not isinstance(ex, ValueError | OSError):
+        elif not isinstance(ex, ValueError | OSError | HTTPException):
             status = STATUS_FAILED
         log_event(
             log,
--- a/hickoryloom/http/tests/test_limits.py
+++ b/hickoryloom/http/tests/test_limits.py
@@ -69,6 +69,13 @@
     assert server.served == []
 
 
+def test_more_headers_than_the_parser_takes_are_the_fault_of_the_caller(server):
+    server.limits = ConnectionLimits()
+    lines = b"".join(b"X-%d: a\r\n" % number for number in range(101))
+    received, closed = exchange(server, b"GET / HTTP/1.1\r\nHost: a\r\n" + lines + b"\r\n")
+    assert received.startswith(b"HTTP/1.1 400 ") and closed
+
+
 @pytest.mark.parametrize("begun", [b"G", b"GET / HTTP/1.1\r\nHost: a\r\nX: y"])
 def test_slow_headers_are_rejected_in_time(server, begun):
     with connect(server) as sock:
