Shutdown: a log line that can't be completed doesn't end a stop

What is logged with each step reads the connections of the servers. The number of unread bytes of a closed socket raises ValueError (measured: "file descriptor cannot be a negative integer"), which would have ended the stop before its next step; no case of it is known.

--- a/hickoryloom/shutdown/steps.py
+++ b/hickoryloom/shutdown/steps.py
@@ -95,14 +95,24 @@
             after_ms=round(self.elapsed_s * 1000),
             outcome=outcome,
             error=error or None,
-            **self._describe(),
+            **self._further_fields(),
         )
 
+    def _further_fields(self) -> Mapping[str, object]:
+        try:
+            return self._describe()
+        except Exception as error:
+            return {"not_described": _format_error(error)}
+
 
 def _run_safely(step: StopStep) -> str:
     """Run a step and return its error, or an empty string."""
     try:
         step.run()
     except Exception as error:
-        return f"{type(error).__name__}: {error}"[:MAX_ERROR_CHARS]
+        return _format_error(error)
     return ""
+
+
+def _format_error(error: Exception) -> str:
+    return f"{type(error).__name__}: {error}"[:MAX_ERROR_CHARS]
--- a/hickoryloom/shutdown/tests/test_steps.py
+++ b/hickoryloom/shutdown/tests/test_steps.py
@@ -53,6 +53,16 @@
     assert ran and outcomes == {"fails": "failed", "next": "done"}
 
 
+def test_a_log_line_that_can_not_be_completed_does_not_prevent_the_steps():
+    def describe():
+        raise ValueError("file descriptor is negative")
+
+    ran = []
+    steps = [StopStep(f"step-{number}", lambda: ran.append(True)) for number in range(2)]
+    run_stop_steps(steps, SystemClock(), logbook.Logger("test"), describe)
+    assert len(ran) == 2
+
+
 def test_a_step_begins_no_sooner_than_its_time():
     clock = SystemClock()
     started_at, begun_at = clock.monotonic(), []
