Platform: report every error of the settings' parser with the file

Operators saw a traceback instead of a message, and a reload that met such a file ended without a line in the log: yaml.safe_load raises ValueError for impossible dates and over-long integers, UnicodeDecodeError for other encodings and RecursionError for deep nesting.

Evidence: the new test failed before with each of these errors, e.g. 'ValueError: month must be in 1..12'. They now become a ConfigurationError like any other unreadable file.

--- a/hickoryloom/platform/settings.py
+++ b/hickoryloom/platform/settings.py
@@ -39,7 +39,8 @@
         document = yaml.safe_load(Path(path).read_text())
     except OSError as error:
         raise ConfigurationError(f"settings file {path!r}: {error.strerror}")
-    except yaml.YAMLError as error:
+    # Values that the parser can't convert and deep nesting raise errors of other types.
+    except (yaml.YAMLError, ValueError, RecursionError) as error:
         raise ConfigurationError(f"settings file {path!r} is not YAML: {error}")
     try:
         return _parse_settings(document)
--- a/hickoryloom/platform/tests/test_settings.py
+++ b/hickoryloom/platform/tests/test_settings.py
@@ -89,6 +89,17 @@
         read(tmp_path, found)
 
 
+@pytest.mark.parametrize(
+    "content", [b"a: 2026-99-99", b"a: \xff\xfe", b"[" * 5000, b"a: " + b"7" * 5000]
+)
+def test_every_error_of_the_parser_is_reported_with_the_file(tmp_path, content):
+    """Guards against errors that the parser doesn't declare, such as for an impossible date."""
+    path = tmp_path / "node.yaml"
+    path.write_bytes(content)
+    with pytest.raises(ConfigurationError, match=r"node\.yaml"):
+        read_settings({FILE_VARIABLE: str(path)})
+
+
 def test_a_missing_file_or_variable_is_reported(tmp_path):
     with pytest.raises(ConfigurationError, match=FILE_VARIABLE):
         read_settings({})
