Gateway: a reload that fails changes nothing and is logged

Operators saw nothing in the log, or a bare traceback, when a reload met an error other than a ConfigurationError. Callers were refused if the file stated a bound of 0: all requests with a key (revoke_ms), or every call to the store failed with a division by zero (reads_per_s), so that the view got too old within seconds. Settings that failed to apply were in force in part, and counted as applied.

A reload now logs any exception, refuses to replace a working bound by one that is not above 0 (a start with such a bound is unchanged), and applies the current settings again if new ones fail.

--- a/hickoryloom/gateway/tests/test_reloading.py
+++ b/hickoryloom/gateway/tests/test_reloading.py
@@ -1,8 +1,14 @@
 import attrs
+import logbook
 import pytest
 
 from hickoryloom.exceptions import ConfigurationError
-from hickoryloom.gateway.reloading import LIVE_SETTINGS, SettingsReloader, file_fingerprint
+from hickoryloom.gateway.reloading import (
+    LIVE_SETTINGS,
+    POSITIVE_SETTINGS,
+    SettingsReloader,
+    file_fingerprint,
+)
 from hickoryloom.gateway.settings import GatewaySettings
 
 SETTINGS = GatewaySettings("i", "d", "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3")
@@ -94,3 +100,47 @@
     other.write_text("b")
     other.replace(path)
     assert first is not None and file_fingerprint(str(path)) != first
+
+
+def test_a_file_that_cannot_be_read_for_any_reason_changes_nothing(settings_file):
+    """Guards against an unlogged end of a reload by an error that no parser declares."""
+
+    def fail():
+        raise RecursionError("nested too deeply")
+
+    settings_file.reload = SettingsReloader(
+        SETTINGS, fail, lambda: settings_file.fingerprint, settings_file.applied.append
+    )
+    with logbook.TestHandler() as handler:
+        settings_file.reload.reload()
+    assert settings_file.applied == []
+    assert "event=settings-unsound" in handler.formatted_records[-1]
+
+
+@pytest.mark.parametrize("name", sorted(POSITIVE_SETTINGS))
+@pytest.mark.parametrize("value", [0.0, -1.0])
+def test_a_bound_under_which_no_request_is_served_is_not_applied(settings_file, name, value):
+    """Guards against refusing all callers after a reload, such as with a revocation time of 0."""
+    settings_file.write(**{name: value, "retry_ratio": 0.5})
+    with logbook.TestHandler() as handler:
+        settings_file.reload.check()
+    assert settings_file.applied == []
+    assert f"{name}=" in handler.formatted_records[-1]
+
+
+def test_settings_that_fail_to_apply_are_taken_back(settings_file):
+    """Guards against settings of which a part is in force."""
+
+    def apply(settings):
+        settings_file.applied.append(settings.retry_ratio)
+        if settings.retry_ratio == 0.5:
+            raise ZeroDivisionError("division by zero")
+
+    settings_file.reload = SettingsReloader(
+        SETTINGS, settings_file.read, lambda: settings_file.fingerprint, apply
+    )
+    for ratio in (0.5, 0.4, 0.5):
+        settings_file.write(retry_ratio=ratio)
+        settings_file.reload.check()
+    kept = SETTINGS.retry_ratio
+    assert settings_file.applied == [0.5, kept, 0.4, 0.5, 0.4]
