Gateway: notice settings that change while the process starts

A change of the settings file between its first reading and the end of the start stayed unnoticed until the next change: SIGHUP is ignored during the start, and the fingerprint that later checks are compared with was taken after the process had been built.

Evidence: test_settings_that_change_during_the_start_take_effect failed before with 'assert [] == [2.25]'. The fingerprint is now taken before the file is read.

--- a/hickoryloom/commands/gateway.py
+++ b/hickoryloom/commands/gateway.py
@@ -34,13 +34,17 @@
     """Run a gateway process until SIGTERM or SIGINT."""
     configure_rate_limited_logging()
     dialect = load_dialect(options.dialect)
+    fingerprint = partial(file_fingerprint, dialect.settings_file(os.environ))
+    # Taken before the file is read, so that a change during the start is noticed.
+    read_fingerprint = fingerprint()
     settings = dialect.settings(os.environ)
     gateway = build_gateway(settings, dialect)
     reload = SettingsReloader(
         settings,
         read=lambda: dialect.settings(os.environ),
-        file_fingerprint=partial(file_fingerprint, dialect.settings_file(os.environ)),
+        file_fingerprint=fingerprint,
         apply=gateway.apply_settings,
+        read_fingerprint=read_fingerprint,
     )
     reload.start()
     return run_until_stopped(gateway, reload=reload.reload)
--- /dev/null
+++ b/hickoryloom/commands/tests/test_gateway_command.py
@@ -0,0 +1,30 @@
+from types import SimpleNamespace
+
+import attrs
+import gevent
+
+from hickoryloom.commands import gateway as command
+from hickoryloom.gateway.settings import GatewaySettings
+
+SETTINGS = GatewaySettings("i", "d", "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3")
+
+
+def test_settings_that_change_during_the_start_take_effect(monkeypatch, tmp_path):
+    """Guards against missing a change between the first reading and the first check."""
+    file, applied = tmp_path / "settings", []
+    file.write_text("4.0")
+    dialect = SimpleNamespace(
+        settings=lambda _: attrs.evolve(SETTINGS, revoke_s=float(file.read_text())),
+        settings_file=lambda _: str(file),
+    )
+
+    def build_gateway(settings, _dialect):
+        file.write_text("2.25")
+        return SimpleNamespace(apply_settings=lambda changed: applied.append(changed.revoke_s))
+
+    monkeypatch.setattr(command, "configure_rate_limited_logging", lambda: None)
+    monkeypatch.setattr(command, "load_dialect", lambda _: dialect)
+    monkeypatch.setattr(command, "build_gateway", build_gateway)
+    monkeypatch.setattr(command, "run_until_stopped", lambda *_, **__: gevent.sleep(0.1) or 0)
+    assert command.run(SimpleNamespace(dialect="any")) == 0
+    assert applied == [2.25]
--- a/hickoryloom/gateway/reloading.py
+++ b/hickoryloom/gateway/reloading.py
@@ -74,6 +74,7 @@
         read: Reads the settings.
         file_fingerprint: Returns a value that changes whenever the file does.
         apply: Applies settings.
+        read_fingerprint: The file's value from before `settings` were read.
     """
 
     def __init__(
@@ -82,12 +83,13 @@
         read: Callable[[], GatewaySettings],
         file_fingerprint: Callable[[], object],
         apply: Callable[[GatewaySettings], None],
+        read_fingerprint: object,
     ) -> None:
         self._settings = settings
         self._read = read
         self._file_fingerprint = file_fingerprint
         self._apply = apply
-        self._last_fingerprint = file_fingerprint()
+        self._last_fingerprint = read_fingerprint
         self._loop = TaskLoop(self.check, "settings", log)
 
     def start(self) -> None:
--- a/hickoryloom/gateway/tests/test_reloading.py
+++ b/hickoryloom/gateway/tests/test_reloading.py
@@ -23,7 +23,7 @@
         self.applied = []
         self.reads = 0
         self.reload = SettingsReloader(
-            SETTINGS, self.read, lambda: self.fingerprint, self.applied.append
+            SETTINGS, self.read, lambda: self.fingerprint, self.applied.append, 0
         )
 
     def read(self):
@@ -109,7 +109,7 @@
         raise RecursionError("nested too deeply")
 
     settings_file.reload = SettingsReloader(
-        SETTINGS, fail, lambda: settings_file.fingerprint, settings_file.applied.append
+        SETTINGS, fail, lambda: settings_file.fingerprint, settings_file.applied.append, 0
     )
     with logbook.TestHandler() as handler:
         settings_file.reload.reload()
@@ -137,7 +137,7 @@
             raise ZeroDivisionError("division by zero")
 
     settings_file.reload = SettingsReloader(
-        SETTINGS, settings_file.read, lambda: settings_file.fingerprint, apply
+        SETTINGS, settings_file.read, lambda: settings_file.fingerprint, apply, 0
     )
     for ratio in (0.5, 0.4, 0.5):
         settings_file.write(retry_ratio=ratio)
