Lifecycle: an error in a reload doesn't end the process

Callers lost all requests in progress when a reload raised at SIGHUP: gevent's hub treats an exception of a signal handler as a system error and raises it in the main greenlet, so that the process ended at once instead of waiting for a stop.

--- a/hickoryloom/commands/tests/test_gateway_command.py
+++ b/hickoryloom/commands/tests/test_gateway_command.py
@@ -1,3 +1,6 @@
+import signal
+import subprocess
+import sys
 from types import SimpleNamespace
 
 import attrs
@@ -28,3 +31,46 @@
     monkeypatch.setattr(command, "run_until_stopped", lambda *_, **__: gevent.sleep(0.1) or 0)
     assert command.run(SimpleNamespace(dialect="any")) == 0
     assert applied == [2.25]
+
+
+FAILING_RELOAD = """
+from gevent import monkey
+monkey.patch_all()
+import gevent
+from hickoryloom.lifecycle import run_until_stopped
+from hickoryloom.logs import configure_logging
+
+class Process:
+    addresses = {}
+    def start(self):
+        gevent.spawn(gevent.sleep, 60)
+        print("started", flush=True)
+    def stop(self):
+        gevent.sleep(0.3)
+        print("stopped", flush=True)
+
+def reload():
+    print("reloading", flush=True)
+    raise ValueError("unexpected")
+
+configure_logging()
+raise SystemExit(run_until_stopped(Process(), reload=reload))
+"""
+
+
+def test_a_reload_that_raises_does_not_end_the_process():
+    """Guards against ending all requests: gevent raises errors of signal handlers in `main`."""
+    with subprocess.Popen(
+        [sys.executable, "-c", FAILING_RELOAD],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+    ) as process:
+        assert process.stdout is not None
+        assert process.stdout.readline() == "started\n"
+        for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP):
+            process.send_signal(number)
+            gevent.sleep(0.1)
+        output, errors = process.communicate(timeout=8.0)
+    assert (process.returncode, output) == (0, "reloading\nreloading\nstopped\n")
+    assert errors.count("event=reload-failed") == 2
--- a/hickoryloom/lifecycle.py
+++ b/hickoryloom/lifecycle.py
@@ -56,7 +56,7 @@
         reload: Called for each SIGHUP; None to let SIGHUP end the process.
     """
     if reload is not None:
-        gevent.signal_handler(signal.SIGHUP, reload)
+        gevent.signal_handler(signal.SIGHUP, _reload, reload)
     stop_requested = Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(number, stop_requested.set)
@@ -68,3 +68,11 @@
     process.stop()
     log_event(log, "process-stopped")
     return 0
+
+
+def _reload(reload: Callable[[], None]) -> None:
+    """Run a reload; gevent would end the process for an exception in a signal handler."""
+    try:
+        reload()
+    except Exception as error:
+        log_event(log, "reload-failed", error=f"{type(error).__name__}: {error}")
