Soak: planned work only, with callers that use their connections in the worst moments

Each process runs for half of every 0.1 s, and callers of several styles send in pieces, at once after a response, or on connections that were open for a while. A request that an instance has read (its log or a backend server names it) and that ends without a complete response breaks a promise; those closed unread or without a listener are counted apart.

test_number_of_promises counts one promise more, as it asks to.

--- a/hickoryloom/commands/soak.py
+++ b/hickoryloom/commands/soak.py
@@ -11,7 +11,7 @@
 from hickoryloom.commands.registry import command
 from hickoryloom.exceptions import UsageError
 from hickoryloom.soak import render_report, run_soak
-from hickoryloom.soak.faults import FAULTS
+from hickoryloom.soak.faults import FAULTS, PLANNED_WORK
 from hickoryloom.soak.sites import build_site
 
 SEED_LIMIT = 10**9
@@ -33,6 +33,11 @@
     parser.add_argument(
         "--faults", nargs="*", default=[], help="kinds of faults to inject (default: all)"
     )
+    parser.add_argument(
+        "--planned",
+        action="store_true",
+        help="inject only planned work: stops, reloads, settings and configuration changes",
+    )
     parser.add_argument(
         "--logs",
         metavar="DIR",
@@ -51,6 +56,8 @@
     unknown = sorted(set(options.faults) - set(FAULTS))
     if unknown:
         raise UsageError(f"--faults: unknown faults {unknown}; allowed: {sorted(FAULTS)}")
+    if options.planned and options.faults:
+        raise UsageError("--planned selects the faults; it can't be used with --faults")
     if not 1 <= options.instances <= MAX_INSTANCES:
         raise UsageError(f"--instances: found {options.instances}; allowed: 1 to {MAX_INSTANCES}")
     if options.seconds < 1:
@@ -74,7 +81,7 @@
             options.instances,
             lambda names: build_site(directory, names),
             SystemClock(),
-            tuple(options.faults),
+            PLANNED_WORK if options.planned else tuple(options.faults),
         )
     print(render_report(report), flush=True)
     return not report.broken
--- a/hickoryloom/commands/tests/test_soak_command.py
+++ b/hickoryloom/commands/tests/test_soak_command.py
@@ -9,6 +9,7 @@
         ([], "--seeds"),
         (["--seeds", "1", "--faults", "flood"], "'flood'"),
         (["--seeds", "1", "--instances", "0"], "--instances: found 0"),
+        (["--seeds", "1", "--planned", "--faults", "kill"], "--planned"),
         (["--seeds", "1", "--seconds", "0"], "--seconds: found 0"),
     ],
 )
--- a/hickoryloom/platform/tests/soaking.py
+++ b/hickoryloom/platform/tests/soaking.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import re
 import signal
 import time
 from pathlib import Path
@@ -26,7 +27,19 @@
 EVENT_PACE_S = 0.03
 ANSWER_S = 0.03
 SERVERS = {"app": 4, "llm": 3}
-SERVICE_OF = {"once": "app", "read": "app", "extra": "app", "draft": "llm"}
+LONG_EVENT_PACE_S = 0.24
+SERVICE_OF = {
+    "once": "app",
+    "read": "app",
+    "extra": "app",
+    "draft": "llm",
+    "long": "llm",
+    "costly": "app",
+}
+LONG_PROMPT = ",".join(f"{part:x}:1" for part in range(1, 1500))
+STREAMS = (CallKind.STREAM, CallKind.LONG_STREAM)
+REQUEST_LINE = re.compile(r"\brequest=(\S+)")
+STOP_LINE = re.compile(r"event=(?:process-\w+|stop-step|idle-connections-closed|lease-\w+) ?")
 LOG_TAIL_BYTES = 4000
 BOUNDS = Bounds(
     apply_s=2.0,
@@ -100,6 +113,7 @@
 
     def _stream_response(self, request, fault):
         last = int(request["headers"].get("last-event-id", 0))
+        pace_s = LONG_EVENT_PACE_S if request["target"].startswith("/long/") else EVENT_PACE_S
         yield build_stream_head(request)
         for id in range(last + 1, EVENTS + 1):
             if fault in ("cut", "spoil") and id == last + 3:
@@ -107,7 +121,7 @@
                 yield self.CLOSE
                 return
             yield build_event(id)
-            yield EVENT_PACE_S
+            yield pace_s
         yield LAST_CHUNK
 
 
@@ -177,6 +191,10 @@
     def terms(self):
         return [(holder, term) for holder, term, _ in self._duties.usage + self._duties.orders]
 
+    @property
+    def holder(self):
+        return self._duties.calls[-1][1] if self._duties.calls else ""
+
     @property
     def servers(self):
         """Backend servers that may get faults; never the last one of a service."""
@@ -211,31 +229,45 @@
             "Deadline-Ms": str(int(self.bounds.timeout_s * 1000)),
             "X-Api-Key": call.key,
         }
-        if call.kind is CallKind.STREAM:
+        if call.kind in STREAMS:
             headers.update({"Token-Count": "900,60", "Prompt-Prefix": "aa:500,bb:300,cc:100"})
+        if call.kind is CallKind.LONG_PROMPT:
+            headers.update({"Token-Count": "1500,60", "Prompt-Prefix": LONG_PROMPT})
         body = f"body of {call.id}".encode()
         return "POST", f"/{call.kind.value}/{call.id}", headers, body
 
     def is_correct(self, call: Call, status: int, body: bytes, whole: bool) -> bool:
         if status != 200:
             return True
-        expected = expected_stream() if call.kind is CallKind.STREAM else expected_body(call.id)
+        expected = expected_stream() if call.kind in STREAMS else expected_body(call.id)
         return body == expected if whole else expected.startswith(body)
 
-    def configure(self, keys, extra_route):
+    def configure(self, keys, extra_route, limits):
         self._version += 1
         routes = [
             route("once", "non_idempotent", "app", max_attempts=3),
             route("read", "idempotent", "app", max_attempts=3),
             route("draft", "streaming", "llm", max_attempts=4, stream_resume=True),
+            route("long", "streaming", "llm", max_attempts=2),
+            route("costly", "idempotent", "app", max_attempts=2),
         ]
         if extra_route:
             routes.append(route("extra", "idempotent", "app", max_attempts=2))
+        for added in routes:
+            added["timeout_ms"] = int(limits.timeout_s * 1000)
         tenants = [
             {"name": customer, "api_keys": list(api_keys), "priority": 1}
             for customer, api_keys in keys.items()
         ]
-        document = configuration(version=self._version, routes=routes, tenants=tenants)
+        caller_limits = {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 100_000,
+            "header_timeout_ms": int(limits.header_timeout_s * 1000),
+            "idle_timeout_ms": int(limits.idle_s * 1000),
+        }
+        document = configuration(
+            version=self._version, routes=routes, tenants=tenants, limits=caller_limits
+        )
         self._store.put("config", "main", document)
 
     def add_server(self, like):
@@ -282,6 +314,20 @@
         running = [process for process in self._processes if process.name == name]
         running[-1].write_settings(budget_slack=54 - int(10 * size))
 
+    def log_lines(self, ids):
+        wanted, found = set(ids), {}
+        for process in self._processes:
+            lines = process.log().splitlines()
+            stop_lines = [line for line in lines if STOP_LINE.search(line)]
+            matches = {}
+            for line in lines:
+                match = REQUEST_LINE.search(line)
+                if match and match[1] in wanted:
+                    matches.setdefault(match[1], []).append(line)
+            for id, about in matches.items():
+                found.setdefault(id, []).extend(sorted(about + stop_lines))
+        return found
+
     def stop(self):
         for process in self._processes:
             process.signal(signal.SIGCONT)
--- a/hickoryloom/soak/faults.py
+++ b/hickoryloom/soak/faults.py
@@ -11,19 +11,42 @@
 
 from hickoryloom.soak.instances import Instances
 from hickoryloom.soak.link import Link
-from hickoryloom.soak.messages import ALL_SUBJECTS
+from hickoryloom.soak.messages import ALL_SUBJECTS, Limits
 from hickoryloom.soak.operator import Operator
 from hickoryloom.soak.plan import PlannedFault
 from hickoryloom.soak.ports import SoakSite
 from hickoryloom.soak.record import Record
 
-__all__ = ["FAULTS", "FaultContext", "inject"]
+__all__ = ["DEFAULT_FAULTS", "FAULTS", "PLANNED_WORK", "FaultContext", "inject"]
 
 MAX_BLOCK_DELAY_S = 0.3
 """Maximum delay of a block on a slow link: 50 times the response time of the store."""
 
 SERVER_FAULT_MODES = ("reject", "lose-answer", "cut", "spoil", "foreign", "fail")
 STORE_FAULT_MODES = ("busy", "silent", "reset", "lose-writes")
+LIMITS = (
+    Limits(),
+    Limits(timeout_s=3.8, header_timeout_s=2.5, idle_s=1.5),
+    Limits(timeout_s=8.0, header_timeout_s=10.0, idle_s=120.0),
+)
+"""Limits that callers of the soak keep within, whichever are in force."""
+
+HANG_BEFORE_STOP_S = 0.5
+"""Time for which duty calls hang before their holder is stopped, so that one is in progress."""
+
+PLANNED_WORK = (
+    *("planned-stop",) * 4,
+    *("holder-stop",) * 2,
+    "reload",
+    "signals",
+    "limits",
+    "key-withdrawn",
+    "route-comes-and-goes",
+    "configuration-storm",
+)
+"""Faults that are work of operators rather than faults of the environment; stops come more
+often, since a process is unavailable for them for seconds after each."""
+
 MIN_SERVERS = 2
 """Backend servers of a service that should be left without faults, so that requests can be served.
 
@@ -44,13 +67,22 @@
 
 Injector = Callable[[FaultContext, PlannedFault], None]
 FAULTS: dict[str, Injector] = {}
+DEFAULT_FAULTS: list[str] = []
+
 
+def fault(name: str, by_default: bool = True) -> Callable[[Injector], Injector]:
+    """Register the decorated function as the fault `name`; it returns once the fault has ended.
 
-def fault(name: str) -> Callable[[Injector], Injector]:
-    """Register the decorated function as the fault `name`; it returns once the fault has ended."""
+    Args:
+        name: Name of the fault.
+        by_default: Whether it is drawn if no kinds are selected. Another number of kinds changes
+            the plan of every seed.
+    """
 
     def register(inject: Injector) -> Injector:
         FAULTS[name] = inject
+        if by_default:
+            DEFAULT_FAULTS.append(name)
         return inject
 
     return register
@@ -98,6 +130,40 @@
         context.instances.stop_and_start(name)
 
 
+@fault("holder-stop", by_default=False)
+def _stop_holder(context: FaultContext, planned: PlannedFault) -> None:
+    """Stop the holder of the duties; in two of three cases while its duty calls hang."""
+    name = context.site.holder
+    if name not in context.instances.available:
+        return
+    if planned.intensity < 1 / 3:
+        context.instances.stop_and_start(name)
+        return
+    link = context.site.duties_link(name)
+    with context.instances.disturbance("duties-link", name):
+        link.silent = True
+        gevent.sleep(HANG_BEFORE_STOP_S * context.rng.random())
+        context.instances.stop_and_start(name)
+        link.restore()
+
+
+@fault("signals", by_default=False)
+def _signal_repeatedly(context: FaultContext, planned: PlannedFault) -> None:
+    """Send a series of SIGHUP, and further signals to the processes that are being stopped."""
+    name = _pick_instance(context, planned)
+    for _ in range(1 + int(planned.intensity * 10)):
+        if name is not None:
+            context.site.rewrite_settings(name, context.rng.random())
+            context.instances.signal(name, signal.SIGHUP)
+        context.instances.signal_stopping(context.rng.choice((signal.SIGHUP, signal.SIGTERM)))
+        gevent.sleep(0.05 * context.rng.random())
+
+
+@fault("limits", by_default=False)
+def _change_limits(context: FaultContext, planned: PlannedFault) -> None:
+    context.operator.change_limits(LIMITS[int(planned.intensity * len(LIMITS))])
+
+
 @fault("pause")
 def _pause(context: FaultContext, planned: PlannedFault) -> None:
     name = _pick_instance(context, planned)
--- a/hickoryloom/soak/instances.py
+++ b/hickoryloom/soak/instances.py
@@ -22,6 +22,13 @@
 MAX_FAILED_POLLS = 2
 """Consecutive failed readiness polls after which an instance gets no new connections."""
 
+QUOTA_PERIOD_S = 0.1
+"""Period in which a process under a quota runs for its share of the time, as in containers."""
+
+SIGNALLED_STOP_S = 2.0
+"""Time of a stop in which further signals may arrive. Later, the interpreter may be ending already,
+when each signal has its default action."""
+
 STOP_TOLERANCE_S = 1.0
 """Tolerance beyond the stop bound, for delays of the soak test itself on a busy machine."""
 
@@ -43,6 +50,7 @@
         self._names = names
         self._processes: dict[str, InstanceProcess] = {}
         self._faulted: set[str] = set()
+        self._stopping_since: dict[str, float] = {}
         self._failed_polls: dict[str, int] = {}
         self._handled_exits: set[InstanceProcess] = set()
 
@@ -122,6 +130,7 @@
             process = self._processes[name]
             self._handled_exits.add(process)
             process.signal(signal.SIGTERM)
+            self._stopping_since[name] = self.now()
             end = self.now() + self._record.bounds.stop_s + STOP_TOLERANCE_S
             while process.exit_code is None and self.now() < end:
                 gevent.sleep(POLL_S)
@@ -130,6 +139,7 @@
                 process.signal(signal.SIGKILL)
             elif process.exit_code != 0:
                 self._record.unexpected_exits.append((name, process.exit_code))
+            del self._stopping_since[name]
             self._start(name)
             self._wait_until_ready(name)
         self._faulted.discard(name)
@@ -151,6 +161,28 @@
         if name not in self._faulted:
             self._processes[name].signal(number)
 
+    def stopping_for_s(self, name: str) -> float | None:
+        """Return the time since an instance was told to stop; None if it wasn't."""
+        since = self._stopping_since.get(name)
+        return None if since is None else self.now() - since
+
+    def limit_share(self, name: str, share: float) -> None:
+        """Let an instance's process run for a share of each period only, until killed."""
+        while True:
+            process = self._processes[name]
+            try:
+                process.signal(signal.SIGSTOP)
+                gevent.sleep((1 - share) * QUOTA_PERIOD_S)
+            finally:
+                process.signal(signal.SIGCONT)
+            gevent.sleep(share * QUOTA_PERIOD_S)
+
+    def signal_stopping(self, number: int) -> None:
+        """Send a signal to each process that has been told to stop a short time ago."""
+        for name, since in self._stopping_since.items():
+            if self.now() - since < SIGNALLED_STOP_S:
+                self._processes[name].signal(number)
+
     def log_tails(self) -> dict[str, str]:
         """Return the last part of each instance's log, by instance name."""
         return {name: process.log_tail() for name, process in self._processes.items()}
--- a/hickoryloom/soak/messages.py
+++ b/hickoryloom/soak/messages.py
@@ -6,7 +6,16 @@
 
 import attrs
 
-__all__ = ["Answer", "Bounds", "Call", "CallKind", "Disturbance", "DutyReport", "Run"]
+__all__ = [
+    "Answer",
+    "Bounds",
+    "Call",
+    "CallKind",
+    "Disturbance",
+    "DutyReport",
+    "Limits",
+    "Run",
+]
 
 ALL_SUBJECTS = "*"
 
@@ -18,6 +27,13 @@
     READ = "read"
     STREAM = "draft"
     EXTRA_ROUTE = "extra"
+    LONG_STREAM = "long"
+    LONG_PROMPT = "costly"
+
+    @property
+    def runs_once(self) -> bool:
+        """Whether such a request may run at most once."""
+        return self in (CallKind.ONCE, CallKind.LONG_STREAM)
 
 
 @attrs.frozen
@@ -47,6 +63,21 @@
     retry_window_s: float
 
 
+@attrs.frozen
+class Limits:
+    """Limits that the operator may change at any time; times are in seconds.
+
+    Attributes:
+        timeout_s: Longest time that a request may take.
+        header_timeout_s: Longest time for receiving the headers of a request.
+        idle_s: Time for which callers may keep an idle connection.
+    """
+
+    timeout_s: float = 4.0
+    header_timeout_s: float = 3.0
+    idle_s: float = 15.0
+
+
 @attrs.frozen
 class Call:
     """One request as its caller sends it.
@@ -81,6 +112,7 @@
         whole: Whether the response is complete by its framing.
         correct: Whether the body is the backend server's response or a prefix of it.
         detail: Description of the failure, for the report.
+        refused: Whether nothing listened at the instance's address.
     """
 
     call: Call
@@ -89,6 +121,7 @@
     whole: bool
     correct: bool
     detail: str = ""
+    refused: bool = False
 
 
 @attrs.frozen
--- a/hickoryloom/soak/operator.py
+++ b/hickoryloom/soak/operator.py
@@ -7,6 +7,7 @@
 from gevent.lock import RLock
 
 from hickoryloom.clock import Clock
+from hickoryloom.soak.messages import Limits
 from hickoryloom.soak.ports import SoakSite
 from hickoryloom.soak.record import Record
 
@@ -37,6 +38,7 @@
         self._clock = clock
         self._lock = RLock()
         self._key_numbers = itertools.count(1)
+        self._limits = Limits()
         self._extra_route = True
         self._removals = 0
         self._removed_at: float | None = None
@@ -53,7 +55,7 @@
     def publish(self) -> float:
         """Publish the configuration and return the time of its acknowledgement."""
         with self._lock:
-            self._site.configure(self._keys, self._extra_route)
+            self._site.configure(self._keys, self._extra_route, self._limits)
             return self._clock.monotonic()
 
     def replace_key(self, target: float) -> None:
@@ -65,6 +67,12 @@
             self._keys[customer].append(self._new_key(customer))
             self._record.withdrawn[withdrawn] = self.publish()
 
+    def change_limits(self, limits: Limits) -> None:
+        """Publish other limits."""
+        with self._lock:
+            self._limits = limits
+            self.publish()
+
     def remove_extra_route(self) -> None:
         """Remove the extra route; removals may overlap."""
         with self._lock:
--- a/hickoryloom/soak/ports.py
+++ b/hickoryloom/soak/ports.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from typing import Protocol
 
 from hickoryloom.soak.link import Link
-from hickoryloom.soak.messages import Bounds, Call, DutyReport, Run
+from hickoryloom.soak.messages import Bounds, Call, DutyReport, Limits, Run
 
 __all__ = ["InstanceProcess", "SoakSite"]
 
@@ -45,6 +45,10 @@
     def terms(self) -> list[tuple[str, int]]:
         """Holder and term of each duty call that the platform accepted."""
 
+    @property
+    def holder(self) -> str:
+        """Name of the instance that last made a duty call; empty before the first."""
+
     @property
     def servers(self) -> Sequence[str]:
         """Ids of the backend servers that may get faults; draining ones are left out."""
@@ -67,7 +71,7 @@
     def is_correct(self, call: Call, status: int, body: bytes, whole: bool) -> bool:
         """Return whether a response body, or a prefix of it, is the backend server's."""
 
-    def configure(self, keys: dict[str, list[str]], extra_route: bool) -> None:
+    def configure(self, keys: dict[str, list[str]], extra_route: bool, limits: Limits) -> None:
         """Publish a new configuration and return once it is acknowledged."""
 
     def add_server(self, like: str) -> str:
@@ -91,5 +95,11 @@
     def rewrite_settings(self, name: str, intensity: float) -> None:
         """Change an instance's settings file."""
 
+    def log_lines(self, ids: Iterable[str]) -> dict[str, list[str]]:
+        """Return the log lines of the instances about requests, by the ids that they mention.
+
+        Lines on the steps of a stop of the same process are included.
+        """
+
     def stop(self) -> None:
         """Stop all processes and servers that were started."""
--- a/hickoryloom/soak/promises.py
+++ b/hickoryloom/soak/promises.py
@@ -28,6 +28,10 @@
 HARMLESS_TO_CONNECTIONS = ("store", "history", "store-link", "duties-link", "reload")
 """Faults that do not excuse closing a caller's connection without a response."""
 
+SHORTEST_TIMEOUT_S = 3.6
+"""Time after which a request of a run with planned work may have timed out; the shortest timeout
+that is configured is 3.8 s."""
+
 STOP_DETECTION_S = 3.0
 """Time after a request to stop in which the load balancer may still send callers there."""
 
@@ -55,7 +59,7 @@
 def _runs_at_most_once(record: Record) -> Iterator[str]:
     for id, runs in record.accepted_runs().items():
         call = record.calls.get(id)
-        if call is not None and call.kind is CallKind.ONCE and len(runs) > 1:
+        if call is not None and call.kind.runs_once and len(runs) > 1:
             yield f"{id} ran {len(runs)} times, at {[run.server for run in runs]}"
 
 
@@ -173,6 +177,39 @@
             yield f"{id} at {call.instance}, run by {subjects[1:]}: {answer.detail}"
 
 
+@promise("around planned work, a request that an instance has read gets a complete answer")
+def _planned_work_ends_nothing(record: Record) -> Iterator[str]:
+    runs = record.accepted_runs()
+    for answer in record.unanswered() if record.only_planned_work else ():
+        call = answer.call
+        lines = record.log_lines.get(call.id, [])
+        was_read = bool(lines) or call.id in runs
+        if not was_read or answer.ended - call.sent >= SHORTEST_TIMEOUT_S:
+            continue
+        ran_at = [run.server for run in runs.get(call.id, ())]
+        yield "\n    ".join(
+            (
+                f"{call.id} ({call.kind.value}) at {call.instance}, run by {ran_at}: "
+                f"{answer.detail or 'cut short'} after {answer.ended - call.sent:.2f} s, "
+                f"fresh connection {call.fresh}, sent {_since_stop(record, answer)}",
+                *lines,
+            )
+        )
+
+
+def _since_stop(record: Record, answer: Answer) -> str:
+    """Return how long after the request to stop its instance a request was sent."""
+    times = [
+        answer.call.sent - disturbance.began
+        for disturbance in record.disturbances
+        if disturbance.fault == "planned-stop"
+        and disturbance.subject == answer.call.instance
+        and disturbance.began <= answer.ended
+        and disturbance.ended >= answer.call.sent
+    ]
+    return ", ".join(f"{time:+.2f} s after SIGTERM" for time in times) or "outside of a stop"
+
+
 def _sent_after_stop_detection(record: Record, answer: Answer) -> bool:
     """Return whether a request was sent when the load balancer should have detected the stop."""
     return any(
--- a/hickoryloom/soak/record.py
+++ b/hickoryloom/soak/record.py
@@ -34,6 +34,8 @@
         route_removals: Periods during which the extra route was certainly removed.
         unexpected_exits: Name and exit code of processes that exited unasked or with an error.
         late_stops: Names of processes that did not exit in time after the request to stop.
+        log_lines: Log lines of instances about requests without a complete response, by id.
+        only_planned_work: Whether the run has no other faults than planned work.
         faults: Number of injected faults by kind.
         last_fault_ended: Time at which the last fault had ended.
     """
@@ -50,6 +52,8 @@
     route_removals: list[tuple[float, float]] = attrs.field(factory=list)
     unexpected_exits: list[tuple[str, int]] = attrs.field(factory=list)
     late_stops: list[str] = attrs.field(factory=list)
+    log_lines: dict[str, list[str]] = attrs.field(factory=dict)
+    only_planned_work: bool = False
     faults: dict[str, int] = attrs.field(factory=dict)
     last_fault_ended: float = 0.0
 
@@ -61,6 +65,10 @@
                 accepted.setdefault(run.call_id, []).append(run)
         return accepted
 
+    def unanswered(self) -> list[Answer]:
+        """Return the requests whose connection ended without a complete response."""
+        return [answer for answer in self.answers.values() if not answer.whole]
+
     def is_undisturbed(
         self, subject: str, since: float, until: float, ignored_faults: tuple[str, ...] = ()
     ) -> bool:
--- a/hickoryloom/soak/report.py
+++ b/hickoryloom/soak/report.py
@@ -59,9 +59,26 @@
         f"usage reports: {len(record.reports)}; duty calls: {len(record.terms)}",
         f"promises checked: {len(PROMISES)}; broken: {len(report.broken)}",
     ]
+    lines.append(_count_unanswered(record))
     for name, violations in report.broken.items():
         lines.append(f"BROKEN: {name} ({len(violations)})")
         lines += [f"  {violation}" for violation in violations[:MAX_VIOLATIONS_SHOWN]]
     missing = [*NOT_EXERCISED, *(f"fault {kind} (not drawn)" for kind in report.undrawn_faults)]
     lines.append("not exercised: " + "; ".join(missing))
     return "\n".join(lines)
+
+
+def _count_unanswered(record: Record) -> str:
+    """Return how many requests got no complete response, by what the instances did with them."""
+    runs = record.accepted_runs()
+    kinds: Counter[str] = Counter()
+    for answer in record.unanswered():
+        id = answer.call.id
+        if answer.refused:
+            kinds["no listener"] += 1
+        elif id in runs or id in record.log_lines:
+            kinds["read"] += 1
+        else:
+            kinds[f"closed unread ({answer.detail.partition(':')[0]})"] += 1
+    counts = ", ".join(f"{kind} {number}" for kind, number in sorted(kinds.items()))
+    return f"without a complete answer: {counts or 'none'}"
--- a/hickoryloom/soak/run.py
+++ b/hickoryloom/soak/run.py
@@ -8,8 +8,14 @@
 import gevent
 
 from hickoryloom.clock import Clock
-from hickoryloom.soak.callers import Callers
-from hickoryloom.soak.faults import FAULTS, FaultContext, inject
+from hickoryloom.soak.callers import PLANNED_WORK_STYLES, STEADY, Callers
+from hickoryloom.soak.faults import (
+    DEFAULT_FAULTS,
+    FAULTS,
+    PLANNED_WORK,
+    FaultContext,
+    inject,
+)
 from hickoryloom.soak.instances import Instances
 from hickoryloom.soak.operator import Operator
 from hickoryloom.soak.plan import PlannedFault, draw_plan
@@ -26,6 +32,14 @@
 CALLERS_PER_INSTANCE = 6
 """Enough callers for each instance to have requests in flight whenever a fault is injected."""
 
+PLANNED_WORK_CALLERS_PER_INSTANCE = 28
+"""Enough callers of each style for some to be in each stage of a request when a stop closes idle
+connections or ends."""
+
+CPU_SHARE = 0.5
+"""Share of the time for which each process runs beside planned work. What arrives meanwhile is
+unread when the process acts on a signal or a timer."""
+
 
 def run_soak(
     seed: int,
@@ -43,13 +57,15 @@
         instances: Number of instances, each with one process under test.
         build_site: Builds the platform stand-in for the instance names passed to it.
         clock: Time source.
-        kinds: Names of the faults to draw from; empty for all.
+        kinds: Names of the faults to draw from; empty for the default ones. If all of them are
+            planned work, callers use their connections in all styles, and no request that was
+            read may end without a complete response.
     """
-    selected_kinds = kinds or tuple(sorted(FAULTS))
+    selected_kinds = kinds or tuple(sorted(DEFAULT_FAULTS))
     names = [f"instance-{number}" for number in range(1, instances + 1)]
     site = build_site(names)
     try:
-        record = Record(site.bounds)
+        record = Record(site.bounds, only_planned_work=set(selected_kinds) <= set(PLANNED_WORK))
         _run_traffic(
             seed, seconds, names, site, clock, record, draw_plan(seed, seconds, selected_kinds)
         )
@@ -75,8 +91,15 @@
     instances.start_all()
     balancer = gevent.spawn(instances.poll_readiness)
     instances.wait_ready(START_TIMEOUT_S)
-    callers = Callers(site, instances, operator, record, clock, rng)
-    callers.start(CALLERS_PER_INSTANCE * len(names))
+    styles = PLANNED_WORK_STYLES if record.only_planned_work else (STEADY,)
+    callers = Callers(site, instances, operator, record, clock, rng, styles)
+    limits: list[gevent.Greenlet] = []
+    if record.only_planned_work:
+        limits = [gevent.spawn(instances.limit_share, name, CPU_SHARE) for name in names]
+    callers_per_instance = CALLERS_PER_INSTANCE
+    if record.only_planned_work:
+        callers_per_instance = PLANNED_WORK_CALLERS_PER_INSTANCE
+    callers.start(callers_per_instance * len(names))
     started_at = clock.monotonic()
     context = FaultContext(site, instances, operator, record, rng)
     injections = []
@@ -87,7 +110,8 @@
     record.last_fault_ended = clock.monotonic()
     gevent.sleep(max(0.0, started_at + seconds - clock.monotonic()))
     callers.stop()
-    balancer.kill()
+    gevent.killall([balancer, *limits])
+    record.log_lines = site.log_lines(answer.call.id for answer in record.unanswered())
     record.runs = list(site.runs)
     record.reports = list(site.reports)
     record.terms = list(site.terms)
--- a/hickoryloom/soak/tests/test_promises.py
+++ b/hickoryloom/soak/tests/test_promises.py
@@ -166,6 +166,39 @@
     assert "served again" in broken_promises(record(calls, [], answers))[0]
 
 
+def unanswered_in_a_stop(log_lines=(), runs=(), took_s=0.2, only_planned_work=True):
+    request = call(kind=CallKind.READ)
+    observed = record([request], runs, [answer_to(request, 0, took_s, whole=False)])
+    observed.disturbances = [Disturbance("planned-stop", "i", 97.0, 103.0)]
+    observed.log_lines = {"a": list(log_lines)} if log_lines else {}
+    observed.only_planned_work = only_planned_work
+    return [name for name in broken_promises(observed) if "planned work" in name]
+
+
+def test_a_request_that_was_read_around_a_stop_needs_a_complete_answer():
+    assert unanswered_in_a_stop(log_lines=["event=request request=a"])
+    assert unanswered_in_a_stop(runs=[run()])
+
+
+@pytest.mark.parametrize(
+    "observed",
+    [
+        {},
+        {"runs": [run(rejected=True)]},
+        {"runs": [run()], "took_s": 3.7},
+        {"runs": [run()], "only_planned_work": False},
+    ],
+)
+def test_requests_that_planned_work_may_leave_unanswered(observed):
+    assert not unanswered_in_a_stop(**observed)
+
+
+def test_a_long_stream_runs_at_most_once():
+    request = call(kind=CallKind.LONG_STREAM)
+    runs = [run(service="llm", wanted_service="llm", server=server) for server in "st"]
+    assert "at most once" in broken_promises(record([request], runs))[0]
+
+
 def test_number_of_promises():
     # A new promise needs a test above that breaks it.
-    assert len(PROMISES) == 15
+    assert len(PROMISES) == 16
