Hand-over: send the end of a request only once the peer reads it

Callers saw: 502 for requests that may run only once, and for others whose sends were used up, when the instance they were handed over to was stopped as planned. No server had received them.

Cause: the sender wrote the whole request at once. A peer that ended with the request unread (on a kept connection, or in the queue of its port) closed the connection, and the sender could not tell this from a peer that had read it.

Fix: the head carries `Expect: 100-continue`, and the body (or the last chunk of an empty one) follows only after status 100. Until then no peer has the complete request, so a failure is certain not to have run, and the next peer gets it. The time for it is bounded by one second, after which the next peer is tried.

--- a/hickoryloom/gateway/peer_attempts.py
+++ b/hickoryloom/gateway/peer_attempts.py
@@ -89,7 +89,7 @@
             )
             try:
                 exchange = self._context.hand_overs.send(
-                    peer, self._call, hand_over, self._deadline
+                    peer, self._call, hand_over, self._deadline, awaits_reading=True
                 )
             except AttemptError as error:
                 self._record_failure(peer, service, now, error.failure)
--- a/hickoryloom/gateway/tests/test_hand_over_refusals.py
+++ b/hickoryloom/gateway/tests/test_hand_over_refusals.py
@@ -57,7 +57,7 @@
     return ProxyApp(fake.context, None, HandOverReceiver("", new_token())).serve_handed_over
 
 
-def hand_over(peers):
+def hand_over(peers, call=CALL):
     """Serve a request that must not be repeated at an instance that reaches no server."""
     fake = GatewayFake(["unreachable"] * 20)
     known = HandOverPeers("", lambda address, service, now: False, random.Random(3))
@@ -65,7 +65,7 @@
     client = HandOverClient(known, ConnectionPool(fake.clock, id_header=""), UNABLE_REASONS)
     fake.context = attrs.evolve(fake.context, hand_overs=client)
     fake.response_headers = lambda headers: headers
-    return serve(fake, RequestKind.ONCE, 1, False, call=CALL)
+    return serve(fake, RequestKind.ONCE, 1, False, call=call)
 
 
 @pytest.mark.parametrize("limits", [CallerLimits(), CallerLimits(body_bytes=2)])
--- a/hickoryloom/handover/client.py
+++ b/hickoryloom/handover/client.py
@@ -32,6 +32,9 @@
 MAX_PEERS = 3
 """Instances to which one request is handed over, one after the other."""
 
+LAST_CHUNK = b"0\r\n\r\n"
+"""Body of a request without one, which gives it an end that can be held back."""
+
 IDLE_S = 5.0
 """Time for which an idle connection to another instance is kept."""
 
@@ -57,7 +60,12 @@
         self._connections = connections
 
     def send(
-        self, peer: HandOverPeer, call: ReceivedCall, hand_over: HandOver, deadline: float
+        self,
+        peer: HandOverPeer,
+        call: ReceivedCall,
+        hand_over: HandOver,
+        deadline: float,
+        awaits_reading: bool = False,
     ) -> Exchange:
         """Send a request; the response can be read from the exchange.
 
@@ -66,6 +74,8 @@
             call: The caller's request.
             hand_over: What accompanies it.
             deadline: Monotonic time at which reading the response times out, in seconds.
+            awaits_reading: Whether the end of the request is sent only once the peer reads it, so
+                that it is certain that a peer which ends before has not run it.
 
         Raises:
             AttemptError: The connection failed; part of the request may have been sent.
@@ -74,11 +84,20 @@
         signature = sign_call(peer.token, peer.address, value, call)
         added = ((HAND_OVER_HEADER, value), (SIGNATURE_HEADER, signature))
         headers = (*call.forwarded_headers, *added)
-        head = request_head(call.method, call.target, call.host, headers, len(call.body))
+        body = call.body
+        length: int | None = len(body)
+        if awaits_reading:
+            headers = (*headers, ("expect", "100-continue"))
+            if not body:
+                body, length = LAST_CHUNK, None
+        head = request_head(call.method, call.target, call.host, headers, length)
         exchange = self._connections.open(peer.address, hand_over.request, call.method, False)
         exchange.read_deadline = deadline
         try:
-            exchange.send(head, call.body)
+            if awaits_reading:
+                exchange.send_when_read(head, body)
+            else:
+                exchange.send(head, body)
         except BaseException:
             self._connections.close(exchange)
             raise
--- a/hickoryloom/upstream/exchange.py
+++ b/hickoryloom/upstream/exchange.py
@@ -21,12 +21,16 @@
 endless head cost 17 ms in each attempt before it exceeded `MAX_HEADER_BYTES`."""
 
 SEND_TIMEOUT_S = 10.0
+READING_TIMEOUT_S = 1.0
+"""Time for a peer to begin to read a request. One that takes longer would also answer late."""
+
 END_READ_TIMEOUT_S = 0.2
 MIN_READ_TIMEOUT_S = 0.001
 
 READY_GRACE_S = 0.25
 """Time after the read deadline for which bytes are still read that have already arrived."""
 
+FINAL_STATUS = 200
 MAX_FRAMING_BYTES = 16 * 1024
 MAX_FRAMING_RATIO = 8
 """Bytes between the chunks of a body, for each byte of it: a chunk of one byte takes five."""
@@ -145,6 +149,7 @@
         self._message = _Message()
         self._received_bytes = 0
         self._body_bytes = 0
+        self._is_sent = True
         self._interruption: FailureCause | None = None
         self._closed = False
 
@@ -183,12 +188,49 @@
         Raises:
             AttemptError: The connection failed; part of the request may have been sent.
         """
+        self._check_interruption()
+        self.bytes_sent = True
+        self._write(head + body)
+
+    def send_when_read(self, head: bytes, body: bytes) -> None:
+        """Send the head, and the body once the peer reads the request.
+
+        The peer says so by status 100. Before that it lacks the end of the request, so a failure
+        means that the request has not run, also on a connection that the peer was closing.
+
+        Args:
+            head: Request line and headers, with `Expect: 100-continue`.
+            body: The encoded body; not empty, since it ends the request.
+
+        Raises:
+            AttemptError: The connection failed, or the peer doesn't read in time.
+        """
+        self._check_interruption()
+        deadline = self.read_deadline
+        until = self._monotonic() + READING_TIMEOUT_S
+        self.read_deadline = until if deadline is None else min(until, deadline)
+        self._write(head)
+        while not (messages := self._response.messages) or not messages[0].headers_complete:
+            self._receive()
+            if self._received_bytes > MAX_HEADER_BYTES:
+                raise self.error(FailureCause.TOO_LARGE, "headers are too large")
+        self.read_deadline = deadline
+        self._check_interruption()
+        self.bytes_sent = True
+        if messages[0].status >= FINAL_STATUS:
+            # The peer has answered without reading the body, which must not follow any more.
+            self._is_sent = False
+            return
+        self._write(body)
+
+    def _check_interruption(self) -> None:
         if self._interruption is not None:
             raise self.error(self._interruption, "interrupted before it was sent")
-        self.bytes_sent = True
+
+    def _write(self, data: bytes) -> None:
         try:
             self._sock.settimeout(SEND_TIMEOUT_S)
-            self._sock.sendall(head + body)
+            self._sock.sendall(data)
             self._sock.settimeout(None)
         except OSError as error:
             raise self.error(FailureCause.CONNECTION_LOST, f"while sending: {error}")
@@ -212,7 +254,7 @@
     def _find_message(self, skip_mismatched: bool) -> bool:
         """Select the first final response; return whether its headers are complete."""
         for message in self._response.messages:
-            if message.headers_complete and 100 <= message.status < 200:
+            if message.headers_complete and 100 <= message.status < FINAL_STATUS:
                 continue
             self._message = message
             mismatched = skip_mismatched and self._is_mismatched(message)
@@ -301,7 +343,7 @@
         return None
 
     def _is_reusable(self) -> bool:
-        if self._interruption is not None or not self._message.complete:
+        if self._interruption is not None or not self._message.complete or not self._is_sent:
             return False
         if self._message is not self._response.messages[-1]:
             return False
--- a/hickoryloom/upstream/headers.py
+++ b/hickoryloom/upstream/headers.py
@@ -43,9 +43,18 @@
     )
 
 
-def request_head(method: str, target: str, host: str, headers: Headers, length: int) -> bytes:
+def request_head(
+    method: str, target: str, host: str, headers: Headers, length: int | None
+) -> bytes:
     """Return the encoded request line and headers.
 
+    Args:
+        method: HTTP method.
+        target: Request target.
+        host: Value of `Host`.
+        headers: Further headers.
+        length: Length of the body in bytes; None if it is chunked.
+
     Raises:
         ValueError: The method or target is invalid.
     """
@@ -55,7 +64,8 @@
         or _has_invalid_character(target)
     ):
         raise ValueError(f"can't send {method!r} {target!r}")
-    lines = [f"{method} {target} HTTP/1.1", f"host: {host}", f"content-length: {length}"]
+    framing = "transfer-encoding: chunked" if length is None else f"content-length: {length}"
+    lines = [f"{method} {target} HTTP/1.1", f"host: {host}", framing]
     lines += [f"{name}: {value}" for name, value in headers]
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
 
