Gateway: give a silent server up only where another attempt is allowed

Callers saw: streams cut after a pause of 1.2 s or more between two events, and 502 after 2.5 times the latency target, although the server was sound and would have answered, and although the deadline was far.

Cause: an attempt that was silent for too long was ended first, and only then was it examined whether another one may be made. If the retry budget was used up, or no other server or instance was there, the request ended with it.

Evidence, on the code before: test_a_slow_server_is_not_given_up_for_an_attempt_ that_is_not_allowed failed in all eight cases: "assert (502, True, 1) == (200, True, 1)" before the first event, "assert (200, False, 1) == (200, True, 1)" after it.

Fix: when the time for silence is over, the attempt ends only if the request may be sent once more at this moment; otherwise reading goes on until the deadline, with a check every 100 ms. Another instance gets twice the time of a server, since it moves the stream itself. The existing tests of moves pass.

--- a/hickoryloom/gateway/attempts.py
+++ b/hickoryloom/gateway/attempts.py
@@ -52,6 +52,10 @@
 """The same for requests to model engines, where a late first token usually means queueing rather
 than a fault."""
 
+PEER_SLOWNESS = 2.0
+"""How many times as long as a server another instance may be silent: it notices a silent server
+itself and moves the stream to another one."""
+
 CLIENT_ERROR = 400
 
 
@@ -382,10 +386,30 @@
         timeout_s = targets * self._route.target_s * self.slowness(attempt)
         return min(self._deadline, attempt.sent + timeout_s)
 
+    def may_move(self, attempt: AnyAttempt) -> bool:
+        """Return whether a silent attempt may end now: for another one, or at the deadline."""
+        context, progress = self._context, self._progress
+        now = context.clock.monotonic()
+        if now >= self._deadline:
+            return True
+        if progress.blocking_reason(now) or self._guard.is_held(now):
+            return False
+        if self._pin is not None and self._pin.is_lost:
+            return False
+        service = self._placement_request.service
+        if progress.is_unreachable or context.reach.is_cut_off(service):
+            return self._peers is not None and self._peers.may_start(service, now)
+        excluded = progress.excluded | self._listing.held_servers()
+        if isinstance(attempt, Attempt):
+            excluded = excluded | {attempt.placement.server.id}
+        if context.placer.choose(self._pinned_request(), frozenset(excluded), now) is None:
+            return False
+        return not progress.sends or context.retries(service).has_room(now)
+
     def slowness(self, attempt: AnyAttempt) -> float:
         """Return how many times as long as usual the server of an attempt may take."""
         if isinstance(attempt, PeerAttempt):
-            return 1.0
+            return PEER_SLOWNESS
         now = self._context.clock.monotonic()
         return self._context.placer.slowness(attempt.placement.server.id, now)
 
--- a/hickoryloom/gateway/budget.py
+++ b/hickoryloom/gateway/budget.py
@@ -40,13 +40,17 @@
 
     def try_acquire(self, now: float) -> bool:
         """Reserve one retry; return False if the budget is exhausted."""
+        if not self.has_room(now):
+            return False
+        self._retries.append(now)
+        return True
+
+    def has_room(self, now: float) -> bool:
+        """Return whether one more retry is allowed."""
         for times in (self._first_sends, self._retries):
             while times and times[0] <= now - self.window_s:
                 times.popleft()
         allowed = SAFETY_FACTOR * (
             self.ratio * len(self._first_sends) + self.slack / max(1, self.instances)
         )
-        if len(self._retries) + 1 > allowed:
-            return False
-        self._retries.append(now)
-        return True
+        return len(self._retries) + 1 <= allowed
--- a/hickoryloom/gateway/crash_guard.py
+++ b/hickoryloom/gateway/crash_guard.py
@@ -78,6 +78,10 @@
         reason = "prompt-in-quarantine" if by_parts else "request-in-quarantine"
         return Hold(reason, wait_s * (1.0 + WAIT_JITTER * self._rng.random()))
 
+    def is_held(self, now: float) -> bool:
+        """Return whether the request must not be sent now, without counting it as refused."""
+        return self._quarantine.wait_s(self._keys, now) > 0
+
     def record_sent(self, now: float) -> None:
         """Record that the request is sent to a backend server."""
         self._quarantine.record_sent(self._keys, now)
--- a/hickoryloom/gateway/forwarding.py
+++ b/hickoryloom/gateway/forwarding.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
+from typing import TypeVar
 
 import attrs
 import gevent
@@ -35,6 +36,8 @@
 
 __all__ = ["RequestForwarder"]
 
+T = TypeVar("T")
+
 log = logbook.Logger("hickoryloom.gateway")
 
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
@@ -53,6 +56,10 @@
 """Lower bound of the read timeout of a resumable stream. Callers wait two seconds for the next
 event."""
 
+MOVE_CHECK_S = 0.1
+"""Interval for checking whether a request whose backend server is silent may move to another one.
+"""
+
 ROOM_CHECK_S = 0.02
 ROOM_WAIT_S = 1.0
 """Longest time for which a response is left to its backend server because memory is short. Servers
@@ -182,7 +189,7 @@
             AttemptError: The backend server has not run the request, or the response is invalid.
         """
         exchange = attempt.exchange
-        exchange.read_head(skip_mismatched=True)
+        self._read_patiently(attempt, lambda: exchange.read_head(skip_mismatched=True))
         exchange.check_id()
         head = self._context.backends.read_head(exchange.status, exchange.headers)
         self._attempts.record_head(attempt, head)
@@ -294,7 +301,7 @@
             )
         else:
             exchange.read_deadline = self._attempts.deadline
-        while chunk := exchange.read():
+        while chunk := self._read_patiently(attempt, exchange.read):
             try:
                 events = splitter.feed(chunk)
             except EventSequenceError as error:
@@ -310,6 +317,24 @@
             raise exchange.error(FailureCause.CONNECTION_LOST, "stream ended before an event")
         return b""
 
+    def _read_patiently(self, attempt: AnyAttempt, read: Callable[[], T]) -> T:
+        """Read from an attempt; its timeout takes effect once the request may move elsewhere.
+
+        Ending the attempt before that would only replace a late response by none.
+
+        Raises:
+            AttemptError: The attempt has failed, or another one may take its place.
+        """
+        while True:
+            try:
+                return read()
+            except AttemptError as error:
+                is_silent = error.failure.cause is FailureCause.TIMED_OUT
+                if not is_silent or self._attempts.may_move(attempt):
+                    raise
+            check_at = self._context.clock.monotonic() + MOVE_CHECK_S
+            attempt.exchange.read_deadline = min(self._attempts.deadline, check_at)
+
     def _resume(self, splitter: EventSplitter, failure: AttemptFailure) -> tuple[AnyAttempt, bytes]:
         """Resume the stream after its last event at another backend server.
 
--- a/hickoryloom/gateway/peer_attempts.py
+++ b/hickoryloom/gateway/peer_attempts.py
@@ -99,6 +99,12 @@
             return PeerAttempt(peer, service, exchange, now)
         return None
 
+    def may_start(self, service: str, now: float) -> bool:
+        """Return whether there is another instance that can take the request."""
+        tried = frozenset(self._tried)
+        peers = self._context.hand_overs.peers
+        return len(tried) < MAX_PEERS and peers.choose(service, tried, now) is not None
+
     def read_head(self, attempt: PeerAttempt) -> Refusal | None:
         """Read the response head; return the refusal if the other instance refuses the request.
 
--- a/hickoryloom/gateway/tests/test_ended_requests.py
+++ b/hickoryloom/gateway/tests/test_ended_requests.py
@@ -4,9 +4,13 @@
 import pytest
 from gevent.server import StreamServer
 
+from hickoryloom.catalog import RequestKind
+from hickoryloom.gateway.budget import SAFETY_FACTOR, SharedRetryBudget
+from hickoryloom.gateway.tests.test_forwarding import EVENTS, FakeExchange, GatewayFake, serve
 from hickoryloom.gateway.tests.test_hand_over_refusals import CALL, hand_over
 from hickoryloom.handover import RESULT_HEADER, HandOverPeer, HandOverResult, encode_result
 from hickoryloom.http import Server
+from hickoryloom.upstream import FailureCause
 
 
 @pytest.fixture
@@ -61,3 +65,86 @@
     response, received, complete = hand_over(peers, attrs.evolve(CALL, body=body))
     assert (response.status, received, complete) == (200, b"ok", True)
     assert recorder.bodies == [body]
+
+
+class SlowBackends(GatewayFake):
+    """Backend servers of which the first is sound but silent for a while at one point.
+
+    Args:
+        event: Number of the event before which it is silent; 0 for the response head.
+        servers: Number of servers.
+        repeats: Number of requests that may be sent once more.
+    """
+
+    SILENT_S = 3.0
+
+    def __init__(self, event, servers, repeats):
+        super().__init__([])
+        self._event = event
+        self._opened_at = None
+        budget = SharedRetryBudget(0.0, repeats / SAFETY_FACTOR, 10.0, 1)
+        self.context = attrs.evolve(self.context, retries=lambda service: budget)
+        choose = self.context.placer.choose
+        others = frozenset(f"b{number}" for number in range(servers, 20))
+        self.context.placer.choose = lambda request, exclude, now: choose(
+            request, exclude | others, now
+        )
+
+    def open(self, address, id, method, new_connection):
+        is_first, self._opened_at = self._opened_at is None, self._opened_at or self.clock.now
+        return SlowExchange(self, self._event if is_first else None)
+
+    def keep_silent(self, exchange):
+        """Let time go by until the silence or the wait of the exchange ends."""
+        end = self._opened_at + self.SILENT_S
+        self.clock.now = max(self.clock.now, min(end, exchange.read_deadline))
+        if self.clock.now < end:
+            raise exchange.error(FailureCause.TIMED_OUT, "no bytes in time")
+
+
+class SlowExchange(FakeExchange):
+    """Exchange with a server that is silent before one event."""
+
+    def __init__(self, fake, silent_before):
+        super().__init__(fake, "answered")
+        self._silent_before = silent_before
+        self._number = 0
+
+    def read_head(self, skip_mismatched):
+        if self._silent_before == 0:
+            self.fake.keep_silent(self)
+
+    def read(self):
+        if self._silent_before == self._number + 1:
+            self.fake.keep_silent(self)
+        self._number += 1
+        return super().read()
+
+
+@pytest.mark.parametrize(("servers", "repeats"), [(1, 5), (20, 0)])
+@pytest.mark.parametrize(
+    ("kind", "event"),
+    [
+        (RequestKind.REPEATABLE, 0),
+        (RequestKind.STREAM, 0),
+        (RequestKind.STREAM, 1),
+        (RequestKind.STREAM, 3),
+    ],
+)
+def test_a_slow_server_is_not_given_up_for_an_attempt_that_is_not_allowed(
+    kind, event, servers, repeats
+):
+    """Guards against cutting an answer of a sound server that no other one may give instead."""
+    fake = SlowBackends(event, servers, repeats)
+    response, body, complete = serve(fake, kind, 2, kind is RequestKind.STREAM)
+    assert (response.status, complete, fake.runs) == (200, True, 1)
+    assert body.count(b"id: ") == EVENTS
+
+
+@pytest.mark.parametrize("event", [0, 1, 3])
+def test_a_silent_server_is_given_up_where_another_attempt_is_allowed(event):
+    fake = SlowBackends(event, 2, 1)
+    response, body, complete = serve(fake, RequestKind.STREAM, 2, True)
+    assert (response.status, complete, fake.runs) == (200, True, 2)
+    assert fake.clock.now - 100.0 < SlowBackends.SILENT_S
+    assert body.count(b"id: ") == EVENTS
