Upstream: sending ends at the deadline; what was not written has not run

Callers saw: an answer seconds after their timeout where a server accepted a connection and did not read the request; 502, or 503 with another server free, where a connection was reset before anything was written on it.

Cause: sending had a timeout of 10 s of its own, counted on the wall clock by the library, and any failure while sending counted as "may have run". An attempt of which nothing was written also used up the request's attempts.

Fix: the wait for each write ends at the deadline, on the monotonic clock.

--- a/hickoryloom/gateway/attempts.py
+++ b/hickoryloom/gateway/attempts.py
@@ -362,6 +362,8 @@
             return Err(refuse(400, str(error), self._progress.verdict))
         except AttemptError as error:
             self.fail(attempt, error.failure)
+            if error.failure.verdict is Verdict.NOT_RUN:
+                self._progress.record_unsent()
             if self.may_retry(error.failure):
                 return self.start(resume_after)
             return Err(self.refuse())
@@ -526,7 +528,8 @@
             )
         if failure.cause is FailureCause.CONNECTION_LOST:
             self._context.reach.record_lost(attempt.placement.server.service)
-            self._guard.record_end(attempt, self._context.clock.monotonic())
+            if failure.verdict is not Verdict.NOT_RUN:
+                self._guard.record_end(attempt, self._context.clock.monotonic())
         in_flight = self._context.placer.in_flight_at(attempt.placement.server.id)
         self.close(attempt, _outcome_of(failure))
         self._log.log_failed_attempt(
--- a/hickoryloom/gateway/progress.py
+++ b/hickoryloom/gateway/progress.py
@@ -94,6 +94,11 @@
         """Record that an attempt is about to be sent."""
         self.sends += 1
 
+    def record_unsent(self) -> None:
+        """Record that nothing was written of the attempt that was about to be sent."""
+        self.sends -= 1
+        self.failed_connects += 1
+
     def record_accepted(self) -> None:
         """Record that a backend server has accepted the request for execution."""
         self.verdict = Verdict.MAY_HAVE_RUN
--- a/hickoryloom/gateway/tests/test_ended_requests.py
+++ b/hickoryloom/gateway/tests/test_ended_requests.py
@@ -1,9 +1,13 @@
 """Requests that were read and must get a complete answer, or the true reason why they get none."""
 
 import errno
+import struct
+import time
 
 import attrs
+import gevent
 import pytest
+from gevent import socket
 from gevent.server import StreamServer
 
 from hickoryloom.catalog import RequestKind
@@ -13,7 +17,8 @@
 from hickoryloom.gateway.tests.test_hand_over_refusals import CALL, hand_over
 from hickoryloom.handover import RESULT_HEADER, HandOverPeer, HandOverResult, encode_result
 from hickoryloom.http import Server
-from hickoryloom.upstream import AttemptError, Exchange, FailureCause
+from hickoryloom.upstream import AttemptError, AttemptFailure, Exchange, FailureCause
+from hickoryloom.verdict import Verdict
 
 
 @pytest.fixture
@@ -180,3 +185,58 @@
     with pytest.raises(AttemptError) as raised:
         exchange.read()
     assert raised.value.failure.cause is FailureCause.CONNECTION_LOST
+
+
+def connected_pair():
+    """Return both ends of a TCP connection."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        near = socket.create_connection(listener.getsockname())
+        return near, listener.accept()[0]
+
+
+def test_a_request_of_which_nothing_was_written_has_not_run():
+    """Guards against a 502 after a connection that was reset before the request was written."""
+    near, far = connected_pair()
+    far.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    far.close()
+    gevent.sleep(0.05)
+    exchange = Exchange(near, "address", "a", "POST", SystemClock())
+    with pytest.raises(AttemptError) as raised:
+        exchange.send(b"head", b"body")
+    exchange.release()
+    failure = raised.value.failure
+    assert (failure.cause, failure.verdict) == (FailureCause.CONNECTION_LOST, Verdict.NOT_RUN)
+
+
+def test_a_request_that_its_server_does_not_read_ends_at_its_deadline():
+    """Guards against callers that wait for an answer beyond the timeout of their route."""
+    near, far = connected_pair()
+    exchange = Exchange(near, "address", "a", "POST", SystemClock())
+    exchange.read_deadline = time.monotonic() + 0.3
+    with pytest.raises(AttemptError) as raised:
+        exchange.send(b"head", bytes(16 * 1024 * 1024))
+    assert time.monotonic() < exchange.read_deadline + 0.5
+    assert raised.value.failure.cause is FailureCause.TIMED_OUT
+    assert raised.value.failure.verdict is Verdict.MAY_HAVE_RUN
+    exchange.release()
+    far.close()
+
+
+class ResettingBackends(GatewayFake):
+    """Backend servers of which the first resets its connection before the request is written."""
+
+    def open(self, address, id, method, new_connection):
+        exchange = super().open(address, id, method, new_connection)
+        if exchange.outcome == "reset":
+            exchange.send = self._reset
+        return exchange
+
+    def _reset(self, head, body):
+        raise AttemptError(AttemptFailure(FailureCause.CONNECTION_LOST, Verdict.NOT_RUN, "reset"))
+
+
+def test_a_request_that_was_not_written_goes_to_another_server():
+    """Guards against an error although another server may get the request."""
+    fake = ResettingBackends(["reset", "answered"])
+    response, _, complete = serve(fake, RequestKind.ONCE, 1, False)
+    assert (response.status, complete, fake.runs) == (200, True, 1)
--- a/hickoryloom/upstream/exchange.py
+++ b/hickoryloom/upstream/exchange.py
@@ -22,6 +22,8 @@
 endless head cost 17 ms in each attempt before it exceeded `MAX_HEADER_BYTES`."""
 
 SEND_TIMEOUT_S = 10.0
+"""Longest time for sending where there is no deadline."""
+
 READING_TIMEOUT_S = 1.0
 """Time for a peer to begin to read a request. One that takes longer would also answer late."""
 
@@ -229,12 +231,25 @@
             raise self.error(self._interruption, "interrupted before it was sent")
 
     def _write(self, data: bytes) -> None:
+        view, written = memoryview(data), 0
+        until = self._monotonic() + SEND_TIMEOUT_S
+        if self.read_deadline is not None:
+            until = min(until, self.read_deadline)
         try:
-            self._sock.settimeout(SEND_TIMEOUT_S)
-            self._sock.sendall(data)
+            while written < len(view):
+                left_s = until - self._monotonic()
+                if left_s <= 0:
+                    raise TimeoutError("deadline")
+                self._sock.settimeout(left_s)
+                written += self._sock.send(view[written:])
             self._sock.settimeout(None)
         except OSError as error:
-            raise self.error(FailureCause.CONNECTION_LOST, f"while sending: {error}")
+            # The kernel reports an error that it knew before it took any bytes.
+            self.bytes_sent = self.bytes_sent and written > 0
+            cause = FailureCause.CONNECTION_LOST
+            if _is_expiry(error):
+                cause = FailureCause.TIMED_OUT
+            raise self.error(cause, f"while sending: {error}")
 
     def read_head(self, skip_mismatched: bool = False) -> None:
         """Read until the headers of the final response are complete.
