Gateway: a request that ends in any way frees its server

Callers saw nothing of it; later ones met servers that counted as busier than they were, and an engine could work on for a request that had ended.

Cause: the connection was released after failures of the attempt only. A caller that left while its stream was about to move to another server, read ahead by another greenlet, ended that greenlet inside the new attempt, which nobody released. The same went for any unexpected error before the response began.

Evidence, on the code before: test_a_caller_that_leaves_while_its_stream_moves_ frees_the_next_server and test_an_unexpected_error_frees_the_server: "assert 1 == 0" (requests in flight).

Fix: whatever ends the request releases the attempt that is in progress, and the log says "failed" with the error where it was unexpected.

--- a/hickoryloom/gateway/attempts.py
+++ b/hickoryloom/gateway/attempts.py
@@ -181,6 +181,13 @@
         if self._attempt is not None:
             self._attempt.exchange.interrupt(FailureCause.CANCELLED)
 
+    def abandon(self) -> bool:
+        """Release the attempt in progress; return whether there was one."""
+        if self._attempt is None:
+            return False
+        self.close(self._attempt, PlacementOutcome.ABANDONED)
+        return True
+
     @property
     def may_run_again(self) -> bool:
         """Whether the request is repeatable, or is at no backend server and has not run."""
--- a/hickoryloom/gateway/forwarding.py
+++ b/hickoryloom/gateway/forwarding.py
@@ -127,6 +127,13 @@
 
     def run(self) -> Reply | Refusal:
         """Retry until an attempt yields a response or no further attempt is allowed."""
+        try:
+            return self._run()
+        except BaseException as error:
+            self._abandon("failed", error)
+            raise
+
+    def _run(self) -> Reply | Refusal:
         while True:
             started = self._attempts.start(None)
             if isinstance(started, Err):
@@ -140,6 +147,12 @@
                 if not self._attempts.may_retry(error.failure):
                     return self._log_refusal(self._attempts.refuse())
 
+    def _abandon(self, outcome: str, error: BaseException | None = None) -> None:
+        """Release the attempt in progress, if there is one, and log the end of the request."""
+        if self._attempts.abandon():
+            detail = "" if error is None else f"{type(error).__name__}: {error}"
+            self._attempts.log_end(outcome, 0, detail)
+
     def _receive_response(self, attempt: AnyAttempt) -> Reply | Refusal:
         """Read the response: completely, or up to the first event of a stream.
 
@@ -274,12 +287,13 @@
             if splitter.incomplete:
                 yield splitter.incomplete
             self._attempts.complete(current, PlacementOutcome.DONE, 200)
+        except Exception as error:
+            self._abandon("failed", error)
+            raise
         finally:
             self._buffered.release()
-            # The caller may have disconnected between two events.
-            if not current.ended:
-                self._attempts.close(current, PlacementOutcome.ABANDONED)
-                self._attempts.log_end("abandoned", 0)
+            # The caller may have disconnected between two events or while the stream moved.
+            self._abandon("abandoned")
 
     def _read_events(self, attempt: AnyAttempt, splitter: EventSplitter) -> bytes:
         """Return the next complete events, or an empty string at the end of the stream.
--- a/hickoryloom/gateway/tests/test_ended_requests.py
+++ b/hickoryloom/gateway/tests/test_ended_requests.py
@@ -8,6 +8,7 @@
 import gevent
 import pytest
 from gevent import socket
+from gevent.event import Event
 from gevent.server import StreamServer
 
 from hickoryloom.catalog import RequestKind
@@ -240,3 +241,36 @@
     fake = ResettingBackends(["reset", "answered"])
     response, _, complete = serve(fake, RequestKind.ONCE, 1, False)
     assert (response.status, complete, fake.runs) == (200, True, 1)
+
+
+class HangingBackends(GatewayFake):
+    """Backend servers of which those after the first are silent without end."""
+
+    def open(self, address, id, method, new_connection):
+        exchange = super().open(address, id, method, new_connection)
+        if exchange.outcome == "hang":
+            exchange.read_head = lambda skip_mismatched: Event().wait()
+        elif exchange.outcome == "broken":
+            exchange.check_id = self._fail
+        return exchange
+
+    def _fail(self):
+        raise RuntimeError("unexpected")
+
+
+def test_a_caller_that_leaves_while_its_stream_moves_frees_the_next_server():
+    """Guards against servers that stay occupied by a request that has ended."""
+    fake = HangingBackends(["cut-midway", "hang"])
+    reader = gevent.spawn(serve, fake, RequestKind.STREAM, 3, True)
+    gevent.sleep(0.01)
+    assert fake.context.placer.in_flight == 1
+    reader.kill()
+    assert fake.context.placer.in_flight == 0
+
+
+def test_an_unexpected_error_frees_the_server():
+    """Guards against servers that stay occupied by a request that has ended."""
+    fake = HangingBackends(["broken"])
+    with pytest.raises(RuntimeError):
+        serve(fake, RequestKind.REPEATABLE, 3, False)
+    assert fake.context.placer.in_flight == 0
