Gateway: a stream that fails while it is read ahead is never complete

Callers could see: a broken-off stream with the end of a complete one.

Cause: for a caller that doesn't read, another greenlet reads the stream on. It kept only errors derived from Exception for the caller. After any other one, such as gevent.Timeout, the source was at its end, which was passed on as the end of the stream. No path that raises one there is known.

Fix: every error but the end of the greenlet itself is kept and raised.

--- a/hickoryloom/gateway/read_ahead.py
+++ b/hickoryloom/gateway/read_ahead.py
@@ -48,7 +48,7 @@
         self._reader: gevent.Greenlet | None = None
         self._awaited = False
         self._changed = Event()
-        self._error: Exception | None = None
+        self._error: BaseException | None = None
         self._ended = False
 
     def on_blocked(self) -> None:
@@ -109,8 +109,11 @@
                 self._queued_bytes += len(events)
                 self._reservation.resize(self._queued_bytes + self._written_bytes)
                 self._changed.set()
-        except Exception as error:
-            # Raised for the caller once it has received the events before.
+        except gevent.GreenletExit:
+            raise
+        except BaseException as error:
+            # Raised for the caller once it has received the events before. Without it, the end of
+            # the failed source would look like the end of a complete stream.
             self._error = error
         finally:
             self._reader = None
--- a/hickoryloom/gateway/tests/test_ended_requests.py
+++ b/hickoryloom/gateway/tests/test_ended_requests.py
@@ -14,11 +14,12 @@
 from hickoryloom.catalog import RequestKind
 from hickoryloom.clock import SystemClock
 from hickoryloom.gateway.budget import SAFETY_FACTOR, SharedRetryBudget
+from hickoryloom.gateway.read_ahead import ReadAhead
 from hickoryloom.gateway.tests.test_forwarding import EVENTS, FakeExchange, GatewayFake, serve
 from hickoryloom.gateway.tests.test_hand_over_refusals import CALL, hand_over
 from hickoryloom.handover import RESULT_HEADER, HandOverPeer, HandOverResult, encode_result
 from hickoryloom.http import Server
-from hickoryloom.upstream import AttemptError, AttemptFailure, Exchange, FailureCause
+from hickoryloom.upstream import AttemptError, AttemptFailure, BufferBudget, Exchange, FailureCause
 from hickoryloom.verdict import Verdict
 
 
@@ -274,3 +275,20 @@
     with pytest.raises(RuntimeError):
         serve(fake, RequestKind.REPEATABLE, 3, False)
     assert fake.context.placer.in_flight == 0
+
+
+@pytest.mark.parametrize("error", [gevent.Timeout(), ValueError("unexpected")])
+def test_a_stream_that_fails_while_it_is_read_ahead_is_not_complete(error):
+    """Guards against a broken-off stream that ends like a complete one."""
+
+    def fail():
+        yield b"id: 1\n\n"
+        raise error
+
+    budget = BufferBudget(1024 * 1024)
+    ahead = ReadAhead(fail(), budget.hold(), budget)
+    ahead.on_blocked()
+    gevent.sleep(0.01)
+    assert next(ahead) == b"id: 1\n\n"
+    with pytest.raises(type(error)):
+        next(ahead)
