Http: keep watching a caller that has sent more bytes

Callers saw nothing of it; a server went on working for a caller that had sent a further request and then left, until its answer was written.

Cause: the watch ended as soon as there were bytes to read, since the end of the connection can't be read before them.

Evidence, on the code before: test_a_caller_that_has_sent_more_bytes_is_watched_ on[True]: "assert False is True". With leaves=False it passed before: a caller that only sends more bytes has never been taken for one that left.

Fix: while bytes are unread, the state of the connection is asked for every 100 ms. Callers that close only their sending side count as having left, as before: they can't be told from those that have closed both without writing to them, RFC 9112 (9.5) has implementations watch for that signal, and it knows no half-closed state after which an answer is still due. Servers must stop working for callers that have left, and these callers leave by closing.

--- a/hickoryloom/gateway/tests/test_ended_requests.py
+++ b/hickoryloom/gateway/tests/test_ended_requests.py
@@ -18,7 +18,7 @@
 from hickoryloom.gateway.tests.test_forwarding import EVENTS, FakeExchange, GatewayFake, serve
 from hickoryloom.gateway.tests.test_hand_over_refusals import CALL, hand_over
 from hickoryloom.handover import RESULT_HEADER, HandOverPeer, HandOverResult, encode_result
-from hickoryloom.http import Server
+from hickoryloom.http import SOCKET_KEY, DisconnectWatch, Server
 from hickoryloom.upstream import AttemptError, AttemptFailure, BufferBudget, Exchange, FailureCause
 from hickoryloom.verdict import Verdict
 
@@ -292,3 +292,20 @@
     assert next(ahead) == b"id: 1\n\n"
     with pytest.raises(type(error)):
         next(ahead)
+
+
+@pytest.mark.parametrize("leaves", [True, False])
+def test_a_caller_that_has_sent_more_bytes_is_watched_on(leaves):
+    """Guards against servers that work on for a caller that left after a pipelined request."""
+    near, far = connected_pair()
+    left = Event()
+    watch = DisconnectWatch({SOCKET_KEY: near}, left.set)
+    far.sendall(b"GET / HTTP/1.1\r\n")
+    gevent.sleep(0.05)
+    assert not left.is_set()
+    if leaves:
+        far.close()
+    assert left.wait(0.5) is leaves
+    watch.stop()
+    near.close()
+    far.close()
--- a/hickoryloom/http/disconnect_watch.py
+++ b/hickoryloom/http/disconnect_watch.py
@@ -5,18 +5,33 @@
 from typing import Any
 
 import gevent
+import logbook
+from gevent import socket
 
 from hickoryloom.http.server import SOCKET_KEY
+from hickoryloom.logs import log_event
 
 __all__ = ["DisconnectWatch"]
 
 MSG_PEEK = 2
 READ = 1
 
+STATE_CHECK_S = 0.1
+"""Interval for checking a connection with unread bytes, behind which its end can't be read."""
+
+ENDED_STATES = frozenset((7, 8, 9, 11))
+"""States of TCP in which the other side has closed: CLOSE, CLOSE_WAIT, LAST_ACK, CLOSING."""
+
+log = logbook.Logger("hickoryloom.http")
+
 
 class DisconnectWatch:
     """Runs a callback once if the caller closes its connection before the response is complete.
 
+    A caller that closes only its sending side looks the same as one that has left, and counts as
+    one: HTTP/1.1 has no half-closed connections, and servers must not work for callers that left.
+    A caller that only sends more bytes, such as its next request, has not left.
+
     Args:
         environ: WSGI environment of the request, created by `Server`.
         on_disconnect: Callback, which runs in another greenlet.
@@ -54,5 +69,23 @@
             closed = not self._socket.recv(1, MSG_PEEK)
         except OSError:
             closed = True
-        if closed:
-            self._on_disconnect()
+        try:
+            while not closed:
+                gevent.sleep(STATE_CHECK_S)
+                if self._watcher is None:
+                    return
+                closed = _is_ended(self._socket)
+        except OSError as error:
+            # Without the state, the end is noticed by the next write.
+            log_event(log, "caller-not-watched", error=str(error))
+            return
+        self._on_disconnect()
+
+
+def _is_ended(sock: Any) -> bool:
+    """Return whether the other side has closed a connection, whatever remains unread.
+
+    Raises:
+        OSError: The state of the connection is not known.
+    """
+    return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] in ENDED_STATES
