Hand-over: end it at once when its caller leaves while it is being sent

Callers saw nothing of it; a server ran the request of a caller that had left while the connection to a peer was being opened, to its end, since nothing ended the attempt afterwards. With status 100 awaited, the sender also went on to the next peers for up to three seconds.

Cause: an attempt at a peer could be ended only once it had been sent.

Fix: the connection is known to the request from the moment it is open, and a caller that left before ends it before anything is written. A refusal after that names its cause instead of `unreachable`.

--- a/hickoryloom/gateway/attempts.py
+++ b/hickoryloom/gateway/attempts.py
@@ -172,14 +172,18 @@
     def cancel(self) -> None:
         """Abort the request after its caller disconnected; may be called from any greenlet."""
         self._progress.caller_disconnected = True
-        if self._attempt is not None:
-            self._attempt.exchange.interrupt(FailureCause.CANCELLED)
+        self._interrupt()
 
     def give_up(self) -> None:
         """End the request because memory is short; may be called from any greenlet."""
         self._progress.given_up = True
+        self._interrupt()
+
+    def _interrupt(self) -> None:
         if self._attempt is not None:
             self._attempt.exchange.interrupt(FailureCause.CANCELLED)
+        elif self._peers is not None:
+            self._peers.interrupt()
 
     def abandon(self) -> bool:
         """Release the attempt in progress; return whether there was one."""
@@ -308,7 +312,8 @@
             self._progress.handed_over = True
             self._attempt = self._peers.start(self._placement_request.service, resume_after)
         if self._attempt is None:
-            return Err(self.refuse("unreachable"))
+            blocked = self._progress.blocking_reason(self._context.clock.monotonic())
+            return Err(self.refuse(blocked or "unreachable"))
         return Ok(self._attempt)
 
     def _record_unreachable(self, server: BackendServer) -> None:
--- a/hickoryloom/gateway/peer_attempts.py
+++ b/hickoryloom/gateway/peer_attempts.py
@@ -10,7 +10,7 @@
 from hickoryloom.gateway.progress import NO_MEMORY, RequestProgress
 from hickoryloom.handover import MAX_PEERS, HandOver, HandOverPeer, ReceivedCall
 from hickoryloom.logs import log_event
-from hickoryloom.upstream import AttemptError, AttemptFailure, FailureCause
+from hickoryloom.upstream import AttemptError, AttemptFailure, Exchange, FailureCause
 from hickoryloom.verdict import Verdict
 
 __all__ = ["UNABLE_REASONS", "PeerAttempts", "with_hand_over"]
@@ -63,6 +63,7 @@
         self._deadline = deadline
         self._progress = progress
         self._tried: set[str] = set()
+        self._sending: Exchange | None = None
 
     def start(self, service: str, resume_after: int | None) -> PeerAttempt | None:
         """Send the request to another instance; return None if none can take it.
@@ -89,16 +90,34 @@
             )
             try:
                 exchange = self._context.hand_overs.send(
-                    peer, self._call, hand_over, self._deadline, awaits_reading=True
+                    peer,
+                    self._call,
+                    hand_over,
+                    self._deadline,
+                    awaits_reading=True,
+                    on_open=self._on_open,
                 )
             except AttemptError as error:
                 self._record_failure(peer, service, now, error.failure)
                 if not self._progress.may_retry(error.failure):
                     return None
                 continue
+            finally:
+                self._sending = None
             return PeerAttempt(peer, service, exchange, now)
         return None
 
+    def interrupt(self) -> None:
+        """End a hand-over that is being sent; may be called from any greenlet."""
+        if self._sending is not None:
+            self._sending.interrupt(FailureCause.CANCELLED)
+
+    def _on_open(self, exchange: Exchange) -> None:
+        self._sending = exchange
+        # The caller may have left while the connection was being opened.
+        if self._progress.caller_disconnected or self._progress.given_up:
+            self.interrupt()
+
     def may_start(self, service: str, now: float) -> bool:
         """Return whether there is another instance that can take the request."""
         tried = frozenset(self._tried)
--- a/hickoryloom/gateway/tests/test_ended_requests.py
+++ b/hickoryloom/gateway/tests/test_ended_requests.py
@@ -14,12 +14,21 @@
 from hickoryloom.catalog import RequestKind
 from hickoryloom.clock import SystemClock
 from hickoryloom.gateway.budget import SAFETY_FACTOR, SharedRetryBudget
+from hickoryloom.gateway.forwarding import RequestForwarder
 from hickoryloom.gateway.read_ahead import ReadAhead
+from hickoryloom.gateway.tests import test_forwarding
 from hickoryloom.gateway.tests.test_forwarding import EVENTS, FakeExchange, GatewayFake, serve
 from hickoryloom.gateway.tests.test_hand_over_refusals import CALL, hand_over
 from hickoryloom.handover import RESULT_HEADER, HandOverPeer, HandOverResult, encode_result
 from hickoryloom.http import SOCKET_KEY, DisconnectWatch, Server
-from hickoryloom.upstream import AttemptError, AttemptFailure, BufferBudget, Exchange, FailureCause
+from hickoryloom.upstream import (
+    AttemptError,
+    AttemptFailure,
+    BufferBudget,
+    ConnectionPool,
+    Exchange,
+    FailureCause,
+)
 from hickoryloom.verdict import Verdict
 
 
@@ -309,3 +318,36 @@
     watch.stop()
     near.close()
     far.close()
+
+
+@pytest.mark.parametrize("after_s", [0.1, None])
+def test_a_caller_that_leaves_while_its_request_is_handed_over_ends_that(
+    start_server, monkeypatch, after_s
+):
+    """Guards against servers that work for a caller that left before a peer had its request."""
+    recorder, forwarders = Recorder(), []
+
+    def build(*arguments, **options):
+        forwarders.append(RequestForwarder(*arguments, **options))
+        return forwarders[0]
+
+    monkeypatch.setattr(test_forwarding, "RequestForwarder", build)
+    silent = start_server(lambda: StreamServer(("127.0.0.1", 0), lambda *_: gevent.sleep(5)))
+    peers = [silent]
+    if after_s is None:
+        peers = [start_server(lambda: Server(recorder, "127.0.0.1:0"))]
+        connect = ConnectionPool.open
+
+        def leave(*arguments):
+            exchange = connect(*arguments)
+            forwarders[0].cancel()
+            return exchange
+
+        monkeypatch.setattr(ConnectionPool, "open", leave)
+    request = gevent.spawn(hand_over, peers)
+    gevent.sleep(after_s or 0.01)
+    if after_s is not None:
+        forwarders[0].cancel()
+    response, _, _ = request.get(timeout=0.5)
+    assert (response.status, response.reason) == (503, "caller-left")
+    assert recorder.bodies == []
--- a/hickoryloom/handover/client.py
+++ b/hickoryloom/handover/client.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from result import Err
 
 from hickoryloom.handover.messages import (
@@ -66,6 +68,7 @@
         hand_over: HandOver,
         deadline: float,
         awaits_reading: bool = False,
+        on_open: Callable[[Exchange], None] | None = None,
     ) -> Exchange:
         """Send a request; the response can be read from the exchange.
 
@@ -76,6 +79,7 @@
             deadline: Monotonic time at which reading the response times out, in seconds.
             awaits_reading: Whether the end of the request is sent only once the peer reads it, so
                 that it is certain that a peer which ends before has not run it.
+            on_open: Called with the exchange before anything is sent; it may interrupt it.
 
         Raises:
             AttemptError: The connection failed; part of the request may have been sent.
@@ -94,6 +98,8 @@
         exchange = self._connections.open(peer.address, hand_over.request, call.method, False)
         exchange.read_deadline = deadline
         try:
+            if on_open is not None:
+                on_open(exchange)
             if awaits_reading:
                 exchange.send_when_read(head, body)
             else:
