--- a/hickoryloom/platform/tests/test_hand_over_stop_processes.py
+++ b/hickoryloom/platform/tests/test_hand_over_stop_processes.py
@@ -1,5 +1,6 @@
 """Real gateway processes that hand requests over to instances which are stopped as planned."""
 
+import functools
 import itertools
 import signal
 
@@ -7,6 +8,7 @@
 import pytest
 
 from hickoryloom.platform.tests.partition import launch_behind_wires
+from hickoryloom.platform.tests.standin import Backend, build_event, build_stream_head
 from hickoryloom.platform.tests.test_unreachable_servers import (
     KINDS,
     KNOWN_S,
@@ -16,7 +18,7 @@
     cut_all,
 )
 
-pytestmark = [pytest.mark.processes, pytest.mark.seconds(75)]
+pytestmark = [pytest.mark.processes, pytest.mark.seconds(110)]
 
 GRACE_S = 8.0
 TURN_S = 0.02
@@ -104,3 +106,31 @@
         for kind, tasks in streams.items():
             assert [task.get() for task in tasks] == [200] * 6, kind
         assert stopped.wait(GRACE_S) == 0
+
+
+def break_off(request, chunked, end):
+    """Script of a backend server that breaks its answer off: a stream within its second event."""
+    if "token-count" in request["headers"]:
+        yield build_stream_head(request, chunked)
+        yield build_event(1, chunked)
+        yield 0.1
+        yield build_event(2, chunked)[:8]
+    else:
+        yield build_stream_head(request, chunked).replace(b"text/event-stream", b"text/plain")
+        yield b"4\r\nhalf\r\n" if chunked else b"half"
+    yield 0.1
+    yield end
+
+
+@pytest.mark.parametrize("end", [Backend.RESET, Backend.CLOSE], ids=["reset", "close"])
+@pytest.mark.parametrize("chunked", [True, False], ids=["chunked", "closed"])
+def test_an_answer_that_breaks_off_is_not_complete_over_two_instances(instances, chunked, end):
+    """Guards against a part of an answer that reaches its caller as a complete success."""
+    servers, gateway, _ = instances
+    for backend in servers.backends:
+        backend.script = functools.partial(break_off, chunked=chunked, end=end)
+    assert call(gateway, "answer", "stream") == 0
+    # Nothing tells a plain answer without length that is closed too early from a complete one.
+    if chunked or end is Backend.RESET:
+        assert call(gateway, "once", "once") == 502
+    assert [line for line in gateway.events("hand-over") if "request=stream " in line]
