Gateway: a request counts once for the retry budget, also if it was not written

Nothing was seen by callers; a service could have got more retries than the budget allows while its connections were reset before anything was written.

Cause: since such an attempt no longer counts as a send, the next one was taken for the first send of the request and counted again.

Fix: the request remembers that it has been counted.

--- a/hickoryloom/gateway/attempts.py
+++ b/hickoryloom/gateway/attempts.py
@@ -113,6 +113,7 @@
             route, self._deadline, sends=0 if hand_over is None else hand_over.sends
         )
         self._attempt: AnyAttempt | None = None
+        self._in_budget = False
         self._reach_wait = ReachWait(context, service, route)
         self._peers: PeerAttempts | None = None
         # A request is handed over only once.
@@ -341,7 +342,10 @@
         attempt = Attempt(placement, exchange, now)
         budget = context.retries(self._placement_request.service)
         if self._progress.sends == 0:
-            budget.record_first_send(now)
+            # An attempt of which nothing was written may come before the first send.
+            if not self._in_budget:
+                budget.record_first_send(now)
+            self._in_budget = True
         elif not budget.try_acquire(now):
             context.connections.close(exchange)
             return Err(self.refuse("retry-budget"))
--- a/hickoryloom/gateway/tests/test_ended_requests.py
+++ b/hickoryloom/gateway/tests/test_ended_requests.py
@@ -253,6 +253,15 @@
     assert (response.status, complete, fake.runs) == (200, True, 1)
 
 
+def test_a_request_that_was_not_written_counts_once_for_the_retry_budget():
+    """Guards against a budget for retries that grows with connections that are reset."""
+    fake = ResettingBackends(["reset", "answered"])
+    budget = SharedRetryBudget(0.5 / SAFETY_FACTOR, 0.0, 10.0, 1)
+    fake.context = attrs.evolve(fake.context, retries=lambda service: budget)
+    serve(fake, RequestKind.ONCE, 1, False)
+    assert not budget.has_room(fake.clock.now)
+
+
 class HangingBackends(GatewayFake):
     """Backend servers of which those after the first are silent without end."""
 
