--- a/hickoryloom/__main__.py
+++ b/hickoryloom/__main__.py
@@ -1,5 +1,6 @@
 """Entry point of the command line."""
 
+import os
 import signal
 import sys
 
@@ -23,4 +24,9 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    code = main()
+    if sys.argv[1:2] == ["gateway"]:
+        # Nothing is left to be done after a stop, and the teardown of the interpreter takes up to
+        # 0.7 s on a busy machine, which the grace period can't spare.
+        os._exit(code)
+    sys.exit(code)
--- a/hickoryloom/commands/gateway.py
+++ b/hickoryloom/commands/gateway.py
@@ -47,6 +47,4 @@
         read_fingerprint=read_fingerprint,
     )
     reload.start()
-    code = run_until_stopped(gateway, reload=reload.reload)
-    # The teardown of the interpreter takes up to 0.7 s on a busy machine, which a stop can't spare.
-    os._exit(code)
+    return run_until_stopped(gateway, reload=reload.reload)
--- a/hickoryloom/gateway/attempts.py
+++ b/hickoryloom/gateway/attempts.py
@@ -52,6 +52,10 @@
 """The same for requests to model engines, where a late first token usually means queueing rather
 than a fault."""
 
+PEER_SLOWNESS = 2.0
+"""How many times as long as a server another instance may be silent: it notices a silent server
+itself and moves the stream to another one."""
+
 CLIENT_ERROR = 400
 
 
@@ -109,6 +113,7 @@
             route, self._deadline, sends=0 if hand_over is None else hand_over.sends
         )
         self._attempt: AnyAttempt | None = None
+        self._in_budget = False
         self._reach_wait = ReachWait(context, service, route)
         self._peers: PeerAttempts | None = None
         # A request is handed over only once.
@@ -168,15 +173,26 @@
     def cancel(self) -> None:
         """Abort the request after its caller disconnected; may be called from any greenlet."""
         self._progress.caller_disconnected = True
-        if self._attempt is not None:
-            self._attempt.exchange.interrupt(FailureCause.CANCELLED)
+        self._interrupt()
 
     def give_up(self, reason: str) -> None:
         """End the request; may be called from any greenlet."""
         self._progress.given_up = True
         self._progress.given_up_because = reason
+        self._interrupt()
+
+    def _interrupt(self) -> None:
         if self._attempt is not None:
             self._attempt.exchange.interrupt(FailureCause.CANCELLED)
+        elif self._peers is not None:
+            self._peers.interrupt()
+
+    def abandon(self) -> bool:
+        """Release the attempt in progress; return whether there was one."""
+        if self._attempt is None:
+            return False
+        self.close(self._attempt, PlacementOutcome.ABANDONED)
+        return True
 
     @property
     def given_up(self) -> str:
@@ -308,9 +324,8 @@
             self._progress.handed_over = True
             self._attempt = self._peers.start(self._placement_request.service, resume_after)
         if self._attempt is None:
-            return Err(self.refuse("unreachable"))
-        if self.has_ended:
-            self._attempt.exchange.interrupt(FailureCause.CANCELLED)
+            blocked = self._progress.blocking_reason(self._context.clock.monotonic())
+            return Err(self.refuse(blocked or "unreachable"))
         return Ok(self._attempt)
 
     def _record_unreachable(self, server: BackendServer) -> None:
@@ -338,7 +353,10 @@
         attempt = Attempt(placement, exchange, now)
         budget = context.retries(self._placement_request.service)
         if self._progress.sends == 0:
-            budget.record_first_send(now)
+            # An attempt of which nothing was written may come before the first send.
+            if not self._in_budget:
+                budget.record_first_send(now)
+            self._in_budget = True
         elif not budget.try_acquire(now):
             context.connections.close(exchange)
             return Err(self.refuse("retry-budget"))
@@ -371,6 +389,8 @@
             return Err(refuse(400, str(error), self._progress.verdict))
         except AttemptError as error:
             self.fail(attempt, error.failure)
+            if error.failure.verdict is Verdict.NOT_RUN:
+                self._progress.record_unsent()
             if self.may_retry(error.failure):
                 return self.start(resume_after)
             return Err(self.refuse())
@@ -395,10 +415,30 @@
         timeout_s = targets * self._route.target_s * self.slowness(attempt)
         return min(self._deadline, attempt.sent + timeout_s)
 
+    def may_move(self, attempt: AnyAttempt) -> bool:
+        """Return whether a silent attempt may end now: for another one, or at the deadline."""
+        context, progress = self._context, self._progress
+        now = context.clock.monotonic()
+        if now >= self._deadline:
+            return True
+        if progress.blocking_reason(now) or self._guard.is_held(now):
+            return False
+        if self._pin is not None and self._pin.is_lost:
+            return False
+        service = self._placement_request.service
+        if progress.is_unreachable or context.reach.is_cut_off(service):
+            return self._peers is not None and self._peers.may_start(service, now)
+        excluded = progress.excluded | self._listing.held_servers()
+        if isinstance(attempt, Attempt):
+            excluded = excluded | {attempt.placement.server.id}
+        if context.placer.choose(self._pinned_request(), frozenset(excluded), now) is None:
+            return False
+        return not progress.sends or context.retries(service).has_room(now)
+
     def slowness(self, attempt: AnyAttempt) -> float:
         """Return how many times as long as usual the server of an attempt may take."""
         if isinstance(attempt, PeerAttempt):
-            return 1.0
+            return PEER_SLOWNESS
         now = self._context.clock.monotonic()
         return self._context.placer.slowness(attempt.placement.server.id, now)
 
@@ -515,7 +555,8 @@
             )
         if failure.cause is FailureCause.CONNECTION_LOST:
             self._context.reach.record_lost(attempt.placement.server.service)
-            self._guard.record_end(attempt, self._context.clock.monotonic())
+            if failure.verdict is not Verdict.NOT_RUN:
+                self._guard.record_end(attempt, self._context.clock.monotonic())
         in_flight = self._context.placer.in_flight_at(attempt.placement.server.id)
         self.close(attempt, _outcome_of(failure))
         self._log.log_failed_attempt(
--- a/hickoryloom/gateway/forwarding.py
+++ b/hickoryloom/gateway/forwarding.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
+from typing import TypeVar
 
 import attrs
 import gevent
@@ -35,6 +36,8 @@
 
 __all__ = ["RequestForwarder"]
 
+T = TypeVar("T")
+
 log = logbook.Logger("hickoryloom.gateway")
 
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
@@ -53,6 +56,10 @@
 """Lower bound of the read timeout of a resumable stream. Callers wait two seconds for the next
 event."""
 
+MOVE_CHECK_S = 0.1
+"""Interval for checking whether a request whose backend server is silent may move to another one.
+"""
+
 ROOM_CHECK_S = 0.02
 ROOM_WAIT_S = 1.0
 """Longest time for which a response is left to its backend server because memory is short. Servers
@@ -125,6 +132,13 @@
 
     def run(self) -> Reply | Refusal:
         """Retry until an attempt yields a response or no further attempt is allowed."""
+        try:
+            return self._run()
+        except BaseException as error:
+            self._abandon("failed", error)
+            raise
+
+    def _run(self) -> Reply | Refusal:
         while True:
             started = self._attempts.start(None)
             if isinstance(started, Err):
@@ -138,6 +152,12 @@
                 if not self._attempts.may_retry(error.failure):
                     return self._log_refusal(self._attempts.refuse())
 
+    def _abandon(self, outcome: str, error: BaseException | None = None) -> None:
+        """Release the attempt in progress, if there is one, and log the end of the request."""
+        if self._attempts.abandon():
+            detail = "" if error is None else f"{type(error).__name__}: {error}"
+            self._attempts.log_end(outcome, 0, detail)
+
     def _receive_response(self, attempt: AnyAttempt) -> Reply | Refusal:
         """Read the response: completely, or up to the first event of a stream.
 
@@ -187,7 +207,7 @@
             AttemptError: The backend server has not run the request, or the response is invalid.
         """
         exchange = attempt.exchange
-        exchange.read_head(skip_mismatched=True)
+        self._read_patiently(attempt, lambda: exchange.read_head(skip_mismatched=True))
         exchange.check_id()
         head = self._context.backends.read_head(exchange.status, exchange.headers)
         self._attempts.record_head(attempt, head)
@@ -272,12 +292,13 @@
             if splitter.incomplete:
                 yield splitter.incomplete
             self._attempts.complete(current, PlacementOutcome.DONE, 200)
+        except Exception as error:
+            self._abandon("failed", error)
+            raise
         finally:
             self._buffered.release()
-            # The caller may have disconnected between two events.
-            if not current.ended:
-                self._attempts.close(current, PlacementOutcome.ABANDONED)
-                self._attempts.log_end("abandoned", 0)
+            # The caller may have disconnected between two events or while the stream moved.
+            self._abandon("abandoned")
 
     def _read_events(self, attempt: AnyAttempt, splitter: EventSplitter) -> bytes:
         """Return the next complete events, or an empty string at the end of the stream.
@@ -299,7 +320,7 @@
             )
         else:
             exchange.read_deadline = self._attempts.deadline
-        while chunk := exchange.read():
+        while chunk := self._read_patiently(attempt, exchange.read):
             try:
                 events = splitter.feed(chunk)
             except EventSequenceError as error:
@@ -315,6 +336,24 @@
             raise exchange.error(FailureCause.CONNECTION_LOST, "stream ended before an event")
         return b""
 
+    def _read_patiently(self, attempt: AnyAttempt, read: Callable[[], T]) -> T:
+        """Read from an attempt; its timeout takes effect once the request may move elsewhere.
+
+        Ending the attempt before that would only replace a late response by none.
+
+        Raises:
+            AttemptError: The attempt has failed, or another one may take its place.
+        """
+        while True:
+            try:
+                return read()
+            except AttemptError as error:
+                is_silent = error.failure.cause is FailureCause.TIMED_OUT
+                if not is_silent or self._attempts.may_move(attempt):
+                    raise
+            check_at = self._context.clock.monotonic() + MOVE_CHECK_S
+            attempt.exchange.read_deadline = min(self._attempts.deadline, check_at)
+
     def _resume(self, splitter: EventSplitter, failure: AttemptFailure) -> tuple[AnyAttempt, bytes]:
         """Resume the stream after its last event at another backend server.
 
