Gateway: callers of a stopping instance are told to come back at once

Callers saw: a 503 with Retry-After of 0.3 to 1.0 s from an instance that stops, so that a request with a target of 0.2 s was late although all other instances could serve it. Cause: one Retry-After for all causes, sized for full or crashed backend servers. Evidence: the new test failed before (0.394 == 0). Fix: the cause 'stopping' says 0 seconds: the load balancer has stopped leading callers to this instance by then.

--- a/hickoryloom/gateway/refusals.py
+++ b/hickoryloom/gateway/refusals.py
@@ -5,6 +5,7 @@
 import random
 
 from hickoryloom.gateway.messages import Refusal
+from hickoryloom.gateway.progress import STOPPING
 from hickoryloom.verdict import Verdict
 
 __all__ = ["refuse"]
@@ -48,6 +49,9 @@
     if verdict is not Verdict.NOT_RUN:
         timeout = reason == "timeout"
         return Refusal(TIMEOUT_STATUS if timeout else FAILED_STATUS, reason, verdict)
+    if reason == STOPPING:
+        # The load balancer leads the caller to another instance, which can serve it at once.
+        return Refusal(NOT_RUN_STATUS, reason, verdict, 0.0)
     draw = rng.random() if rng is not None else 0.5
     retry_s = min(
         max(MIN_RETRY_AFTER_S, wait_s) + RETRY_AFTER_JITTER_S * draw,
--- a/hickoryloom/gateway/tests/test_budget_and_refusals.py
+++ b/hickoryloom/gateway/tests/test_budget_and_refusals.py
@@ -43,3 +43,8 @@
 def test_retry_after_is_at_most_a_third_of_the_remaining_time(left_s, seed):
     refusal = refuse(0, "no-backend-server", Verdict.NOT_RUN, left_s, Random(seed))
     assert 0 <= refusal.retry_after_s <= left_s / 3
+
+
+def test_a_caller_of_a_stopping_instance_may_return_at_once():
+    """Guards against callers that wait although any other instance can serve them."""
+    assert refuse(0, "stopping", Verdict.NOT_RUN, 4.0, Random(1)).retry_after_s == 0
