Standins: a dropped connection ends without any response again

Since errors of an application are answered with 500, the fault switches that lose a response sent that status instead of closing the connection: test_lost_service_response_is_reported_and_never_retried failed ('500 Internal Server Error' where no response was meant). The stand-in now shuts the connection down before it raises.

--- a/hickoryloom/standins/base.py
+++ b/hickoryloom/standins/base.py
@@ -9,8 +9,9 @@
 import attrs
 import cattrs
 import falcon
+from gevent import socket
 
-from hickoryloom.http import JsonClient, Server
+from hickoryloom.http import SOCKET_KEY, JsonClient, Server
 
 __all__ = ["StandIn", "drop_connection", "read_json", "register_backend", "set_switches"]
 
@@ -54,6 +55,8 @@
     ) -> Iterable[bytes]:
         response = self._app(environ, start_response)
         if environ.get(CONNECTION_DROPPED_KEY):
+            # The server answers an error of its application unless the connection has ended.
+            environ[SOCKET_KEY].shutdown(socket.SHUT_RDWR)
             raise ConnectionResetError(errno.ECONNRESET, "connection dropped by a fault switch")
         return response
 
