Metering: a final write is awaited as long as there is time

Nothing was seen by callers; the usage since the last write of an instance that stops could be lost, with 'final-counts-lost' in the log, though its final write was under way and had time left.

The write no longer delays the hand-over after 0.3 s; if no other instance took the counts, the stop gave up at once, since a repetition would not have fitted into the time, also while the first write had not been answered.

Fix: a write that is under way is awaited until the end of the time; only a repetition needs room for itself. A write that succeeds during a failed hand-over is not logged as lost.

--- a/hickoryloom/metering/task.py
+++ b/hickoryloom/metering/task.py
@@ -156,18 +156,22 @@
         instances. If these don't take them, the write is repeated.
 
         Args:
-            until: Monotonic time after which it is not repeated.
+            until: Monotonic time after which it is neither repeated nor waited for.
         """
         writing = gevent.spawn(self._finish)
         writing.join(WRITE_PATIENCE_S)
         while not writing.value and not self._hand_over():
-            if self._clock.monotonic() + RETRY_INTERVAL_S > until:
+            left_s = until - self._clock.monotonic()
+            if writing.value:
+                return
+            if left_s <= 0 or (writing.ready() and left_s < RETRY_INTERVAL_S):
                 log_event(log, "final-counts-lost", key=self._key)
                 return
             if writing.ready():
                 gevent.sleep(RETRY_INTERVAL_S)
                 writing = gevent.spawn(self._finish)
-            writing.join(RETRY_INTERVAL_S)
+                left_s = RETRY_INTERVAL_S
+            writing.join(min(RETRY_INTERVAL_S, left_s))
 
     def _finish(self) -> bool:
         """Write the final counts after the step in progress; return whether they are safe."""
--- a/hickoryloom/metering/tests/test_custody.py
+++ b/hickoryloom/metering/tests/test_custody.py
@@ -177,3 +177,17 @@
     task.stop(until=started_at + 10.0)
     assert clock.monotonic() - started_at < 1.0
     assert len(fleet.holders()) == 2
+
+
+@pytest.mark.parametrize("takes_s", [0.35, 0.5])
+def test_a_final_write_is_awaited_as_long_as_there_is_time(monkeypatch, takes_s):
+    """Guards against a process that ends under its final write, which nobody else holds."""
+    store = MemoryStore()
+    write = MemoryStore.update
+    monkeypatch.setattr(MemoryStore, "update", lambda *args: gevent.sleep(takes_s) or write(*args))
+    clock = SystemClock()
+    task = MeterTask(
+        store, clock, UsageMeter(clock, 5.0), "a-1", "h0:1", "d", "", lambda live: None
+    )
+    task.stop(until=clock.monotonic() + 0.65)
+    assert store.objects[KEY][1]["final"]
