Metering: a process that has written its final counts holds no others

Nothing was seen by callers; the usage of an instance could be lost if it handed its final counts to instances that were about to end.

Cause: a process refused the counts of others only once it had handed its own over. One that had written its own to the store went on accepting them while it finished its connections, and ended with them.

Fix: nothing is accepted once the final write and the write of what is held have succeeded. An instance that is refused asks another one.

--- a/hickoryloom/metering/custody.py
+++ b/hickoryloom/metering/custody.py
@@ -122,6 +122,16 @@
                 return False
         return not self._held
 
+    def finish(self) -> bool:
+        """Write what is held, and accept nothing more once nothing is left; return whether it is.
+
+        Other instances ask further ones if this one refuses their counts.
+        """
+        if not self.store():
+            return False
+        self._accepts = False
+        return True
+
     def _store_one(self, key: str, counts: InstanceCounts) -> PlatformError | None:
         """Write the counts of one process unless another holder did; return why it failed."""
         found = self._client.get(key)
--- a/hickoryloom/metering/task.py
+++ b/hickoryloom/metering/task.py
@@ -176,7 +176,7 @@
     def _finish(self) -> bool:
         """Write the final counts after the step in progress; return whether they are safe."""
         self._loop.stop()
-        return self._write(final=True) and (self._custody is None or self._custody.store())
+        return self._write(final=True) and (self._custody is None or self._custody.finish())
 
     def _hand_over(self) -> bool:
         """Hand the final counts to other instances; return whether they are safe."""
--- a/hickoryloom/metering/tests/test_custody.py
+++ b/hickoryloom/metering/tests/test_custody.py
@@ -179,6 +179,17 @@
     assert len(fleet.holders()) == 2
 
 
+def test_a_process_that_has_written_its_final_counts_holds_no_others(fleet):
+    """Guards against counts accepted by a process that ends before it writes them."""
+    fleet.store.down = False
+    clock, custody = SystemClock(), fleet.custodies["h0:1"]
+    task = MeterTask(
+        fleet.store, clock, UsageMeter(clock, 5.0), "b-1", "h0:1", "d", "", lambda _: None, custody
+    )
+    task.stop(until=clock.monotonic() + 1.0)
+    assert not custody.accept({KEY: COUNTS})
+
+
 @pytest.mark.parametrize("takes_s", [0.35, 0.5])
 def test_a_final_write_is_awaited_as_long_as_there_is_time(monkeypatch, takes_s):
     """Guards against a process that ends under its final write, which nobody else holds."""
