Http: a body that nobody reads is not taken for the next request

Callers saw: while an instance stops, an answer that was given before the body was read doesn't ask to close the connection, and the next request on it can meet its close.

Evidence, on the code before: test_a_body_that_nobody_reads_is_not_taken_for_ the_next_request failed with a length and in chunks (no 'Connection: close').

Fix: before the end of the body, no bytes count as the next request.

--- a/hickoryloom/http/caller_input.py
+++ b/hickoryloom/http/caller_input.py
@@ -11,7 +11,7 @@
 
 from hickoryloom.logs import log_event
 
-__all__ = ["CallerReader", "discard_body"]
+__all__ = ["CallerReader", "discard_body", "is_body_read"]
 
 log = logbook.Logger("hickoryloom.http")
 
@@ -68,6 +68,13 @@
         return size
 
 
+def is_body_read(body: Any) -> bool:
+    """Return whether a request body, the input of gevent's server, was read to its end."""
+    if body.chunked_input:
+        return bool(body.chunk_length == 0)
+    return bool(body.position >= (body.content_length or 0))
+
+
 def discard_body(body: Any, timeout_s: float) -> bool:
     """Read the rest of a request body; return whether its end was reached.
 
@@ -75,11 +82,7 @@
         body: Input of gevent's server.
         timeout_s: Maximum time for all of it.
     """
-    if body.chunked_input:
-        is_read = body.chunk_length == 0
-    else:
-        is_read = body.position >= (body.content_length or 0)
-    if is_read:
+    if is_body_read(body):
         return True
     try:
         with gevent.Timeout(timeout_s):
--- a/hickoryloom/http/handler.py
+++ b/hickoryloom/http/handler.py
@@ -13,7 +13,7 @@
 from gevent import socket
 from gevent.pywsgi import WSGIHandler, _InvalidClientInput
 
-from hickoryloom.http.caller_input import CallerReader, discard_body
+from hickoryloom.http.caller_input import CallerReader, discard_body, is_body_read
 from hickoryloom.http.connection_log import RequestStage, unread_bytes
 from hickoryloom.http.framing import StrictFraming
 from hickoryloom.http.limits import BoundedLineReader, HeadersTooLargeError, HeadersTooSlowError
@@ -231,6 +231,8 @@
         return write
 
     def _next_has_arrived(self) -> bool:
+        if not is_body_read(self.wsgi_input):
+            return False
         self._reader.blocked = True
         try:
             return bool(self.rfile.peek(1)) or unread_bytes(self.socket) > 0
--- a/hickoryloom/http/tests/test_stopping_server.py
+++ b/hickoryloom/http/tests/test_stopping_server.py
@@ -106,6 +106,19 @@
     assert received.count(b"Connection: close") == 1
 
 
+@pytest.mark.parametrize(
+    "body",
+    [b"Content-Length: 4\r\n\r\nbody", b"Transfer-Encoding: chunked\r\n\r\n1\r\nb\r\n0\r\n\r\n"],
+)
+def test_a_body_that_nobody_reads_is_not_taken_for_the_next_request(server, body):
+    """Guards against a caller that goes on using a connection that is about to be closed."""
+    with connect(server) as sock:
+        server.drain()
+        sock.sendall(b"POST / HTTP/1.1\r\nHost: h\r\n" + body)
+        received = read_response(sock)
+    assert received.startswith(b"HTTP/1.1 200") and b"Connection: close" in received
+
+
 def test_bytes_that_cross_the_close_are_not_served(server, app, monkeypatch):
     """Guards against a request that runs although its connection was closed before it was read."""
     with used_connection(server) as sock:
