Shutdown: a step fails also with errors outside Exception

No case is known. A step that raised gevent.Timeout was logged as done, and SystemExit in a step ended the stop before the next one, since gevent raises it in the main greenlet.

Fix: whatever a step raises is its failure.

--- a/hickoryloom/shutdown/steps.py
+++ b/hickoryloom/shutdown/steps.py
@@ -109,10 +109,11 @@
     """Run a step and return its error, or an empty string."""
     try:
         step.run()
-    except Exception as error:
+    except BaseException as error:
+        # Also gevent.Timeout, and SystemExit, which gevent raises in the main greenlet.
         return _format_error(error)
     return ""
 
 
-def _format_error(error: Exception) -> str:
+def _format_error(error: BaseException) -> str:
     return f"{type(error).__name__}: {error}"[:MAX_ERROR_CHARS]
--- a/hickoryloom/shutdown/tests/test_steps.py
+++ b/hickoryloom/shutdown/tests/test_steps.py
@@ -44,9 +44,12 @@
     assert order == ["next", "slow"] and outcomes == {"next": "done", "slow": "done"}
 
 
-def test_a_step_that_fails_does_not_prevent_the_others():
+@pytest.mark.parametrize("error", [OSError("no such lease"), gevent.Timeout(1), SystemExit(1)])
+def test_a_step_that_fails_does_not_prevent_the_others(error):
+    """Guards also against a failed step that is logged as done."""
+
     def fail():
-        raise OSError("no such lease")
+        raise error
 
     ran = []
     _, outcomes = run(StopStep("fails", fail), StopStep("next", lambda: ran.append(True)))
