Tests: the reload of a stopping process is awaited, not timed

test_a_reload_that_raises_does_not_end_the_process sent its second SIGHUP 0.1 s after SIGTERM to a process that ended 0.3 s after it; a busy machine can exceed that. It now waits for the line of each step.

--- a/hickoryloom/commands/tests/test_gateway_command.py
+++ b/hickoryloom/commands/tests/test_gateway_command.py
@@ -37,20 +37,30 @@
 from gevent import monkey
 monkey.patch_all()
 import gevent
+from gevent.event import Event
 from hickoryloom.lifecycle import run_until_stopped
 from hickoryloom.logs import configure_logging
 
+reloaded_in_stop = Event()
+is_stopping = False
+
 class Process:
     addresses = {}
     def start(self):
         gevent.spawn(gevent.sleep, 60)
         print("started", flush=True)
     def stop(self):
-        gevent.sleep(0.3)
+        global is_stopping
+        is_stopping = True
+        print("stopping", flush=True)
+        reloaded_in_stop.wait()
+        gevent.sleep(0.1)
         print("stopped", flush=True)
 
 def reload():
     print("reloading", flush=True)
+    if is_stopping:
+        reloaded_in_stop.set()
     raise ValueError("unexpected")
 
 configure_logging()
@@ -68,9 +78,13 @@
     ) as process:
         assert process.stdout is not None
         assert process.stdout.readline() == "started\n"
-        for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP):
+        for number, line in (
+            (signal.SIGHUP, "reloading\n"),
+            (signal.SIGTERM, "stopping\n"),
+            (signal.SIGHUP, "reloading\n"),
+        ):
             process.send_signal(number)
-            gevent.sleep(0.1)
+            assert process.stdout.readline() == line
         output, errors = process.communicate(timeout=8.0)
-    assert (process.returncode, output) == (0, "reloading\nreloading\nstopped\n")
+    assert (process.returncode, output) == (0, "stopped\n")
     assert errors.count("event=reload-failed") == 2
