Gateway: a silent server is given up only with the next attempt reserved

Callers saw: streams cut and 502 although the server was sound, where several requests waited for one slow server and the retry budget had room for fewer.

Each of the waiting requests saw the same room, and those that came too late had given their server up for nothing.

Evidence, on the code before: test_a_slow_server_is_not_given_up_for_an_attempt_ that_another_request_takes: 'assert (502, True, 2) == (200, True, 2)' for the head and the first event, '(200, False, 2)' for the third.

Fix: the check takes the retry, and the next send of the request uses it.

--- a/hickoryloom/gateway/attempts.py
+++ b/hickoryloom/gateway/attempts.py
@@ -114,6 +114,7 @@
         )
         self._attempt: AnyAttempt | None = None
         self._in_budget = False
+        self._has_retry = False
         self._reach_wait = ReachWait(context, service, route)
         self._peers: PeerAttempts | None = None
         # A request is handed over only once.
@@ -357,9 +358,10 @@
             if not self._in_budget:
                 budget.record_first_send(now)
             self._in_budget = True
-        elif not budget.try_acquire(now):
+        elif not self._reserve_retry(now):
             context.connections.close(exchange)
             return Err(self.refuse("retry-budget"))
+        self._has_retry = False
         self._progress.record_sent()
         self._attempt = attempt
         context.meter.record_demand(self._placement_request.service, placement.prefill_tokens)
@@ -416,7 +418,10 @@
         return min(self._deadline, attempt.sent + timeout_s)
 
     def may_move(self, attempt: AnyAttempt) -> bool:
-        """Return whether a silent attempt may end now: for another one, or at the deadline."""
+        """Return whether a silent attempt may end now: for another one, or at the deadline.
+
+        The attempt must then end, as the other one is reserved.
+        """
         context, progress = self._context, self._progress
         now = context.clock.monotonic()
         if now >= self._deadline:
@@ -433,7 +438,15 @@
             excluded = excluded | {attempt.placement.server.id}
         if context.placer.choose(self._pinned_request(), frozenset(excluded), now) is None:
             return False
-        return not progress.sends or context.retries(service).has_room(now)
+        # Others may take the last retry while the next connection is being opened.
+        return not progress.sends or self._reserve_retry(now)
+
+    def _reserve_retry(self, now: float) -> bool:
+        """Reserve one more send of this request, unless it has one; return whether it has."""
+        if not self._has_retry:
+            budget = self._context.retries(self._placement_request.service)
+            self._has_retry = budget.try_acquire(now)
+        return self._has_retry
 
     def slowness(self, attempt: AnyAttempt) -> float:
         """Return how many times as long as usual the server of an attempt may take."""
--- a/hickoryloom/gateway/tests/test_ended_requests.py
+++ b/hickoryloom/gateway/tests/test_ended_requests.py
@@ -169,6 +169,24 @@
     assert body.count(b"id: ") == EVENTS
 
 
+@pytest.mark.parametrize("event", [0, 1, 3])
+def test_a_slow_server_is_not_given_up_for_an_attempt_that_another_request_takes(event):
+    """Guards against the same where many requests wait for one server and few may be sent again."""
+    fake = SlowBackends(event, 2, 1)
+    opened = []
+
+    def open_beside_another_request(*arguments, **options):
+        opened.append(arguments)
+        if len(opened) == 2:
+            fake.context.retries("").try_acquire(fake.clock.now)
+        return SlowBackends.open(fake, *arguments, **options)
+
+    fake.open = open_beside_another_request
+    response, body, complete = serve(fake, RequestKind.STREAM, 2, True)
+    assert (response.status, complete, len(opened)) == (200, True, 2)
+    assert body.count(b"id: ") == EVENTS
+
+
 class ExpiredSocket:
     """A connection that TCP has given up: it reports that once, and then its end."""
 
