--- a/hickoryloom/metering/task.py
+++ b/hickoryloom/metering/task.py
@@ -156,23 +156,27 @@
         instances. If these don't take them, the write is repeated.
 
         Args:
-            until: Monotonic time after which it is not repeated.
+            until: Monotonic time after which it is neither repeated nor waited for.
         """
         writing = gevent.spawn(self._finish)
         writing.join(WRITE_PATIENCE_S)
         while not writing.value and not self._hand_over():
-            if self._clock.monotonic() + RETRY_INTERVAL_S > until:
+            left_s = until - self._clock.monotonic()
+            if writing.value:
+                return
+            if left_s <= 0 or (writing.ready() and left_s < RETRY_INTERVAL_S):
                 log_event(log, "final-counts-lost", key=self._key)
                 return
             if writing.ready():
                 gevent.sleep(RETRY_INTERVAL_S)
                 writing = gevent.spawn(self._finish)
-            writing.join(RETRY_INTERVAL_S)
+                left_s = RETRY_INTERVAL_S
+            writing.join(min(RETRY_INTERVAL_S, left_s))
 
     def _finish(self) -> bool:
         """Write the final counts after the step in progress; return whether they are safe."""
         self._loop.stop()
-        return self._write(final=True) and (self._custody is None or self._custody.store())
+        return self._write(final=True) and (self._custody is None or self._custody.finish())
 
     def _hand_over(self) -> bool:
         """Hand the final counts to other instances; return whether they are safe."""
