Gateway: a refusal while stopping takes no deadline or random source

refuse() ignores both for this cause since callers may return at once, so the arguments and their comment said something that no longer holds. No change of behaviour; gateway tests and the test of a body that is still arriving pass.

--- a/hickoryloom/gateway/app.py
+++ b/hickoryloom/gateway/app.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import json
-import math
 from collections.abc import Callable, Iterable, Iterator
 from functools import partial
 from http import HTTPStatus
@@ -135,9 +134,7 @@
         if isinstance(body, Err):
             refusal = body.err_value
             if held.is_ended:
-                # The caller's deadline is not known before the request has been decoded.
-                refusal = refuse(0, STOPPING, Verdict.NOT_RUN, math.inf, self._context.rng)
-                refusal = attrs.evolve(refusal, close=True)
+                refusal = attrs.evolve(refuse(0, STOPPING, Verdict.NOT_RUN), close=True)
             self._context.buffers.refused += refusal.reason == NO_MEMORY
             _log_unreadable(refusal, environ)
             return refusal
