--- a/review/lab.py
+++ b/review/lab.py
@@ -171,39 +171,39 @@
         self.revision = 10
         self.answer_s = 0.004
         self.history: list[tuple[int, str, dict]] = []
-        self.changed = asyncio.Condition()
+        self._pulse = asyncio.Event()
 
     async def put(self, kind: str, name: str, spec: object) -> int:
         """Create or replace an object; return its revision."""
-        async with self.changed:
-            self.revision += 1
-            known = self.objects.get((kind, name))
-            created = known["metadata"]["created"] if known else self.revision
-            stored = {
-                "metadata": {
-                    "name": name,
-                    "revision": self.revision,
-                    "created": created,
-                    "finalizers": [],
-                    "deletion_pending": False,
-                },
-                "spec": spec,
-                "status": None,
-            }
-            self.objects[kind, name] = stored
-            self.history.append((self.revision, kind, {"object": stored, "deleted": False}))
-            self.changed.notify_all()
+        self.revision += 1
+        known = self.objects.get((kind, name))
+        created = known["metadata"]["created"] if known else self.revision
+        stored = {
+            "metadata": {
+                "name": name,
+                "revision": self.revision,
+                "created": created,
+                "finalizers": [],
+                "deletion_pending": False,
+            },
+            "spec": spec,
+            "status": None,
+        }
+        self.objects[kind, name] = stored
+        self._note_change(kind, {"object": stored, "deleted": False})
         return self.revision
 
     async def remove(self, kind: str, name: str) -> None:
         """Remove an object."""
-        async with self.changed:
-            stored = self.objects.pop((kind, name))
-            self.revision += 1
-            meta = {**stored["metadata"], "revision": self.revision}
-            event = {"object": {**stored, "metadata": meta}, "deleted": True}
-            self.history.append((self.revision, kind, event))
-            self.changed.notify_all()
+        stored = self.objects.pop((kind, name))
+        self.revision += 1
+        meta = {**stored["metadata"], "revision": self.revision}
+        self._note_change(kind, {"object": {**stored, "metadata": meta}, "deleted": True})
+
+    def _note_change(self, kind: str, event: dict) -> None:
+        self.history.append((self.revision, kind, event))
+        self._pulse.set()
+        self._pulse = asyncio.Event()
 
     async def handle(
         self, head: Head, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -257,13 +257,14 @@
         return 200, {"items": items, "has_more": len(names) > PAGE_ITEMS, "at": self.revision}
 
     async def _watch(self, kind: str, since: int, wait_ms: int) -> dict:
-        def events() -> list[dict]:
-            return [event for at, k, event in self.history if k == kind and at > since]
-
-        with contextlib.suppress(TimeoutError):
-            async with self.changed:
-                await asyncio.wait_for(self.changed.wait_for(events), wait_ms / 1000)
-        return {"events": events(), "at": self.revision}
+        end = time.monotonic() + wait_ms / 1000
+        while not (events := [found for at, k, found in self.history if k == kind and at > since]):
+            left_s = end - time.monotonic()
+            if left_s <= 0:
+                break
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._pulse.wait(), left_s)
+        return {"events": events, "at": self.revision}
 
 
 class Duties(HttpServer):
