Origins: streams go on after the loss of all instances while versions are mixed

Cause: which version began a stream was only in the memory of the instance that began it and of three others. A service that is mixed must refuse a stream of unknown origin. The same for streams that began while one version served, if a second one comes during or after the loss.

Ruled out: a version by hash of the request's id (uncertain after each change of the servers), origins in the usage counts (written too rarely), one object a stream, a first event that waits for a write.

Change: each process stores the origins of its open resumable streams in one object while several versions are listed. An unlisted version is no longer used after 1.5 s by an instance that knows listed ones.

--- a/hickoryloom/gateway/app.py
+++ b/hickoryloom/gateway/app.py
@@ -217,11 +217,11 @@
                 context, request, route, service, customer, arrived, None, call, hand_over, holder
             )
         customer_name = customer.name if customer is not None else ""
-        begun_by, software = request.id, ""
+        begun_by = software = ""
         if request.resume_after is not None:
             begun_by = request.resumes
             key = origin_key(customer_name, begun_by) if begun_by else ""
-            origin = context.origins.find(key, service)
+            origin = context.origins.find(key, service, route.resumable)
             if origin is None:
                 known = context.origins.knows_versions(service)
                 reason = "origin-unknown" if known else "versions-unknown"
@@ -229,7 +229,9 @@
             service, software = origin.service, origin.software
             if service not in {target.service for target in route.targets}:
                 return self._refuse(503, "origin-elsewhere", request)
-        pin = StreamPin(context.origins, customer_name, begun_by, software)
+        pin = StreamPin(
+            context.origins, customer_name, request.id, route.resumable, begun_by, software
+        )
         return RequestForwarder(
             context, request, route, service, customer, arrived, pin, call, hand_over, holder
         )
--- a/hickoryloom/gateway/process.py
+++ b/hickoryloom/gateway/process.py
@@ -54,6 +54,7 @@
 from hickoryloom.origins import (
     ORIGIN_TOPICS,
     ListedVersions,
+    OriginJournals,
     OriginKeepers,
     SoftwareVersions,
     StreamOrigins,
@@ -75,7 +76,7 @@
 from hickoryloom.scaling import Scaler
 from hickoryloom.sharing import VIEW_PATH, Peer, ViewFollower, ViewServer
 from hickoryloom.shutdown import StopStep, run_stop_steps
-from hickoryloom.store import CallBudget, PlatformClient
+from hickoryloom.store import CallBudget, CallKind, PlatformClient
 from hickoryloom.upstream import BufferBudget, ConnectionPool, buffer_limit_bytes
 
 __all__ = ["Gateway", "build_gateway"]
@@ -188,6 +189,15 @@
         self._version_lists = VersionLists(
             self._client, clock, listed, self._catalog.view.age, self._registrations_age_s
         )
+        self._journals = OriginJournals(
+            self._client,
+            clock,
+            self._version_lists,
+            self._incarnation,
+            settings.operators,
+            lambda: self._client.budget.rate(CallKind.WRITE),
+            self._ranking.rank,
+        )
         self._origins = StreamOrigins(
             clock,
             self._datagrams,
@@ -196,6 +206,7 @@
             self._discovery.find,
             self._catalog.view.age,
             self._version_lists,
+            self._journals,
         )
         self._discovery.subscribe(self._origins.set_servers)
         self._reach = Reach(settings.operators, records)
@@ -416,6 +427,7 @@
         self._catalog.start()
         self._discovery.start()
         self._version_lists.start()
+        self._journals.start()
         self._evacuations.start()
         self._readiness_server.start()
         if self._operators_server is not None:
@@ -629,6 +641,7 @@
             HandOverPeer(counts.address, counts.failure_domain, counts.token)
             for counts in live.values()
         )
+        self._journals.note_processes(all(counts.journals for counts in live.values()))
         identities = [counts.address or key for key, counts in live.items()]
         self._ranking.set_others(identities)
         # Others that read the list now do not know an instance that is missing from it.
--- a/hickoryloom/gateway/stream_pin.py
+++ b/hickoryloom/gateway/stream_pin.py
@@ -14,15 +14,25 @@
     Args:
         origins: Origins of streams, shared with other instances.
         customer: Name of the customer; empty if there is none.
-        begun_by: Id of the request that began the stream.
+        request: Id of the request.
+        resumable: Whether callers may take the stream up.
+        begun_by: Id of the request that began a stream that is taken up; empty for a new one.
         software: Version of the origin of a stream that is taken up; empty if any one will do.
     """
 
     def __init__(
-        self, origins: StreamOrigins, customer: str, begun_by: str, software: str = ""
+        self,
+        origins: StreamOrigins,
+        customer: str,
+        request: str,
+        resumable: bool,
+        begun_by: str = "",
+        software: str = "",
     ) -> None:
         self._origins = origins
-        self._key = origin_key(customer, begun_by)
+        self._key = origin_key(customer, begun_by or request)
+        self._own_key = origin_key(customer, request)
+        self._resumable = resumable
         self._software = software
         self._server: BackendServer | None = None
 
@@ -49,9 +59,12 @@
     def record_first_event(self, server: BackendServer) -> None:
         """Record the server of the first event; call before the event is passed on."""
         if self._server is None and not self._software:
-            self._software = self._origins.record(self._key, server)
+            self._software = self._origins.record(self._key, server, self._resumable)
+        elif self._server is None:
+            # Its caller may name this request instead of the one that began the stream.
+            self._origins.record(self._own_key, server, self._resumable)
         self._server = self._server or server
 
     def record_completed(self) -> None:
         """Record that the response was delivered completely."""
-        self._origins.drop(self._key)
+        self._origins.record_delivered(self._key)
--- a/hickoryloom/metering/messages.py
+++ b/hickoryloom/metering/messages.py
@@ -44,6 +44,7 @@
         failure_domain: Failure domain of the instance.
         token: Secret with which other instances sign the requests that they hand over to the
             process; empty if it takes none.
+        journals: Whether the process keeps journals of the origins of its streams.
     """
 
     written: float
@@ -53,6 +54,7 @@
     address: str = ""
     failure_domain: str = ""
     token: str = attrs.field(default="", repr=False)
+    journals: bool = False
 
 
 class UsageCodec(Protocol):
--- a/hickoryloom/metering/task.py
+++ b/hickoryloom/metering/task.py
@@ -225,6 +225,7 @@
             address=self._address,
             failure_domain=self._failure_domain,
             token=self._token,
+            journals=True,
         )
 
     def _read_version(self) -> bool:
--- a/hickoryloom/origins/__init__.py
+++ b/hickoryloom/origins/__init__.py
@@ -1,5 +1,6 @@
 """Which software version began a stream, over all instances."""
 
+from hickoryloom.origins.journals_task import OriginJournals
 from hickoryloom.origins.keepers import OriginKeepers
 from hickoryloom.origins.listed import ListedVersions
 from hickoryloom.origins.lists_task import VersionLists
@@ -11,6 +12,7 @@
     "ListedVersions",
     "ORIGIN_TOPICS",
     "Origin",
+    "OriginJournals",
     "OriginKeepers",
     "OriginMemory",
     "SoftwareVersions",
--- a/hickoryloom/origins/listed.py
+++ b/hickoryloom/origins/listed.py
@@ -18,6 +18,7 @@
 import attrs
 
 from hickoryloom.discovery import BackendServer
+from hickoryloom.origins.periods import Period, next_period, read_period, write_period
 
 __all__ = ["ListedVersions", "ReadList", "WriteList", "list_key", "listed_names"]
 
@@ -44,8 +45,8 @@
 """Range of the pause after a failed call."""
 
 HOLD_S = 1.5
-"""Longest time for which servers of an unlisted version get no resumable stream: one call without
-an answer and a second try."""
+"""Longest time for which servers of an unlisted version get no resumable stream while no listed
+version is known: one call without an answer and a second try."""
 
 GAP_S = 5.0
 """Age of the view, or pause of this process, from which a version may have come and gone unseen."""
@@ -222,15 +223,39 @@
         kept = self._lists.get(service)
         if kept is None or not kept.first_seen or len(kept.stored or ()) >= MAX_LISTED:
             return frozenset()
+        if kept.stored:
+            # Its streams could be taken for streams of the listed versions.
+            return frozenset(kept.first_seen)
         return frozenset(name for name, at in kept.first_seen.items() if now - at < HOLD_S)
 
+    def period(self, service: str) -> Period | None:
+        """Return the period of a service; None while less than two versions are listed."""
+        kept = self._lists.get(service)
+        if kept is None or kept.stored is None:
+            return None
+        return read_period(kept.value, listed_names(kept.value) or frozenset(), kept.era)
+
+    def is_read(self, service: str) -> bool:
+        """Return whether the list of a service was read or written."""
+        kept = self._lists.get(service)
+        return kept is not None and kept.stored is not None
+
+    def list_version(self, service: str) -> int:
+        """Return the known version of the object with the list of a service; 0 for none."""
+        kept = self._lists.get(service)
+        return kept.version if kept is not None else 0
+
+    def present(self, service: str) -> frozenset[str]:
+        """Return the versions of a service that have servers now."""
+        return self._present.get(service, frozenset())
+
     def take_expired_holds(self, now: float) -> list[tuple[str, str]]:
         """Return the services and versions whose hold has ended before they were listed, once."""
         expired = {
             (service, name)
             for service, kept in self._lists.items()
             for name, at in kept.first_seen.items()
-            if now - at >= HOLD_S
+            if now - at >= HOLD_S and not kept.stored
         }
         new, self._reported = expired - self._reported, expired
         return sorted(new)
@@ -446,11 +471,18 @@
         if not is_first and kept.read_at is not None and kept.read_at < turn_at:
             return ReadList(service)
         self._writes += 1
+        id = f"{self._writer}/{self._writes}"
         known = kept.value.get("versions")
         entries = known if isinstance(known, dict) else {}
+        before = frozenset(entries)
+        period = None
+        if len(names) > 1:
+            is_certain = kept.value.get("era", 0) == kept.era and not kept.restore
+            period = next_period(self.period(service), before, id, is_certain)
         value = {
-            **kept.value,
+            **write_period(kept.value, names, period, kept.era),
             "versions": {name: entries.get(name, {}) for name in sorted(names)},
-            "written_by": f"{self._writer}/{self._writes}",
+            "written_by": id,
+            "era": kept.era,
         }
         return WriteList(service, value, kept.version, now)
--- a/hickoryloom/origins/lists_task.py
+++ b/hickoryloom/origins/lists_task.py
@@ -20,6 +20,7 @@
     list_key,
     listed_names,
 )
+from hickoryloom.origins.periods import Period
 from hickoryloom.store import ErrorKind, PlatformClient, PlatformError, confirmed_update
 
 __all__ = ["VersionLists"]
@@ -74,13 +75,23 @@
         self._stopping = Event()
         self._wake = Event()
         self._changed = Event()
+        self._on_change: list[Callable[[], None]] = []
         self._greenlet: gevent.Greenlet | None = None
 
+    @property
+    def services(self) -> frozenset[str]:
+        """Services whose lists are kept."""
+        return self._listed.services
+
     @property
     def held_versions(self) -> int:
         """Number of versions, over all services, whose servers get no resumable stream yet."""
         return sum(len(self.held(service)) for service in self._listed.services)
 
+    def subscribe(self, listener: Callable[[], None]) -> None:
+        """Call `listener` whenever a list was read or written."""
+        self._on_change.append(listener)
+
     def start(self) -> None:
         """Start the task."""
         self._greenlet = gevent.spawn(
@@ -124,6 +135,22 @@
         """Return whether the versions that a service had lately are known."""
         return self._listed.is_known(service)
 
+    def period(self, service: str) -> Period | None:
+        """Return the period of a service; None while less than two versions are listed."""
+        return self._listed.period(service)
+
+    def present(self, service: str) -> frozenset[str]:
+        """Return the versions of a service that have servers now."""
+        return self._listed.present(service)
+
+    def is_read(self, service: str) -> bool:
+        """Return whether the list of a service was read or written."""
+        return self._listed.is_read(service)
+
+    def list_version(self, service: str) -> int:
+        """Return the known version of the object with the list of a service; 0 for none."""
+        return self._listed.list_version(service)
+
     def confirm(self, service: str) -> bool:
         """Return whether the versions that a service had lately are known.
 
@@ -222,5 +249,11 @@
         self._listed.on_failed(service, self._clock.monotonic())
 
     def _notify(self) -> None:
+        for listener in self._on_change:
+            listener()
+        self.wake_waiting()
+
+    def wake_waiting(self) -> None:
+        """Let streams that wait for a version check whether its servers are still held back."""
         self._changed.set()
         self._changed = Event()
--- a/hickoryloom/origins/messages.py
+++ b/hickoryloom/origins/messages.py
@@ -57,11 +57,20 @@
 
 @attrs.frozen
 class Told:
-    """The answer to a question; the origin is None if the sender doesn't know it."""
+    """The answer to a question; the origin is None if the sender doesn't know it.
+
+    Attributes:
+        number: Number of the question.
+        origin: The origin.
+        age_s: Seconds since the first event of the stream.
+        process: Id of the sender if it would know each stream that it has begun within a stream's
+            lifetime; empty otherwise.
+    """
 
     number: int
     origin: Origin | None
     age_s: float = 0.0
+    process: str = ""
 
 
 Message = Keep | Ask | Told
--- a/hickoryloom/origins/state.py
+++ b/hickoryloom/origins/state.py
@@ -31,6 +31,7 @@
 
     def __init__(self) -> None:
         self._origins: OrderedDict[str, tuple[Origin, float]] = OrderedDict()
+        self._displaced_at = float("-inf")
 
     def __len__(self) -> int:
         return len(self._origins)
@@ -40,7 +41,12 @@
         self._origins[key] = (origin, at)
         self._origins.move_to_end(key)
         if len(self._origins) > MAX_ORIGINS:
-            self._origins.popitem(last=False)
+            _, (_, displaced_at) = self._origins.popitem(last=False)
+            self._displaced_at = max(displaced_at, self._displaced_at)
+
+    def is_complete(self, now: float) -> bool:
+        """Return whether no origin had to give way that would not be too old by now."""
+        return now - self._displaced_at >= ORIGIN_LIFETIME_S
 
     def get(self, key: str, now: float) -> tuple[Origin, float] | None:
         """Return an origin and the time of its first event; None if it is unknown or too old."""
--- a/hickoryloom/origins/task.py
+++ b/hickoryloom/origins/task.py
@@ -12,6 +12,7 @@
 from hickoryloom.datagrams import DatagramPort
 from hickoryloom.discovery import BackendServer
 from hickoryloom.logs import log_event
+from hickoryloom.origins.journals_task import JournalView, OriginJournals
 from hickoryloom.origins.keepers import OriginKeepers
 from hickoryloom.origins.listed import MAX_VERSION_CHARS
 from hickoryloom.origins.lists_task import VersionLists
@@ -29,6 +30,9 @@
 ASK_TIMEOUT_S = 0.15
 """Longest wait for answers, many times the round trip between failure domains."""
 
+ASK_ROUNDS = 3
+"""How often a process is asked whose answer is needed, as datagrams get lost."""
+
 MAX_VIEW_AGE_S = 1.5
 """Age of the list of servers up to which it shows whether a service is mixed."""
 
@@ -52,6 +56,7 @@
         find_server: Returns the current registration of a server by its id.
         view_age_s: Returns the age of the list of servers in seconds, given the time.
         lists: Lists of versions in the store; None if no list is kept.
+        journals: Journals in the store; None if none are kept.
     """
 
     def __init__(
@@ -63,8 +68,10 @@
         find_server: Callable[[str], BackendServer | None],
         view_age_s: Callable[[float], float],
         lists: VersionLists | None = None,
+        journals: OriginJournals | None = None,
     ) -> None:
         self._lists = lists
+        self._journals = journals
         self._ids: dict[tuple[str, str], frozenset[str]] = {}
         self._clock = clock
         self._port = port
@@ -72,7 +79,8 @@
         self._versions = versions
         self._find_server = find_server
         self._view_age_s = view_age_s
-        self._own = OriginMemory()
+        self._own = OriginMemory() if journals is None else journals.memory
+        self._own_unresumable = OriginMemory()
         self._kept = OriginMemory()
         self._mixed: frozenset[str] = frozenset()
         self._questions: dict[int, _Question] = {}
@@ -82,7 +90,7 @@
     @property
     def kept(self) -> int:
         """Number of origins in memory."""
-        return len(self._own) + len(self._kept)
+        return len(self._own) + len(self._own_unresumable) + len(self._kept)
 
     def is_mixed(self, service: str) -> bool:
         """Return whether streams of a service must go on at the version that began them."""
@@ -98,14 +106,16 @@
         self._ids = {key: frozenset(found) for key, found in ids.items()}
         if self._lists is not None:
             self._lists.set_servers(servers)
+        if self._journals is not None:
+            self._journals.set_servers(servers)
         self._versions.update(servers, self._clock.monotonic())
         self.refresh()
 
     def refresh(self) -> None:
         """Drop old origins; pass those of open streams on when their service becomes mixed."""
         now = self._clock.monotonic()
-        self._own.expire(now)
-        self._kept.expire(now)
+        for memory in (self._own, self._own_unresumable, self._kept):
+            memory.expire(now)
         if self._lists is not None:
             self._lists.refresh()
         self._versions.refresh(now)
@@ -113,7 +123,7 @@
             service for service in self._versions.services() if self.is_mixed(service)
         )
         for service in mixed - self._mixed:
-            origins = self._own.all_of(service, now)
+            origins = self._own.all_of(service, now) + self._own_unresumable.all_of(service, now)
             log_event(log, "versions-mixed", service=service, open_streams=len(origins))
             for key, origin, at in origins:
                 self._send_keep(key, origin, now - at)
@@ -121,12 +131,13 @@
             log_event(log, "versions-uniform", service=service)
         self._mixed = mixed
 
-    def record(self, key: str, server: BackendServer) -> str:
+    def record(self, key: str, server: BackendServer, resumable: bool = True) -> str:
         """Record the first event of a stream; call before the event is passed on.
 
         Args:
             key: Key of the stream.
             server: The server as it was registered when it was chosen.
+            resumable: Whether callers may take the stream up.
 
         Returns:
             The version at which the stream may go on; empty if it is not certain.
@@ -137,21 +148,31 @@
             (current.started_ms, current.software) == (server.started_ms, server.software)
         )
         origin = Origin(server.service, server.id, server.software if is_same else "")
-        self._own.put(key, origin, now)
+        (self._own if resumable else self._own_unresumable).put(key, origin, now)
         if self.is_mixed(server.service):
             self._send_keep(key, origin, 0.0)
+        if resumable and self._journals is not None:
+            self._journals.note_stream(server.service)
         return origin.software
 
-    def drop(self, key: str) -> None:
-        """Forget a stream that was delivered completely."""
+    def record_delivered(self, key: str) -> None:
+        """Record that a stream was delivered completely, as far as this instance can tell."""
+        known = self._own.get(key, self._clock.monotonic())
         self._own.drop(key)
+        self._own_unresumable.drop(key)
+        # Its caller may have lost the connection before the last events.
+        if known is not None and self.is_mixed(known[0].service):
+            self._kept.put(key, *known)
 
     def held_servers(self, service: str) -> frozenset[str]:
         """Return the ids of servers that must not get a resumable stream yet.
 
-        Their version is not yet known to be listed in the store.
+        Their version is not yet known to be listed in the store, or this process has no journal
+        there for streams of that version.
         """
         held = self._lists.held(service) if self._lists is not None else frozenset()
+        if self._journals is not None:
+            held |= self._journals.held(service)
         if not held:
             return frozenset()
         return frozenset().union(*(self._ids.get((service, name), ()) for name in held))
@@ -165,20 +186,22 @@
         """Return whether the versions that a service had lately are known."""
         return self._lists is None or self._lists.is_known(service)
 
-    def find(self, key: str, service: str) -> Origin | None:
+    def find(self, key: str, service: str, resumable: bool = True) -> Origin | None:
         """Return the origin of a stream that a caller takes up.
 
-        Blocks for the time-outs of the other instances and of the list in the store at most.
+        Blocks for the time-outs of the other instances, of the list and of the journals in the
+        store at most.
 
         Args:
             key: Key of the stream; empty if the caller doesn't name it.
             service: Service to which the request would be sent.
+            resumable: Whether callers may take the stream up.
 
         Returns:
             The origin, without a version if any one will do; None if it is not known and matters.
         """
         now = self._clock.monotonic()
-        known = (self._own.get(key, now) or self._kept.get(key, now)) if key else None
+        known = self._recall(key, now) if key else None
         replied = False
         if known is None and key:
             known, replied = self._ask(key)
@@ -186,16 +209,85 @@
             origin, at = known
             self._kept.put(key, origin, at)
             return self._checked(origin)
-        if self.is_mixed(service):
+        if not self.is_mixed(service):
+            if not replied and self._view_age_s(self._clock.monotonic()) > MAX_VIEW_AGE_S:
+                return None
+            # Reading the list may show that the service is mixed.
+            if self._lists is not None and not self._lists.confirm(service):
+                return None
+            if not self.is_mixed(service):
+                return Origin(service, "", "")
+        found = self._find_stored(key, service) if key and resumable else None
+        if found is not None:
+            self._kept.put(key, found, now)
+            return self._checked(found)
+        return None
+
+    def _recall(self, key: str, now: float) -> tuple[Origin, float] | None:
+        """Return the origin and the time of a stream that this instance knows."""
+        memories = (self._own, self._own_unresumable, self._kept)
+        return next((known for m in memories if (known := m.get(key, now)) is not None), None)
+
+    def _find_stored(self, key: str, service: str) -> Origin | None:
+        """Return what the journals in the store tell about a stream that no instance knows."""
+        if self._journals is None or self._lists is None:
+            return None
+        view, is_current = self._journals.read(key)
+        origin = view.find(key)
+        if origin is None and is_current and self._lists.confirm(service):
+            origin = self._infer(key, service, view)
+        log_event(
+            log,
+            "stream-origin-read",
+            service=service,
+            journals=len(view.journals),
+            is_current=is_current,
+            software=origin.software if origin is not None else None,
+        )
+        return origin
+
+    def _infer(self, key: str, service: str, view: JournalView) -> Origin | None:
+        """Return the base of the service's period if the stream can't have begun elsewhere.
+
+        That is so if each process that may have begun streams at other versions lives and does not
+        know it. The journals of those that have ended may lack their last streams.
+        """
+        assert self._journals is not None and self._lists is not None
+        period = self._lists.period(service)
+        if period is None or not period.base or view.unreadable:
             return None
-        if not replied and self._view_age_s(self._clock.monotonic()) > MAX_VIEW_AGE_S:
+        if not self._journals.covers_all_processes:
             return None
-        # Reading the list may show that the service is mixed.
-        if self._lists is not None and not self._lists.confirm(service):
+        others = {
+            journal.process: journal.address
+            for journal in view.journals
+            if (journal.service, journal.period) == (service, period.id)
+            and journal.leaves_base
+            and journal.process != self._journals.process
+        }
+        if not self._certain_process or not all(others.values()):
             return None
-        if self.is_mixed(service):
+        unaware: frozenset[str] = frozenset()
+        for _ in range(ASK_ROUNDS):
+            asked = [address for process, address in others.items() if process not in unaware]
+            if not asked:
+                break
+            question = self._ask_at(key, asked)
+            if question is None:
+                return None
+            if question.found is not None:
+                return question.found[0]
+            unaware |= question.unaware
+        if not unaware.issuperset(others):
             return None
-        return Origin(service, "", "")
+        return Origin(service, "", period.base)
+
+    @property
+    def _certain_process(self) -> str:
+        """Id of this process; empty if it may have forgotten a stream."""
+        now = self._clock.monotonic()
+        is_complete = self._own.is_complete(now) and self._kept.is_complete(now)
+        return self._journals.process if self._journals is not None and is_complete else ""
 
     def _checked(self, origin: Origin) -> Origin | None:
         """Return an origin unless its version is no longer certain and matters."""
@@ -209,18 +301,24 @@
 
     def _ask(self, key: str) -> tuple[tuple[Origin, float] | None, bool]:
         """Ask other instances; return what they know and whether any of them replied."""
-        asked = self._keepers.first(key, ASKED)
-        if not asked or not self._port.is_open or len(self._questions) >= MAX_QUESTIONS:
+        question = self._ask_at(key, self._keepers.first(key, ASKED))
+        if question is None:
             return None, False
+        return question.found, question.replies > 0
+
+    def _ask_at(self, key: str, addresses: list[str]) -> _Question | None:
+        """Ask instances for an origin; return their answers, or None if none can be asked."""
+        if not addresses or not self._port.is_open or len(self._questions) >= MAX_QUESTIONS:
+            return None
         self._number = number = self._number + 1
-        question = self._questions[number] = _Question(len(asked))
+        question = self._questions[number] = _Question(len(addresses))
         try:
-            for address in asked:
+            for address in addresses:
                 self._send(Ask(key, self._port.address, number), address)
             question.settled.wait(ASK_TIMEOUT_S)
         finally:
             del self._questions[number]
-        return question.found, question.replies > 0
+        return question
 
     def _send_keep(self, key: str, origin: Origin, age_s: float) -> None:
         for address in self._keepers.first(key, KEEPERS):
@@ -238,9 +336,10 @@
         if isinstance(message, Keep):
             self._kept.put(message.key, message.origin, now - max(0.0, message.age_s))
         elif isinstance(message, Ask):
-            known = self._own.get(message.key, now) or self._kept.get(message.key, now)
+            known = self._recall(message.key, now)
             origin, at = known if known is not None else (None, now)
-            self._send(Told(message.number, origin, round(now - at, 3)), message.address)
+            told = Told(message.number, origin, round(now - at, 3), self._certain_process)
+            self._send(told, message.address)
         else:
             question = self._questions.get(message.number)
             if question is not None:
@@ -250,6 +349,12 @@
 class _Question:
     """What the instances that were asked have replied so far.
 
+    Attributes:
+        replies: Number of replies.
+        found: The origin and the time of the first event; None while none is known.
+        unaware: Processes that have certainly not begun the stream.
+        settled: Set once no further reply matters.
+
     Args:
         asked: Number of instances that were asked.
     """
@@ -258,11 +363,14 @@
         self._asked = asked
         self.replies = 0
         self.found: tuple[Origin, float] | None = None
+        self.unaware: frozenset[str] = frozenset()
         self.settled = Event()
 
     def on_told(self, told: Told, now: float) -> None:
         """Apply a reply; the first one with an origin settles the question."""
         self.replies += 1
+        if told.origin is None and told.process:
+            self.unaware |= {told.process}
         if told.origin is not None and self.found is None:
             self.found = (told.origin, now - max(0.0, told.age_s))
         if self.found is not None or self.replies >= self._asked:
--- a/hickoryloom/origins/tests/test_origins.py
+++ b/hickoryloom/origins/tests/test_origins.py
@@ -163,7 +163,7 @@
     for number in range(20):
         first.origins.record(origin_key("one", str(number)), OLD)
     for number in range(10):
-        first.origins.drop(origin_key("one", str(number)))
+        first.origins.record_delivered(origin_key("one", str(number)))
     network.list_servers(OLD, NEW)
     assert network.sent["Keep"] == 30
     network.down = {first.address}
--- a/hickoryloom/platform/tests/test_mixed_streams.py
+++ b/hickoryloom/platform/tests/test_mixed_streams.py
@@ -4,6 +4,7 @@
 import random
 import signal
 import time
+from functools import partial
 
 import gevent
 import pytest
@@ -207,12 +208,13 @@
     wait_until(lambda: len(gateway.events("backend-server-gone")) >= gone)
 
 
-def lose_all(site, gateways):
+def lose_all(site, gateways, meanwhile=lambda: None):
     """Kill all instances at once and start as many new ones."""
     for gateway in gateways:
         gateway.signal(signal.SIGKILL)
     for gateway in gateways:
         gateway.kill()
+    meanwhile()
     fresh = [site.launch(f"fresh-{index}") for index in range(len(gateways))]
     for gateway in fresh:
         gateway.wait_ready()
@@ -256,6 +258,27 @@
     assert [status for status, _, _ in results] == [200] * 12
 
 
+@pytest.mark.parametrize("joins", ["before", "while-all-are-lost"])
+def test_streams_go_on_after_the_loss_of_all_instances_if_two_versions_serve(site, joins):
+    """Guards against origins of streams that only the memory of instances holds."""
+    engines = Engines(site, ["v1"] * 2, pause_s=0.05)
+    if joins == "before":
+        engines.add("v2")
+        engines.add("v2")
+    gateways = start_gateways(site)
+    begun = {f"s{number}": begin(gateways[number % 3], f"s{number}") for number in range(12)}
+    gevent.sleep(1.0)
+    add = partial(engines.add, "v2") if joins == "while-all-are-lost" else lambda: None
+    fresh = lose_all(site, gateways, add)
+    wait_until_known(fresh)
+    results = [
+        (versions, *take_up(fresh[number % 3], f"t{number}", id)[:2])
+        for number, (id, versions) in enumerate(begun.items())
+    ]
+    assert {len(versions | more) for versions, _, more in results} == {1}
+    assert [status for _, status, _ in results] == [200] * 12
+
+
 def test_streams_go_on_while_one_instance_that_knows_them_lives(site):
     """Guards against refusals although two servers of the version serve."""
     Engines(site, ["v1"] * 2 + ["v2"] * 2, pause_s=0.05)
