Origins: a delivered stream is remembered as long as its period lasts

Callers could get two versions joined: a version that has served alone for a minute is no longer mixed, so that a stream that was delivered was forgotten. If the base of the period returned, a caller that had lost the last events went on at the base. Found by reading; the test joined v2 with v1 before.

Change: what is remembered follows the journals, which last until the version that left is removed from the list. The journals that were read are dropped at the end of a period.

--- a/hickoryloom/origins/journals_task.py
+++ b/hickoryloom/origins/journals_task.py
@@ -205,6 +205,10 @@
             service for service in self._lists.services - mixed if self._lists.is_read(service)
         }
 
+    def is_kept(self, service: str) -> bool:
+        """Return whether this process keeps a journal of a service now."""
+        return service in self._own
+
     def held(self, service: str) -> frozenset[str]:
         """Return the versions whose servers must not get a resumable stream yet.
 
@@ -332,6 +336,7 @@
             if isinstance(deleted, Err) and deleted.err_value.kind is not ErrorKind.ABSENT:
                 return deleted.err_value
         self._own.pop(service, None)
+        self._view = JournalView()
         log_event(log, "stream-journal-ended", service=service)
         if self._rank(service) == 0:
             gevent.spawn(self._delete_ended, service)
--- a/hickoryloom/origins/task.py
+++ b/hickoryloom/origins/task.py
@@ -161,9 +161,14 @@
         self._own.drop(key)
         self._own_unresumable.drop(key)
         # Its caller may have lost the connection before the last events.
-        if known is not None and self.is_mixed(known[0].service):
+        if known is not None and self._matters(known[0].service):
             self._kept.put(key, *known)
 
+    def _matters(self, service: str) -> bool:
+        """Return whether the version that began a stream matters, or may matter again."""
+        keeps = self._journals is not None and self._journals.is_kept(service)
+        return keeps or self.is_mixed(service)
+
     def held_servers(self, service: str) -> frozenset[str]:
         """Return the ids of servers that must not get a resumable stream yet.
 
--- a/hickoryloom/origins/tests/test_journals.py
+++ b/hickoryloom/origins/tests/test_journals.py
@@ -453,6 +453,21 @@
     assert site.resume(1, streams) == len(streams) == 2
 
 
+def test_a_delivered_stream_is_found_after_the_base_has_returned(site):
+    """Guards against a stream that is forgotten since its version served alone for a minute."""
+    site.start(2)
+    site.pass_time(5.0)
+    site.register("v1", "v2")
+    site.pass_time(5.0)
+    site.register("v2")
+    site.pass_time(LIFETIME_S + 5.0)
+    (stream,) = site.begin(0)
+    site.instances[0].origins.record_delivered(stream.key)
+    site.register("v1", "v2")
+    site.pass_time(2.0)
+    assert site.resume(1, [stream]) == 1
+
+
 def test_an_instance_without_a_journal_uses_only_the_version_that_was_alone_before(site):
     """Guards against streams that nobody can find, begun while the store is away."""
     site.start(1)
