Origins: the reader of journals is a part of its own

Cause: the task that writes journals also read them, and waited up to a second longer than needed before it let streams begin at a further version, as a step without a write did not look at that time.

Change: JournalReader; the time is looked at in each step. The key of a request that takes a stream up is computed only then, and dropped with its stream.

--- a/hickoryloom/gateway/stream_pin.py
+++ b/hickoryloom/gateway/stream_pin.py
@@ -31,7 +31,9 @@
     ) -> None:
         self._origins = origins
         self._key = origin_key(customer, begun_by or request)
-        self._own_key = origin_key(customer, request)
+        self._customer = customer
+        self._request = request
+        self._taken_up_key = ""
         self._resumable = resumable
         self._software = software
         self._server: BackendServer | None = None
@@ -62,9 +64,12 @@
             self._software = self._origins.record(self._key, server, self._resumable)
         elif self._server is None:
             # Its caller may name this request instead of the one that began the stream.
-            self._origins.record(self._own_key, server, self._resumable)
+            self._taken_up_key = origin_key(self._customer, self._request)
+            self._origins.record(self._taken_up_key, server, self._resumable)
         self._server = self._server or server
 
     def record_completed(self) -> None:
         """Record that the response was delivered completely."""
         self._origins.record_delivered(self._key)
+        if self._taken_up_key:
+            self._origins.record_delivered(self._taken_up_key)
--- a/hickoryloom/origins/journals_task.py
+++ b/hickoryloom/origins/journals_task.py
@@ -1,4 +1,4 @@
-"""Writes the journal of this process while services are mixed, and reads those of all processes."""
+"""Writes the journals of this process while services are mixed."""
 
 from __future__ import annotations
 
@@ -8,7 +8,6 @@
 import cattrs
 import gevent
 import logbook
-from gevent.event import Event
 from result import Err, Ok
 
 from hickoryloom.clock import Clock
@@ -22,15 +21,15 @@
     journal_key,
     read_journal,
 )
+from hickoryloom.origins.journal_reader import JournalReader, JournalView
 from hickoryloom.origins.listed import MAX_VERSION_CHARS
 from hickoryloom.origins.lists_task import VersionLists
-from hickoryloom.origins.messages import Origin
 from hickoryloom.origins.periods import Period
 from hickoryloom.origins.state import ORIGIN_LIFETIME_S, OriginMemory
 from hickoryloom.store import ErrorKind, PlatformClient, PlatformError, retry_pause_s
 from hickoryloom.verdict import Applied
 
-__all__ = ["JournalView", "OriginJournals"]
+__all__ = ["OriginJournals"]
 
 IDLE_S = 1.0
 RETRY_S = 0.4
@@ -47,36 +46,9 @@
 WRITE_SHARE = 0.25
 """Part of this process's share of the store's write calls that its journals may use."""
 
-READ_TIMEOUT_S = 0.5
-"""Longest wait for the journals when a caller takes up a stream: twice the response time of a slow
-store."""
-
-READ_INTERVAL_S = 0.1
-"""Shortest interval between two reads of the journals. Callers that come meanwhile share one."""
-
 log = logbook.Logger("hickoryloom.origins")
 
 
-@attrs.frozen
-class JournalView:
-    """The journals of all processes as of one read.
-
-    Attributes:
-        journals: The journals.
-        unreadable: Number of objects that hold no journal.
-        read_at: Monotonic time at which the read was sent, in seconds.
-    """
-
-    journals: tuple[Journal, ...] = ()
-    unreadable: int = 0
-    read_at: float = float("-inf")
-
-    def find(self, key: str) -> Origin | None:
-        """Return the origin of a stream; None if no journal has it."""
-        found = (journal.find(key) for journal in self.journals)
-        return next((origin for origin in found if origin is not None), None)
-
-
 @attrs.define
 class _Own:
     """The stored journal of this process for one service.
@@ -136,12 +108,9 @@
         self._own: dict[str, _Own] = {}
         self._uniform: set[str] = set()
         self._in_service: frozenset[tuple[str, str]] = frozenset()
-        self._view = JournalView()
-        self._is_failing = False
+        self._reader = JournalReader(client, clock)
         self._counted = False
         self._uncovered_at = float("-inf")
-        self._reader: gevent.Greenlet | None = None
-        self._changed = Event()
         self._writer = TaskLoop(self._step, "stream-journals", log)
         lists.subscribe(self.refresh)
 
@@ -223,50 +192,15 @@
         return self._lists.present(service) - {period.base}
 
     def read(self, key: str) -> tuple[JournalView, bool]:
-        """Return the journals, and whether they are as of now or hold the stream `key`.
-
-        Blocks for `READ_TIMEOUT_S` at most.
-        """
-        asked_at = self._clock.monotonic()
-        until = asked_at + READ_TIMEOUT_S
-        while self._view.find(key) is None and self._view.read_at < asked_at:
-            left_s = until - self._clock.monotonic()
-            if left_s <= 0:
-                return self._view, False
-            if self._reader is None:
-                self._reader = gevent.spawn(self._read)
-            changed = self._changed
-            if changed.wait(left_s) and self._is_failing:
-                return self._view, False
-        return self._view, True
-
-    def _read(self) -> None:
-        try:
-            pause_s = self._view.read_at + READ_INTERVAL_S - self._clock.monotonic()
-            if pause_s > 0:
-                gevent.sleep(pause_s)
-            sent_at = self._clock.monotonic()
-            listing = self._client.list(JOURNALS_PREFIX)
-            self._is_failing = isinstance(listing, Err)
-            if isinstance(listing, Ok):
-                found = [read_journal(item.value) for item in listing.ok_value.items]
-                journals = tuple(journal for journal in found if journal is not None)
-                self._view = JournalView(journals, len(found) - len(journals), sent_at)
-            else:
-                self._log_failure("stream-journals-not-read", listing.err_value)
-        finally:
-            self._reader = None
-            self._changed.set()
-            self._changed = Event()
+        """Return the journals, and whether they are as of now or hold the stream `key`."""
+        return self._reader.read(key)
 
     def _step(self) -> float:
         """Write the journals that are due; return the seconds until the next one may be."""
         self.refresh()
         next_at = self._clock.monotonic() + IDLE_S
         for service, own in list(self._own.items()):
-            if not self._needs_write(service, own):
-                continue
-            if self._clock.monotonic() >= own.due_at:
+            if self._needs_write(service, own) and self._clock.monotonic() >= own.due_at:
                 self._write(service, own)
             if self._needs_write(service, own):
                 next_at = min(next_at, own.due_at)
@@ -336,7 +270,7 @@
             if isinstance(deleted, Err) and deleted.err_value.kind is not ErrorKind.ABSENT:
                 return deleted.err_value
         self._own.pop(service, None)
-        self._view = JournalView()
+        self._reader.forget()
         log_event(log, "stream-journal-ended", service=service)
         if self._rank(service) == 0:
             gevent.spawn(self._delete_ended, service)
--- a/hickoryloom/origins/task.py
+++ b/hickoryloom/origins/task.py
@@ -12,7 +12,8 @@
 from hickoryloom.datagrams import DatagramPort
 from hickoryloom.discovery import BackendServer
 from hickoryloom.logs import log_event
-from hickoryloom.origins.journals_task import JournalView, OriginJournals
+from hickoryloom.origins.journal_reader import JournalView
+from hickoryloom.origins.journals_task import OriginJournals
 from hickoryloom.origins.keepers import OriginKeepers
 from hickoryloom.origins.listed import MAX_VERSION_CHARS
 from hickoryloom.origins.lists_task import VersionLists
--- a/hickoryloom/origins/tests/test_journals.py
+++ b/hickoryloom/origins/tests/test_journals.py
@@ -24,6 +24,7 @@
     SoftwareVersions,
     StreamOrigins,
     VersionLists,
+    journal_reader,
     journals_task,
     origin_key,
     task,
@@ -49,7 +50,7 @@
 def set_short_waits(replace):
     """Calls and datagrams are answered at once or never, so that waiting changes nothing."""
     replace(task, "ASK_TIMEOUT_S", 0.0)
-    replace(journals_task, "READ_INTERVAL_S", 0.0)
+    replace(journal_reader, "READ_INTERVAL_S", 0.0)
 
 
 class Store:
