Origins: journals of ended processes are deleted step by step

Cause: they were deleted by a greenlet of its own, which nobody waited for and which could log in the middle of anything else.

Change: the task deletes one in each step.

--- a/hickoryloom/origins/journals_task.py
+++ b/hickoryloom/origins/journals_task.py
@@ -6,7 +6,6 @@
 
 import attrs
 import cattrs
-import gevent
 import logbook
 from result import Err, Ok
 
@@ -106,6 +105,7 @@
         self._write_rate = write_rate
         self._memory = OriginMemory()
         self._own: dict[str, _Own] = {}
+        self._ended: list[tuple[str, int]] = []
         self._uniform: set[str] = set()
         self._in_service: frozenset[tuple[str, str]] = frozenset()
         self._reader = JournalReader(client, clock)
@@ -206,6 +206,9 @@
                 next_at = min(next_at, own.due_at)
             elif not own.leaves_base:
                 next_at = min(next_at, own.leaves_at)
+        if self._ended:
+            self._delete_ended()
+            next_at = min(next_at, self._clock.monotonic() + self._interval_s)
         return max(0.0, next_at - self._clock.monotonic())
 
     def _needs_write(self, service: str, own: _Own) -> bool:
@@ -273,11 +276,11 @@
         self._reader.forget()
         log_event(log, "stream-journal-ended", service=service)
         if self._rank(service) == 0:
-            gevent.spawn(self._delete_ended, service)
+            self._find_ended(service)
         return None
 
-    def _delete_ended(self, service: str) -> None:
-        """Delete the journals of processes that ended before the period did."""
+    def _find_ended(self, service: str) -> None:
+        """Find the journals of processes that ended before the period did, to delete them."""
         listing = self._client.list(JOURNALS_PREFIX)
         if isinstance(listing, Err):
             self._log_failure("stream-journals-not-read", listing.err_value)
@@ -285,12 +288,14 @@
         ended_at = self._lists.list_version(service)
         for item in listing.ok_value.items:
             journal = read_journal(item.value)
-            if journal is None or journal.service != service or item.version > ended_at:
-                continue
-            deleted = self._client.delete(item.key, item.version)
-            if isinstance(deleted, Err) and deleted.err_value.kind is not ErrorKind.ABSENT:
-                self._log_failure("stream-journal-not-deleted", deleted.err_value)
-            gevent.sleep(self._interval_s)
+            if journal is not None and journal.service == service and item.version <= ended_at:
+                self._ended.append((item.key, item.version))
+
+    def _delete_ended(self) -> None:
+        key, version = self._ended.pop()
+        deleted = self._client.delete(key, version)
+        if isinstance(deleted, Err) and deleted.err_value.kind is not ErrorKind.ABSENT:
+            self._log_failure("stream-journal-not-deleted", deleted.err_value)
 
     def _read_version(self, key: str, own: _Own) -> PlatformError | None:
         """Read the version of the object if it is not known; return why that failed."""
--- a/hickoryloom/origins/tests/test_journals.py
+++ b/hickoryloom/origins/tests/test_journals.py
@@ -25,7 +25,6 @@
     StreamOrigins,
     VersionLists,
     journal_reader,
-    journals_task,
     origin_key,
     task,
 )
@@ -536,7 +535,6 @@
     assert len(site.store.journals()) == 6
     site.register("v2")
     site.pass_time(REMOVE_AFTER_S + 70.0)
-    journals_task.gevent.sleep(0.1 * 6)
     assert site.store.journals() == []
 
 
