Soak: an answer that ends at its timeout is not counted as cut

The process had not run for 0.79 s shortly before. The users' rule leaves out answers whose deadline or route's timeout was reached.

Change: the same exception, with the same bound, as in the check beside it ("around planned work, a request that an instance has read gets a complete answer").

--- a/hickoryloom/soak/promises.py
+++ b/hickoryloom/soak/promises.py
@@ -29,8 +29,8 @@
 """Faults that do not excuse closing a caller's connection without a response."""
 
 SHORTEST_TIMEOUT_S = 3.6
-"""Time after which a request of a run with planned work may have timed out; the shortest timeout
-that is configured is 3.8 s."""
+"""Time after which a request may have timed out; the shortest timeout that is configured is 3.8 s.
+"""
 
 STOP_DETECTION_S = 3.0
 """Time after a request to stop in which the load balancer may still send callers there."""
@@ -166,6 +166,8 @@
         call = answer.call
         if answer.whole or id not in runs or _sent_after_stop_detection(record, answer):
             continue
+        if answer.ended - call.sent >= SHORTEST_TIMEOUT_S:
+            continue
         since, harmless = call.sent - record.bounds.catch_up_s, HARMLESS_TO_CONNECTIONS
         subjects = [call.instance, *(run.server for run in runs[id])]
         if all(
