--- a/hickoryloom/gateway/app.py
+++ b/hickoryloom/gateway/app.py
@@ -211,26 +211,33 @@
         holder: Holder,
     ) -> RequestForwarder | Refusal:
         context = self._context
-        service = choose_service(route, context.rng.random)
+        services = {target.service for target in route.targets}
+        service = "" if hand_over is None else hand_over.service
+        if service not in services:
+            service = choose_service(route, context.rng.random)
         if route.kind is not RequestKind.STREAM:
             return RequestForwarder(
                 context, request, route, service, customer, arrived, None, call, hand_over, holder
             )
         customer_name = customer.name if customer is not None else ""
-        begun_by = software = ""
+        begun_by = ""
+        origin = None
         if request.resume_after is not None:
             begun_by = request.resumes
             key = origin_key(customer_name, begun_by) if begun_by else ""
-            origin = context.origins.find(key, service, route.resumable)
+            if hand_over is not None and hand_over.origin is not None:
+                origin = context.origins.accept(key, hand_over.origin)
+            else:
+                origin = context.origins.find(key, service, route.resumable)
             if origin is None:
                 known = context.origins.knows_versions(service)
                 reason = "origin-unknown" if known else "versions-unknown"
                 return self._refuse(503, reason, request)
-            service, software = origin.service, origin.software
-            if service not in {target.service for target in route.targets}:
+            service = origin.service
+            if service not in services:
                 return self._refuse(503, "origin-elsewhere", request)
         pin = StreamPin(
-            context.origins, customer_name, request.id, route.resumable, begun_by, software
+            context.origins, customer_name, request.id, service, route.resumable, begun_by, origin
         )
         return RequestForwarder(
             context, request, route, service, customer, arrived, pin, call, hand_over, holder
@@ -313,12 +320,17 @@
         self._held.is_passed_on = True
         headers = [*end_to_end_headers(response.headers)]
         if self._hand_over is not None:
-            headers.append((RESULT_HEADER, encode_result(HandOverResult(self._hand_over.request))))
+            headers.append((RESULT_HEADER, self._encode_result(self._hand_over)))
         if response.length is not None:
             headers.append(("Content-Length", str(response.length)))
         start_response(_status_line(response.status), headers)
         return self
 
+    def _encode_result(self, hand_over: HandOver) -> str:
+        origin = self._forwarder.origin
+        known = origin if origin is not None and origin.is_bounded else None
+        return encode_result(HandOverResult(hand_over.request, origin=known))
+
     def __iter__(self) -> Iterator[bytes]:
         assert self._reply is not None
         return self._reply.body
--- a/hickoryloom/gateway/attempts.py
+++ b/hickoryloom/gateway/attempts.py
@@ -23,6 +23,7 @@
 from hickoryloom.gateway.stream_pin import StreamPin
 from hickoryloom.gateway.turn_wait import TurnWait
 from hickoryloom.handover import HandOver, ReceivedCall
+from hickoryloom.origins import Origin
 from hickoryloom.placing import (
     Placement,
     PlacementOutcome,
@@ -120,7 +121,7 @@
         # A request is handed over only once.
         if call is not None and hand_over is None:
             self._peers = PeerAttempts(
-                context, call, request, arrived, self._deadline, self._progress
+                context, call, request, arrived, self._deadline, self._progress, pin
             )
         self._log = RequestLog(
             context.clock,
@@ -166,6 +167,11 @@
         """Whether the request may be retried even if the current attempt may have run it."""
         return self._progress.retryable
 
+    @property
+    def origin(self) -> Origin | None:
+        """Origin of a stream, if it is known; None for other requests."""
+        return None if self._pin is None else self._pin.origin
+
     @property
     def log(self) -> RequestLog:
         """Log, metrics and usage records of the request."""
@@ -223,6 +229,8 @@
             resume_after: Id of the last forwarded event; None to request the response from its
                 start.
         """
+        if self._pin is not None:
+            self._pin.find_origin(self._context.clock.monotonic())
         try:
             return self._start(resume_after)
         finally:
@@ -423,6 +431,8 @@
         The attempt must then end, as the other one is reserved.
         """
         context, progress = self._context, self._progress
+        if self._pin is not None:
+            self._pin.find_origin(context.clock.monotonic())
         now = context.clock.monotonic()
         if now >= self._deadline:
             return True
@@ -516,6 +526,8 @@
         """Record the arrival of an event of a stream."""
         if isinstance(attempt, PeerAttempt):
             attempt.first_event_received = True
+            if self._pin is not None:
+                self._pin.record_first_event_elsewhere(attempt.origin)
             return
         now = self._context.clock.monotonic()
         if not attempt.first_event_received:
--- a/hickoryloom/gateway/context.py
+++ b/hickoryloom/gateway/context.py
@@ -17,7 +17,7 @@
 from hickoryloom.handover import HandOverClient, HandOverPeer
 from hickoryloom.metering import UsageMeter
 from hickoryloom.metrics import MetricsRecorder
-from hickoryloom.origins import StreamOrigins
+from hickoryloom.origins import Origin, StreamOrigins
 from hickoryloom.placing import ColdServers, Placement, Placer
 from hickoryloom.quarantine import Quarantine
 from hickoryloom.reach import EndWitness, Reach
@@ -96,6 +96,7 @@
         service: Service that this instance can't reach.
         exchange: The HTTP exchange with it.
         sent: Monotonic time of the send, in seconds.
+        origin: Origin of its stream as that instance tells it; None if it doesn't.
         first_event_received: Whether the first event of its stream has arrived.
         ended: Whether its connection has been released.
     """
@@ -104,6 +105,7 @@
     service: str
     exchange: Exchange
     sent: float
+    origin: Origin | None = None
     first_event_received: bool = False
     ended: bool = False
 
--- a/hickoryloom/gateway/forwarding.py
+++ b/hickoryloom/gateway/forwarding.py
@@ -18,6 +18,7 @@
 from hickoryloom.gateway.stream_pin import StreamPin
 from hickoryloom.handover import HandOver, ReceivedCall, without_hand_over_headers
 from hickoryloom.logs import log_event
+from hickoryloom.origins import Origin
 from hickoryloom.placing import PlacementOutcome
 from hickoryloom.upstream import (
     ENDED_INSIDE_EVENT,
@@ -125,6 +126,11 @@
         )
         self._attempts.give_up(reason)
 
+    @property
+    def origin(self) -> Origin | None:
+        """Origin of a stream, if it is known; None for other requests."""
+        return self._attempts.origin
+
     @property
     def timeout_s(self) -> float:
         """Seconds from the arrival of the request to its deadline."""
--- a/hickoryloom/gateway/peer_attempts.py
+++ b/hickoryloom/gateway/peer_attempts.py
@@ -8,8 +8,10 @@
 from hickoryloom.gateway.context import GatewayContext, PeerAttempt
 from hickoryloom.gateway.messages import CallerRequest, Refusal
 from hickoryloom.gateway.progress import NO_MEMORY, STOPPING, RequestProgress
+from hickoryloom.gateway.stream_pin import StreamPin
 from hickoryloom.handover import MAX_PEERS, HandOver, HandOverPeer, ReceivedCall
 from hickoryloom.logs import log_event
+from hickoryloom.origins import Origin
 from hickoryloom.upstream import AttemptError, AttemptFailure, Exchange, FailureCause
 from hickoryloom.verdict import Verdict
 
@@ -45,6 +47,7 @@
         arrived: Monotonic time of its arrival, in seconds.
         deadline: Monotonic time at which it times out, in seconds.
         progress: Its execution state.
+        pin: Keeps a stream at its software version; None for a request of another kind.
     """
 
     def __init__(
@@ -55,6 +58,7 @@
         arrived: float,
         deadline: float,
         progress: RequestProgress,
+        pin: StreamPin | None = None,
     ) -> None:
         self._context = context
         self._call = call
@@ -62,6 +66,7 @@
         self._arrived = arrived
         self._deadline = deadline
         self._progress = progress
+        self._pin = pin
         self._tried: set[str] = set()
         self._sending: Exchange | None = None
 
@@ -87,6 +92,8 @@
                 sends=self._progress.sends,
                 resume_after=resume_after,
                 resumes="" if resume_after is None else self._begun_by,
+                service=service,
+                origin=self._known_origin,
             )
             try:
                 exchange = self._context.hand_overs.send(
@@ -133,6 +140,7 @@
         exchange = attempt.exchange
         result = self._context.hand_overs.read_head(exchange)
         if not result.refused:
+            attempt.origin = result.origin
             self._progress.record_accepted()
             return None
         if result.verdict is not Verdict.NOT_RUN:
@@ -183,6 +191,12 @@
             detail=detail or None,
         )
 
+    @property
+    def _known_origin(self) -> Origin | None:
+        """The origin of a stream that goes on, unless it is not certain."""
+        origin = None if self._pin is None else self._pin.origin
+        return origin if origin is not None and origin.software and origin.is_bounded else None
+
     @property
     def _begun_by(self) -> str:
         return self._request.resumes or self._request.id
--- a/hickoryloom/handover/messages.py
+++ b/hickoryloom/handover/messages.py
@@ -13,6 +13,7 @@
 import cattrs
 from result import Err, Ok, Result
 
+from hickoryloom.origins import Origin
 from hickoryloom.upstream import end_to_end_headers
 from hickoryloom.verdict import Verdict
 
@@ -95,6 +96,9 @@
         resume_after: Id of the last event that the caller has, if the sender takes a stream up;
             None if only the request itself may say so.
         resumes: Id of the request that began this stream.
+        service: Service that the sender has chosen among the targets of the route; empty from
+            earlier versions.
+        origin: Origin of a stream that goes on; None if the sender doesn't know it.
     """
 
     sender: str
@@ -103,6 +107,8 @@
     sends: int = 0
     resume_after: int | None = None
     resumes: str = ""
+    service: str = ""
+    origin: Origin | None = None
 
 
 @attrs.frozen
@@ -113,11 +119,14 @@
         request: Id of the request.
         refused: Short name of the cause if the receiver refuses the request; empty otherwise.
         verdict: Whether a backend server may have run a refused request.
+        origin: Origin of a stream that has begun; None for other responses and from earlier
+            versions.
     """
 
     request: str
     refused: str = ""
     verdict: Verdict = Verdict.MAY_HAVE_RUN
+    origin: Origin | None = None
 
 
 def encode_hand_over(hand_over: HandOver) -> str:
@@ -133,7 +142,8 @@
     hand_over = decoded.ok_value
     if not 0.0 <= hand_over.elapsed_s <= MAX_ELAPSED_S or not 0 <= hand_over.sends <= MAX_SENDS:
         return Err(f"header {HAND_OVER_HEADER!r} has a number out of range")
-    if max(len(hand_over.sender), len(hand_over.resumes)) > MAX_TEXT_CHARS:
+    texts = (hand_over.sender, hand_over.resumes, hand_over.service)
+    if max(map(len, texts)) > MAX_TEXT_CHARS or not _is_bounded(hand_over.origin):
         return Err(f"header {HAND_OVER_HEADER!r} has a text of over {MAX_TEXT_CHARS} characters")
     return decoded
 
@@ -145,7 +155,10 @@
 
 def decode_result(value: str) -> Result[HandOverResult, str]:
     """Decode the value of `RESULT_HEADER`; return an error message if it is invalid."""
-    return _decode(value, HandOverResult)
+    decoded = _decode(value, HandOverResult)
+    if isinstance(decoded, Ok) and not _is_bounded(decoded.ok_value.origin):
+        return Err(f"header {RESULT_HEADER!r} has a text of over {MAX_TEXT_CHARS} characters")
+    return decoded
 
 
 def without_hand_over_headers(headers: Iterable[tuple[str, str]]) -> Headers:
@@ -153,6 +166,10 @@
     return tuple(pair for pair in headers if pair[0] not in HEADERS)
 
 
+def _is_bounded(origin: Origin | None) -> bool:
+    return origin is None or origin.is_bounded
+
+
 def _encode(message: Any) -> str:
     return json.dumps(cattrs.unstructure(message), separators=(",", ":"))
 
--- a/hickoryloom/origins/messages.py
+++ b/hickoryloom/origins/messages.py
@@ -30,6 +30,11 @@
     server: str
     software: str
 
+    @property
+    def is_bounded(self) -> bool:
+        """Whether its texts are short enough for a message."""
+        return all(len(text) <= MAX_TEXT_CHARS for text in attrs.astuple(self))
+
 
 @attrs.frozen
 class Keep:
--- a/hickoryloom/origins/task.py
+++ b/hickoryloom/origins/task.py
@@ -156,6 +156,34 @@
             self._journals.note_stream(server.service)
         return origin.software
 
+    def learn(self, key: str, origin: Origin, resumable: bool = True) -> None:
+        """Remember the origin of a stream that this instance passes on for another one.
+
+        That one has told it to the keepers.
+
+        Args:
+            key: Key of the stream.
+            origin: Its origin as the other instance knows it.
+            resumable: Whether callers may take the stream up.
+        """
+        memory = self._own if resumable else self._own_unresumable
+        memory.put(key, origin, self._clock.monotonic())
+        if resumable and self._journals is not None:
+            self._journals.note_stream(origin.service)
+
+    def accept(self, key: str, origin: Origin) -> Origin | None:
+        """Return the origin that another instance tells with a stream that goes on here.
+
+        Args:
+            key: Key of the stream.
+            origin: Its origin as the other instance knows it.
+
+        Returns:
+            The origin; None if its version is no longer certain.
+        """
+        self._kept.put(key, origin, self._clock.monotonic())
+        return self._checked(origin)
+
     def record_delivered(self, key: str) -> None:
         """Record that a stream was delivered completely, as far as this instance can tell."""
         known = self._own.get(key, self._clock.monotonic())
--- a/hickoryloom/platform/tests/partition.py
+++ b/hickoryloom/platform/tests/partition.py
@@ -168,9 +168,9 @@
             wire.stop()
 
 
-def launch_behind_wires(site, name):
+def launch_behind_wires(site, name, **bounds):
     """Start a gateway, after all backend servers were added; return it and what can be cut."""
     cut_site = CutSite(site)
-    gateway = Gateway(cut_site, name, {})
+    gateway = Gateway(cut_site, name, bounds)
     site.processes.append(gateway)
     return gateway, cut_site
--- a/hickoryloom/platform/tests/test_mixed_streams.py
+++ b/hickoryloom/platform/tests/test_mixed_streams.py
@@ -26,11 +26,13 @@
     """Engines of two versions; each event tells the version that wrote it.
 
     Attributes:
-        breaks_after: Event after which new streams break off; `EVENTS` for none.
+        breaks_after: Event after which new streams break off; `events` for none.
         pause_s: Seconds between events.
+        events: Number of events of a stream.
     """
 
-    def __init__(self, site, versions, breaks_after=EVENTS, pause_s=0.0):
+    def __init__(self, site, versions, breaks_after=EVENTS, pause_s=0.0, events=EVENTS):
+        self.events = events
         self.breaks_after = breaks_after
         self.pause_s = pause_s
         self._site = site
@@ -46,13 +48,13 @@
 
     def _respond(self, backend, request):
         first = int(request["headers"].get("last-event-id", 0)) + 1
-        last = EVENTS if first > 1 else self.breaks_after
+        last = self.events if first > 1 else self.breaks_after
         yield build_stream_head(request)
         for number in range(first, last + 1):
             data = f"id: {number}\ndata: {backend.version}\n\n".encode()
             yield f"{len(data):x}\r\n".encode() + data + b"\r\n"
             yield self.pause_s
-        yield LAST_CHUNK if last == EVENTS else Backend.CLOSE
+        yield LAST_CHUNK if last == self.events else Backend.CLOSE
 
 
 def versions_in(body):
