--- a/hickoryloom/discovery/task.py
+++ b/hickoryloom/discovery/task.py
@@ -41,6 +41,11 @@
 SHARED_MARGIN_S = 0.4
 """Part of `leave_s` that is reserved for slow calls between instances and for the send."""
 
+MAX_UNUSABLE = 1_000
+"""Unusable registrations that are remembered, so that each is logged only once."""
+
+MAX_LOGGED_CHARS = 200
+
 RETRY_S = 0.2
 """Delay after a failed call to the store."""
 
@@ -86,6 +91,7 @@
         self._notified: tuple[BackendServer, ...] = ()
         self._shared = False
         self._revision = 0
+        self._unusable: dict[str, None] = {}
         self._listed_at: float | None = None
         self._listing_held_until = 0.0
         self._loop = TaskLoop(self._step, "discovery", log)
@@ -339,8 +345,13 @@
     def _decode_item(self, key: str, value: Any) -> BackendServer | None:
         id = key.removeprefix(self._prefix)
         server = self._decode(id, value)
-        if server is None:
-            log_event(log, "registration-unusable", id=id)
+        if server is not None:
+            self._unusable.pop(id, None)
+        elif id not in self._unusable:
+            log_event(log, "registration-unusable", id=id[:MAX_LOGGED_CHARS])
+            self._unusable[id] = None
+            if len(self._unusable) > MAX_UNUSABLE:
+                del self._unusable[next(iter(self._unusable))]
         return server
 
     def _notify(self, before: tuple[BackendServer, ...]) -> None:
--- a/hickoryloom/http/__init__.py
+++ b/hickoryloom/http/__init__.py
@@ -5,6 +5,7 @@
     credential,
     disconnect_watch,
     framing,
+    json_parts,
     limits,
     messages,
     server,
@@ -14,6 +15,7 @@
 from hickoryloom.http.credential import *  # noqa: F403
 from hickoryloom.http.disconnect_watch import *  # noqa: F403
 from hickoryloom.http.framing import *  # noqa: F403
+from hickoryloom.http.json_parts import *  # noqa: F403
 from hickoryloom.http.limits import *  # noqa: F403
 from hickoryloom.http.messages import *  # noqa: F403
 from hickoryloom.http.server import *  # noqa: F403
@@ -24,6 +26,7 @@
     *client.__all__,
     *credential.__all__,
     *framing.__all__,
+    *json_parts.__all__,
     *limits.__all__,
     *messages.__all__,
     *server.__all__,
--- a/hickoryloom/http/client.py
+++ b/hickoryloom/http/client.py
@@ -11,6 +11,7 @@
 from geventhttpclient.response import HTTPParseError
 from result import Err, Ok, Result
 
+from hickoryloom.http.json_parts import decode_json
 from hickoryloom.http.pool import Attempt, GuardedClient, GuardRefused
 from hickoryloom.verdict import Applied
 
@@ -62,6 +63,7 @@
         timeout_s: Timeout in seconds, separately for connecting and for each read.
         connections: Maximum number of connections.
         max_response_bytes: Largest response, with its head.
+        decode: Decodes the body of a response; raises ValueError if it can't be read.
     """
 
     def __init__(
@@ -70,9 +72,11 @@
         timeout_s: float = DEFAULT_TIMEOUT_S,
         connections: int = 8,
         max_response_bytes: int = MAX_RESPONSE_BYTES,
+        decode: Callable[[bytes], Any] = decode_json,
     ) -> None:
         host, _, port = address.rpartition(":")
         self._timeout_s = timeout_s
+        self._decode = decode
         self._http = GuardedClient(host, int(port), timeout_s, connections, max_response_bytes)
 
     def call(
@@ -134,7 +138,8 @@
         self, method: str, path: str, payload: bytes, headers: dict[str, str] | None
     ) -> JsonResponse:
         sent_headers = {"Content-Type": "application/json", **(headers or {})}
-        return _read_response(self._http.request(method, path, payload, sent_headers))
+        response = self._http.request(method, path, payload, sent_headers)
+        return _read_response(response, self._decode)
 
 
 def _failure(attempt: Attempt, detail: str) -> Err[CallError]:
@@ -142,7 +147,7 @@
     return Err(CallError(applied, detail))
 
 
-def _read_response(response: Any) -> JsonResponse:
+def _read_response(response: Any, decode: Callable[[bytes], Any]) -> JsonResponse:
     try:
         raw = bytes(response.read(MAX_RESPONSE_BYTES + 1))
         while len(raw) <= MAX_RESPONSE_BYTES and (
@@ -151,10 +156,7 @@
             raw += chunk
         if len(raw) > MAX_RESPONSE_BYTES:
             raise ValueError("response is too large")
-        try:
-            body = json.loads(raw) if raw else None
-        except RecursionError:
-            raise ValueError("response is nested too deeply")
+        body = decode(raw) if raw else None
         headers = {name.lower(): value for name, value in response.items()}
         return JsonResponse(response.status_code, body, _retry_after_s(response), headers)
     finally:
--- a/hickoryloom/origins/journal_reader.py
+++ b/hickoryloom/origins/journal_reader.py
@@ -94,7 +94,8 @@
             if isinstance(listing, Ok):
                 found = [read_journal(item.value) for item in listing.ok_value.items]
                 journals = tuple(journal for journal in found if journal is not None)
-                self._view = JournalView(journals, len(found) - len(journals), sent_at)
+                unreadable = len(found) - len(journals) + listing.ok_value.unreadable
+                self._view = JournalView(journals, unreadable, sent_at)
             else:
                 error = listing.err_value
                 log_event(
--- a/hickoryloom/platform/fields.py
+++ b/hickoryloom/platform/fields.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import math
+import re
+import reprlib
 from typing import Any
 
 __all__ = ["FieldError", "get_bool", "get_dict", "get_float", "get_int", "get_list", "get_str"]
 
 MAX_INT = 2**63 - 1
+SURROGATES = re.compile("[\ud800-\udfff]")
 
 
 class FieldError(ValueError):
@@ -23,13 +26,18 @@
     if value is None and default is not None:
         return default
     if not isinstance(value, kinds) or (isinstance(value, bool) and bool not in kinds):
-        raise FieldError(f"field {name!r} is {value!r:.60}, not of type {kinds[0].__name__}")
+        # The representation of a deeply nested value would exceed the recursion limit.
+        found = reprlib.repr(value)
+        raise FieldError(f"field {name!r} is {found:.60}, not of type {kinds[0].__name__}")
     return value
 
 
 def get_str(source: Any, name: str, default: str | None = None) -> str:
-    """Return a string."""
-    return str(_get_value(source, name, (str,), default))
+    """Return a string without surrogates, which can't be encoded."""
+    value = str(_get_value(source, name, (str,), default))
+    if SURROGATES.search(value):
+        raise FieldError(f"field {name!r} has characters that are no Unicode text")
+    return value
 
 
 def get_int(source: Any, name: str, default: int | None = None) -> int:
--- a/hickoryloom/platform/objects.py
+++ b/hickoryloom/platform/objects.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Iterator
 from typing import Any
 from urllib.parse import quote, urlencode
 
 from result import Err, Ok, Result
 
-from hickoryloom.http import JsonResponse
+from hickoryloom.http import JsonResponse, Parts, Unreadable, decode_json_parts
 from hickoryloom.platform.fields import FieldError, get_bool, get_int, get_list, get_str
 from hickoryloom.store import (
     Change,
@@ -26,6 +27,9 @@
 
 __all__ = ["PlatformObjects"]
 
+PARTS = Parts(
+    frozenset(("items", "events", "object", "metadata")), frozenset(("metadata", "object"))
+)
 MS_PER_S = 1000
 HISTORY_GONE = 410
 UNAVAILABLE_STATUSES = frozenset((429,))
@@ -40,6 +44,10 @@
     last change.
     """
 
+    def decode(self, body: bytes) -> Any:
+        """Decode the body of a response."""
+        return decode_json_parts(body, PARTS)
+
     def get(self, key: str) -> ObjectCall:
         """Read one object."""
         return ObjectCall("GET", _path(key))
@@ -47,7 +55,7 @@
     def list(self, prefix: str, page_token: str) -> ObjectCall:
         """Read one page of the objects of a kind."""
         # Despite its name, the parameter is the name of the last object of the previous page.
-        query = f"?{urlencode({'after_revision': page_token})}" if page_token else ""
+        query = f"?{urlencode({'after_revision': _encode_name(page_token)})}" if page_token else ""
         return ObjectCall("GET", f"/objects/{quote(_kind(prefix))}{query}")
 
     def update(self, key: str, value: Any, if_version: int) -> ObjectCall:
@@ -114,15 +122,14 @@
         """Decode one page of a listing."""
         kind, era = _kind(prefix), self._era(response)
         try:
-            items = tuple(
-                _read_object(kind, item, era) for item in get_list(response.body, "items")
-            )
-            last_name = items[-1].key.removeprefix(f"{kind}/") if items else ""
+            bodies = get_list(response.body, "items")
             has_more = get_bool(response.body, "has_more", False)
             revision = join_version(era, _get_revision(response.body, "at"))
+            next_token = _last_name(bodies) if has_more and bodies else ""
         except FieldError as error:
             return _decode_error(error, Applied.NOT_APPLIED)
-        return Ok(ListingPage(Listing(revision, items), last_name if has_more else ""))
+        items = tuple(_read_readable(kind, bodies, era))
+        return Ok(ListingPage(Listing(revision, items, len(bodies) - len(items)), next_token))
 
     def read_version(self, response: JsonResponse) -> Result[int, PlatformError]:
         """Decode the new version of a written object."""
@@ -137,12 +144,11 @@
             return Ok(WatchBatch(0, (), reset=True))
         kind, era = _kind(prefix), self._era(response)
         try:
-            changes = tuple(
-                _read_change(kind, event, era) for event in get_list(response.body, "events")
-            )
-            return Ok(WatchBatch(join_version(era, _get_revision(response.body, "at")), changes))
+            events = get_list(response.body, "events")
+            revision = join_version(era, _get_revision(response.body, "at"))
         except FieldError as error:
             return _decode_error(error, Applied.NOT_APPLIED)
+        return Ok(WatchBatch(revision, tuple(_read_changes(kind, events, era))))
 
     def _era(self, response: JsonResponse) -> int:
         return self.read_era(response) or 0
@@ -153,6 +159,14 @@
         return join_version(self._era(response), revision) if revision else 0
 
 
+def _encode_name(name: str) -> bytes:
+    """Return the bytes of a name, also if they are no UTF-8."""
+    try:
+        return name.encode("utf-8", "surrogateescape")
+    except UnicodeEncodeError:
+        return name.encode("utf-8", "surrogatepass")
+
+
 def _kind(key: str) -> str:
     return key.partition("/")[0]
 
@@ -165,13 +179,44 @@
 def _read_object(kind: str, body: Any, era: int) -> Versioned[Any]:
     metadata = body.get("metadata") if isinstance(body, dict) else None
     key = f"{kind}/{get_str(metadata, 'name')}"
-    return Versioned(key, join_version(era, _get_revision(metadata, "revision")), body.get("spec"))
+    value = body.get("spec")
+    if isinstance(value, Unreadable):
+        value = None
+    return Versioned(key, join_version(era, _get_revision(metadata, "revision")), value)
 
 
-def _read_change(kind: str, event: Any, era: int) -> Change:
-    deleted = get_bool(event, "deleted", False)
-    changed = _read_object(kind, event.get("object"), era)
-    return Change(changed.key, changed.version, None if deleted else changed.value)
+def _read_readable(kind: str, bodies: list[Any], era: int) -> Iterator[Versioned[Any]]:
+    """Decode objects, without those whose name or revision can't be read."""
+    for body in bodies:
+        try:
+            yield _read_object(kind, body, era)
+        except FieldError:
+            continue
+
+
+def _read_changes(kind: str, events: list[Any], era: int) -> Iterator[Change]:
+    """Decode changes, without those of objects whose name or revision can't be read."""
+    for event in events:
+        try:
+            deleted = get_bool(event, "deleted", False)
+            changed = _read_object(kind, event.get("object"), era)
+        except FieldError:
+            continue
+        yield Change(changed.key, changed.version, None if deleted else changed.value)
+
+
+def _last_name(bodies: list[Any]) -> str:
+    """Return the name of the last object of a page, after which the next one begins.
+
+    Raises:
+        FieldError: It can't be read.
+    """
+    metadata = bodies[-1].get("metadata") if isinstance(bodies[-1], dict) else None
+    name = metadata.get("name") if isinstance(metadata, dict) else None
+    text = name.text if isinstance(name, Unreadable) else name
+    if not isinstance(text, str) or not text:
+        raise FieldError("the last object of a page has no name")
+    return text
 
 
 def _read_revision(body: Any) -> int:
--- a/hickoryloom/platform/registrations.py
+++ b/hickoryloom/platform/registrations.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import Any
 
 from hickoryloom.discovery import BackendServer
@@ -10,6 +11,9 @@
 __all__ = ["PlatformRegistrations"]
 
 MS_PER_S = 1000.0
+ID = re.compile(r"[!-~\xa1-\xff]([ -~\xa0-\xff]*[!-~\xa1-\xff])?")
+ADDRESS = re.compile(r"[0-9A-Za-z._:\[\]-]+:(?P<port>[0-9]{1,5})")
+MAX_PORT = 65_535
 STATES = {"ready": False, "draining": True}
 """Whether a backend server in this state is leaving."""
 
@@ -28,13 +32,15 @@
             state = get_str(value, "state")
             if state not in STATES:
                 return None
-            host, _, port = get_str(value, "address").rpartition(":")
-            if not host or not port.isdecimal():
+            get_int(value, "sequence", 0)
+            address = ADDRESS.fullmatch(get_str(value, "address"))
+            # Requests name the id in a header.
+            if address is None or not 0 < int(address["port"]) <= MAX_PORT or not ID.fullmatch(id):
                 return None
             return BackendServer(
                 id=id,
                 service=get_str(value, "service"),
-                address=f"{host}:{port}",
+                address=address.group(),
                 failure_domain=get_str(value, "zone"),
                 slots=get_int(value, "capacity"),
                 leaving=STATES[state],
--- a/hickoryloom/platform/tests/test_codecs.py
+++ b/hickoryloom/platform/tests/test_codecs.py
@@ -57,12 +57,62 @@
         {"capacity": True},
         {"service": 7},
         {"born": 1.5},
+        {"sequence": [[7]]},
+        {"version": "v\udcff"},
+        {"service": "\ud800"},
+        {"zone": json.loads("[" * 900 + "]" * 900)},
+        {"address": "10.0.0.1:" + "8" * 5000},
+        {"address": "10.0.0.1:0"},
+        {"address": "10.0.0.1:\u0663"},
+        {"address": "\udcff:80"},
+        {"address": "10.0.0.1:80\r\nx: y"},
     ],
 )
 def test_a_registration_with_an_invalid_field_is_ignored(changed):
     assert PlatformRegistrations().read("id", {**REGISTERED, **changed}) is None
 
 
+@pytest.mark.parametrize("id", ["", " a", "a\r\nb", "a\0", "\udcff", "\u0159", "x\u2028"])
+def test_a_registration_whose_id_no_request_can_name_is_ignored(id):
+    """Guards against sound requests that are refused since their head can't be encoded."""
+    assert PlatformRegistrations().read(id, REGISTERED) is None
+
+
+def test_a_page_that_ends_with_an_unreadable_name_is_followed_by_the_next_one():
+    """Guards against listings that end early, or never, where a name can't be read."""
+    objects = PlatformObjects()
+    raw = (
+        b'{"items":[{"metadata":{"name":"a","revision":1},"spec":{}},'
+        b'{"metadata":{"name":"b\xff/&","revision":2},"spec":{}}],"has_more":true,"at":5}'
+    )
+    response = JsonResponse(200, objects.decode(raw))
+    page = objects.read_listing("servers/", response).ok_value
+    assert [item.key for item in page.listing.items] == ["servers/a"]
+    assert page.listing.unreadable == 1
+    call = objects.list("servers/", page.next_token)
+    assert call.path == "/objects/servers?after_revision=b%FF%2F%26"
+    assert objects.list("servers/", "b\ud800").path.endswith("=b%ED%A0%80")
+
+
+@pytest.mark.parametrize("last", [b'{"metadata":{"name":[],"revision":2}}', b"7", b'"\xff"'])
+def test_a_page_whose_last_name_is_not_known_is_no_complete_listing(last):
+    objects = PlatformObjects()
+    raw = b'{"items":[{"metadata":{"name":"a","revision":1}},%s],"has_more":true,"at":5}' % last
+    assert objects.read_listing("servers/", JsonResponse(200, objects.decode(raw))).is_err()
+
+
+def test_changes_of_unreadable_objects_leave_the_others():
+    objects = PlatformObjects()
+    raw = (
+        b'{"events":[{"object":{"metadata":{"name":"a","revision":1},"spec":{"v":"\xff"}}},'
+        b'{"object":{"metadata":{"name":"\xff","revision":2},"spec":{}}},{"object":7},'
+        b'{"object":{"metadata":{"name":"b","revision":3},"spec":{"v":1}}}],"at":3}'
+    )
+    batch = objects.read_batch("servers/", JsonResponse(200, objects.decode(raw))).ok_value
+    found = [(change.key, change.value) for change in batch.changes]
+    assert found == [("servers/a", None), ("servers/b", {"v": 1})]
+
+
 def test_a_registration_is_decoded():
     server = PlatformRegistrations().read("id", {**REGISTERED, "spot_instances": True})
     assert (server.id, server.leaving, server.reclaimable, server.started_ms) == (
--- a/hickoryloom/store/client.py
+++ b/hickoryloom/store/client.py
@@ -121,7 +121,12 @@
         self._objects = Availability()
         self._era = StoreEra()
         self._last_response_at: float | None = None
-        self._http = JsonClient(address, timeout_s=SOCKET_TIMEOUT_S, connections=CONNECTIONS)
+        self._http = JsonClient(
+            address,
+            timeout_s=SOCKET_TIMEOUT_S,
+            connections=CONNECTIONS,
+            decode=self._codec.decode,
+        )
 
     @property
     def last_response_at(self) -> float | None:
@@ -190,6 +195,7 @@
 
     def _list_pages(self, prefix: str, priority: CallPriority) -> Result[Listing, PlatformError]:
         items: tuple[Versioned[Any], ...] = ()
+        unreadable = 0
         revision: int | None = None
         era = 0
         page_token = ""
@@ -206,9 +212,15 @@
                 return Err(PlatformError(ErrorKind.UNAVAILABLE, Applied.NOT_APPLIED, detail))
             era = split_version(page.listing.revision)[0]
             items += page.listing.items
+            unreadable += page.listing.unreadable
             revision = page.listing.revision if revision is None else revision
-            if not page.next_token or page.next_token == page_token:
-                return Ok(Listing(revision, items))
+            if not page.next_token:
+                if unreadable:
+                    log_event(log, "objects-unreadable", prefix=prefix, number=unreadable)
+                return Ok(Listing(revision, items, unreadable))
+            if page.next_token == page_token:
+                detail = "the listing goes on with the page that it has just returned"
+                return Err(PlatformError(ErrorKind.UNAVAILABLE, Applied.NOT_APPLIED, detail))
             page_token = page.next_token
 
     def create(
--- a/hickoryloom/store/codec.py
+++ b/hickoryloom/store/codec.py
@@ -8,12 +8,14 @@
 import attrs
 from result import Result
 
-from hickoryloom.http import JsonResponse
+from hickoryloom.http import JsonResponse, Parts, decode_json_parts
 from hickoryloom.store import responses
 from hickoryloom.store.messages import Listing, PlatformError, Versioned, WatchBatch
 
 __all__ = ["DefaultCodec", "ListingPage", "ObjectCall", "ObjectCodec"]
 
+PARTS = Parts(frozenset(("items", "changes", "backends")), frozenset(("key", "id")))
+
 
 @attrs.frozen
 class ObjectCall:
@@ -41,6 +43,13 @@
 class ObjectCodec(Protocol):
     """Encodes requests on objects and decodes the responses; keeps no state."""
 
+    def decode(self, body: bytes) -> Any:
+        """Decode the body of a response; objects that can't be read don't affect the others.
+
+        Raises:
+            ValueError: What surrounds the objects can't be read.
+        """
+
     def get(self, key: str) -> ObjectCall:
         """Read one object."""
 
@@ -85,6 +94,10 @@
 class DefaultCodec:
     """The protocol of the platform's stand-in in `hickoryloom.standins`."""
 
+    def decode(self, body: bytes) -> Any:
+        """Decode the body of a response."""
+        return decode_json_parts(body, PARTS)
+
     def get(self, key: str) -> ObjectCall:
         """Read one object."""
         return ObjectCall("GET", f"/objects/{quote(key)}")
--- a/hickoryloom/store/messages.py
+++ b/hickoryloom/store/messages.py
@@ -92,15 +92,25 @@
 
 @attrs.frozen
 class Listing:
-    """All objects under a prefix at one revision of the store."""
+    """All objects under a prefix at one revision of the store.
+
+    Attributes:
+        revision: The revision.
+        items: The objects; the value of one that can't be read is None.
+        unreadable: Number of further objects whose key or version can't be read.
+    """
 
     revision: int
     items: tuple[Versioned[Any], ...]
+    unreadable: int = 0
 
 
 @attrs.frozen
 class Change:
-    """One change reported by a watch; `value` is None if the object was deleted."""
+    """One change reported by a watch.
+
+    `value` is None if the object was deleted or can't be read.
+    """
 
     key: str
     version: int
--- a/hickoryloom/store/responses.py
+++ b/hickoryloom/store/responses.py
@@ -7,9 +7,11 @@
 from typing import Any, TypeVar
 
 import cattrs
+import logbook
 from result import Err, Ok, Result
 
-from hickoryloom.http import JsonResponse
+from hickoryloom.http import JsonResponse, Unreadable
+from hickoryloom.logs import log_event
 from hickoryloom.store.messages import (
     Change,
     ErrorKind,
@@ -37,6 +39,8 @@
 
 T = TypeVar("T")
 
+log = logbook.Logger("hickoryloom.store")
+
 
 def unavailable(detail: str, retry_after_s: float) -> PlatformError:
     """Return the error for a call that was not sent."""
@@ -110,23 +114,46 @@
 
 
 def _parse_object(body: Any) -> Versioned[Any]:
-    return Versioned(str(body["key"]), int(body["version"]), body["value"])
+    key, value = body["key"], body["value"]
+    if not isinstance(key, str):
+        raise TypeError(f"key is of type {type(key).__name__}")
+    return Versioned(key, int(body["version"]), None if isinstance(value, Unreadable) else value)
+
+
+def _parse_readable(bodies: Any) -> tuple[Versioned[Any], ...]:
+    """Decode objects, without those whose key or version can't be read."""
+    found = []
+    for body in bodies:
+        try:
+            found.append(_parse_object(body))
+        except (KeyError, TypeError, ValueError):
+            continue
+    return tuple(found)
 
 
 def _parse_listing(body: Any) -> Listing:
-    return Listing(int(body["revision"]), tuple(_parse_object(item) for item in body["items"]))
+    items = _parse_readable(body["items"])
+    return Listing(int(body["revision"]), items, len(body["items"]) - len(items))
 
 
 def _parse_batch(body: Any) -> WatchBatch:
     changes = tuple(
-        Change(str(change["key"]), int(change["version"]), change["value"])
-        for change in body["changes"]
+        Change(changed.key, changed.version, changed.value)
+        for changed in _parse_readable(body["changes"])
     )
     return WatchBatch(int(body["revision"]), changes, bool(body["reset"]))
 
 
 def _parse_backends(body: Any) -> tuple[LiveBackend, ...]:
-    return tuple(cattrs.structure(row, LiveBackend) for row in body["backends"])
+    found = []
+    for row in body["backends"]:
+        try:
+            if any(isinstance(value, Unreadable) for value in row.values()):
+                raise ValueError("a field can't be read")
+            found.append(cattrs.structure(row, LiveBackend))
+        except (AttributeError, TypeError, ValueError, cattrs.BaseValidationError) as error:
+            log_event(log, "live-backend-unreadable", error=type(error).__name__)
+    return tuple(found)
 
 
 def _error_kind(response: JsonResponse) -> ErrorKind:
