--- a/hickoryloom/http/__init__.py
+++ b/hickoryloom/http/__init__.py
@@ -8,6 +8,7 @@
     json_parts,
     limits,
     messages,
+    response_heads,
     server,
     write_watch,
 )
@@ -18,6 +19,7 @@
 from hickoryloom.http.json_parts import *  # noqa: F403
 from hickoryloom.http.limits import *  # noqa: F403
 from hickoryloom.http.messages import *  # noqa: F403
+from hickoryloom.http.response_heads import *  # noqa: F403
 from hickoryloom.http.server import *  # noqa: F403
 from hickoryloom.http.write_watch import *  # noqa: F403
 
@@ -29,6 +31,7 @@
     *json_parts.__all__,
     *limits.__all__,
     *messages.__all__,
+    *response_heads.__all__,
     *server.__all__,
     *write_watch.__all__,
 ]
--- a/hickoryloom/http/pool.py
+++ b/hickoryloom/http/pool.py
@@ -16,6 +16,8 @@
 from geventhttpclient import HTTPClient
 from geventhttpclient.connectionpool import ConnectionPool
 
+from hickoryloom.http.response_heads import StatusLineCheck
+
 __all__ = ["Attempt", "GuardRefused", "GuardedClient"]
 
 YIELD_BYTES = 64 * 1024
@@ -88,8 +90,10 @@
         self._connection_pool.close_idle()
 
 
-class _BoundedSocket:
-    """A socket that fails once a response is too large, as the HTTP library sets no bound.
+class _CheckedSocket:
+    """A socket that fails if a response is too large or has a status that HTTP doesn't have.
+
+    The HTTP library sets no bound, and takes a status below 100 for an interim one.
 
     Args:
         sock: The connected socket.
@@ -100,6 +104,7 @@
         self._sock = sock
         self._max_response_bytes = max_response_bytes
         self._received_bytes = 0
+        self._status_lines = StatusLineCheck()
 
     def __getattr__(self, name: str) -> Any:
         return getattr(self._sock, name)
@@ -107,6 +112,7 @@
     def sendall(self, data: bytes) -> None:
         """Send a request, whose response is counted from its start."""
         self._received_bytes = 0
+        self._status_lines = StatusLineCheck()
         self._sock.sendall(data)
 
     def recv(self, size: int) -> bytes:
@@ -114,12 +120,14 @@
 
         Raises:
             ConnectionError: The response exceeds the limit.
+            HTTPParseError: It doesn't begin with a status line.
         """
         data = self._sock.recv(size)
         before = self._received_bytes // YIELD_BYTES
         self._received_bytes += len(data)
         if self._received_bytes > self._max_response_bytes:
             raise ConnectionError(f"response exceeds {self._max_response_bytes} bytes")
+        self._status_lines.feed(data)
         if self._received_bytes // YIELD_BYTES > before:
             gevent.sleep(0)
         return bytes(data)
@@ -163,7 +171,7 @@
     def _create_socket(self) -> Any:
         sock = super()._create_socket()
         self._attempts[getcurrent()].is_new_connection = True
-        return _BoundedSocket(sock, self.max_response_bytes)
+        return _CheckedSocket(sock, self.max_response_bytes)
 
     def return_socket(self, sock: Any) -> None:
         if self._untrack(sock):
--- a/hickoryloom/platform/tests/test_framing_processes.py
+++ b/hickoryloom/platform/tests/test_framing_processes.py
@@ -9,11 +9,13 @@
     LAST_CHUNK,
     Backend,
     build_event,
+    build_response,
     build_stream_head,
     respond,
 )
+from tests.harness import wait_until
 
-pytestmark = pytest.mark.processes
+pytestmark = [pytest.mark.processes, pytest.mark.seconds(25)]
 
 MAX_BODY_BYTES = 100_000
 
@@ -130,3 +132,30 @@
     assert received.startswith(b"HTTP/1.1 400 ") and received.count(b"HTTP/1.1") == 1
     assert b"connection: close" in received.lower()
     assert backend.requests == []
+
+
+@pytest.mark.parametrize("status", [0, 99, 600])
+@pytest.mark.parametrize("has_length", [True, False])
+def test_a_status_that_http_does_not_have_reaches_no_caller(site, status, has_length):
+    """Guards against a response of a server in trouble that callers get as an answer."""
+
+    def script(request):
+        raw = build_response(request, b"trouble", signed=True)
+        if not has_length:
+            raw = raw.replace(b"Content-Length: 7\r\n", b"")
+        yield raw.replace(b"HTTP/1.1 200", b"HTTP/1.1 %03d" % status)
+        yield build_response(request, b"next")
+        yield Backend.CLOSE
+
+    site.add_backend(Backend("i-1", "app", script))
+    site.add_backend(Backend("i-2", "llm", script))
+    gateway = site.start()
+    for path in ("/once/x", "/read/x", "/draft/x", "/answer/x"):
+        received = gateway.send_raw(request_head(path, Content_Length=0, Connection="close"))
+        assert received.startswith(b"HTTP/1.1 502 "), received
+        assert b"replica-signature" not in received.lower()
+        assert b"trouble" not in received and b"next" not in received
+    site.add_backend(Backend("i-3", "app", respond))
+    wait_until(lambda: "id=i-3 " in gateway.log())
+    for number in range(4):
+        assert gateway.call("/read/x", id=f"r{number}")[0] == 200
--- a/hickoryloom/upstream/exchange.py
+++ b/hickoryloom/upstream/exchange.py
@@ -10,6 +10,7 @@
 from geventhttpclient.response import HTTPParseError, HTTPResponse
 
 from hickoryloom.clock import Clock
+from hickoryloom.http import find_invalid_head, find_invalid_reason
 from hickoryloom.upstream.messages import AttemptFailure, BodyFraming, FailureCause
 from hickoryloom.verdict import Verdict
 
@@ -34,6 +35,7 @@
 """Time after the read deadline for which bytes are still read that have already arrived."""
 
 FINAL_STATUS = 200
+PROTOCOL = b"HTTP/"
 MAX_FRAMING_BYTES = 16 * 1024
 MAX_FRAMING_RATIO = 8
 """Bytes between the chunks of a body, for each byte of it: a chunk of one byte takes five."""
@@ -77,6 +79,28 @@
     def __init__(self, method: str) -> None:
         super().__init__(method=method)
         self.messages: list[_Message] = []
+        self._first_bytes = b""
+        self._fault: HTTPParseError | None = None
+
+    def feed(self, data: bytes) -> None:
+        """Parse further bytes.
+
+        Raises:
+            HTTPParseError: They are no response.
+        """
+        if not self.messages:
+            self._check_protocol(data)
+        super().feed(data)
+        if self._fault is not None:
+            # The library ignores what follows the head of a response to HEAD, also its faults.
+            raise self._fault
+
+    def _check_protocol(self, data: bytes) -> None:
+        # The parser also takes RTSP and ICE, which it does not tell apart later.
+        self._first_bytes = (self._first_bytes + data[:16]).lstrip(b"\r\n")
+        begin = self._first_bytes[: len(PROTOCOL)]
+        if not PROTOCOL.startswith(begin):
+            raise HTTPParseError(f"not HTTP: {begin!r}")
 
     def _on_message_begin(self) -> None:
         super()._on_message_begin()
@@ -87,9 +111,19 @@
         message = self.messages[-1]
         message.status = int(self.get_code())
         message.headers = tuple((name.lower(), value) for name, value in self.items())
+        self._check(find_invalid_head(self.get_http_version(), message.status, message.headers))
         message.headers_complete = True
         return result
 
+    def _on_status(self, msg: str) -> None:
+        super()._on_status(msg)
+        self._check(find_invalid_reason(msg))
+
+    def _check(self, invalid_part: str) -> None:
+        if invalid_part:
+            self._fault = HTTPParseError(f"invalid {invalid_part}")
+            raise self._fault
+
     def _on_header_field(self, string: str) -> None:
         if self._header_position >= MAX_FIELDS:
             raise HTTPParseError(f"more than {MAX_FIELDS} header fields")
