--- a/hickoryloom/http/__init__.py
+++ b/hickoryloom/http/__init__.py
@@ -10,6 +10,7 @@
     messages,
     response_heads,
     server,
+    socket_state,
     write_watch,
 )
 from hickoryloom.http.client import *  # noqa: F403
@@ -21,6 +22,7 @@
 from hickoryloom.http.messages import *  # noqa: F403
 from hickoryloom.http.response_heads import *  # noqa: F403
 from hickoryloom.http.server import *  # noqa: F403
+from hickoryloom.http.socket_state import *  # noqa: F403
 from hickoryloom.http.write_watch import *  # noqa: F403
 
 __all__ = [
@@ -33,5 +35,6 @@
     *messages.__all__,
     *response_heads.__all__,
     *server.__all__,
+    *socket_state.__all__,
     *write_watch.__all__,
 ]
--- a/hickoryloom/http/pool.py
+++ b/hickoryloom/http/pool.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -17,6 +18,12 @@
 from geventhttpclient.connectionpool import ConnectionPool
 
 from hickoryloom.http.response_heads import StatusLineCheck
+from hickoryloom.http.socket_state import (
+    RESET_CHECK_S,
+    RESET_WAIT_S,
+    is_reset,
+    unacknowledged_bytes,
+)
 
 __all__ = ["Attempt", "GuardRefused", "GuardedClient"]
 
@@ -119,7 +126,7 @@
         """Receive bytes; other greenlets run in between, also if bytes come without a pause.
 
         Raises:
-            ConnectionError: The response exceeds the limit.
+            ConnectionError: The response exceeds the limit, or was reset after its end.
             HTTPParseError: It doesn't begin with a status line.
         """
         data = self._sock.recv(size)
@@ -128,10 +135,24 @@
         if self._received_bytes > self._max_response_bytes:
             raise ConnectionError(f"response exceeds {self._max_response_bytes} bytes")
         self._status_lines.feed(data)
+        if not data and self._received_bytes:
+            self._check_end()
         if self._received_bytes // YIELD_BYTES > before:
             gevent.sleep(0)
         return bytes(data)
 
+    def _check_end(self) -> None:
+        """Check the end of a response without a length, which may be cut off by a reset.
+
+        Raises:
+            ConnectionError: It is.
+        """
+        until = time.monotonic() + RESET_WAIT_S
+        while not is_reset(self._sock) and time.monotonic() < until:
+            gevent.sleep(RESET_CHECK_S)
+        if is_reset(self._sock) or unacknowledged_bytes(self._sock):
+            raise ConnectionError("connection reset before the request was read")
+
 
 class _Pool(ConnectionPool):
     max_response_bytes = 0
--- a/hickoryloom/http/write_watch.py
+++ b/hickoryloom/http/write_watch.py
@@ -2,9 +2,6 @@
 
 from __future__ import annotations
 
-import fcntl
-import struct
-import termios
 from collections.abc import Callable
 from typing import Any
 
@@ -12,6 +9,7 @@
 from gevent import socket
 
 from hickoryloom.clock import Clock
+from hickoryloom.http.socket_state import unacknowledged_bytes
 from hickoryloom.logs import log_event
 from hickoryloom.loops import TaskLoop
 
@@ -82,7 +80,7 @@
             return
         self._looked_at = now
         try:
-            queued = _queued_bytes(self._sock)
+            queued = unacknowledged_bytes(self._sock)
         except (OSError, ValueError) as error:
             log_event(log, "connection-gone", error=str(error))
             return
@@ -116,7 +114,7 @@
         try:
             sent = sock.send(view)
         except TimeoutError:
-            before, queued = queued, _queued_bytes(sock)
+            before, queued = queued, unacknowledged_bytes(sock)
             # The kernel takes further bytes only once a good part of its queue is free.
             if before is not None and queued >= before:
                 raise
@@ -125,12 +123,6 @@
         queued = None
 
 
-def _queued_bytes(sock: Any) -> int:
-    """Return the number of sent bytes that the other side has not taken yet."""
-    (queued,) = struct.unpack("i", fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4)))
-    return int(queued)
-
-
 class WriteWatch:
     """Checks the writes that block.
 
--- a/hickoryloom/platform/tests/test_framing_processes.py
+++ b/hickoryloom/platform/tests/test_framing_processes.py
@@ -3,14 +3,16 @@
 import time
 
 import pytest
+from gevent import socket
 
-from hickoryloom.platform.tests.site import HOST, KEY
+from hickoryloom.platform.tests.site import HOST, KEY, configuration
 from hickoryloom.platform.tests.standin import (
     LAST_CHUNK,
     Backend,
     build_event,
     build_response,
     build_stream_head,
+    reset_on_close,
     respond,
 )
 from tests.harness import wait_until
@@ -159,3 +161,36 @@
     wait_until(lambda: "id=i-3 " in gateway.log())
     for number in range(4):
         assert gateway.call("/read/x", id=f"r{number}")[0] == 200
+
+
+class HastyBackend(Backend):
+    """Ends a response without a length, then resets its connection with the request unread."""
+
+    def _serve_request(self, sock, reader):
+        lines = [sock.recv(65536)]
+        if lines[0].startswith(b"GET /healthz"):
+            sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            return True
+        head = lines[0].partition(b"\r\n\r\n")[0].decode("latin-1").split("\r\n")[1:]
+        headers = {name.lower(): value.strip() for name, _, value in map(partition_line, head)}
+        response = build_response({"headers": headers}, b"part")
+        sock.sendall(response.replace(b"Content-Length: 4\r\n", b""))
+        sock.shutdown(socket.SHUT_WR)
+        reset_on_close(sock)
+        return False
+
+
+def partition_line(line):
+    return line.partition(":")
+
+
+@pytest.mark.parametrize("size", [20_000, 300_000, 3_000_000])
+def test_a_part_of_a_response_to_a_long_upload_is_not_delivered_as_complete(site, size):
+    """Guards against a reset after the end of a response that its reader doesn't notice."""
+    limits = {**configuration()["limits"], "max_body_bytes": 4_194_304}
+    site.configure(limits=limits)
+    site.add_backend(HastyBackend("i-1", "app", None))
+    gateway = site.start()
+    for number in range(5):
+        assert gateway.call("/once/x", id=f"o{number}", body=b"u" * size)[0] == 502
+        assert gateway.call("/read/x", id=f"r{number}", body=b"u" * size)[0] == 502
--- a/hickoryloom/upstream/exchange.py
+++ b/hickoryloom/upstream/exchange.py
@@ -10,7 +10,14 @@
 from geventhttpclient.response import HTTPParseError, HTTPResponse
 
 from hickoryloom.clock import Clock
-from hickoryloom.http import find_invalid_head, find_invalid_reason
+from hickoryloom.http import (
+    RESET_CHECK_S,
+    RESET_WAIT_S,
+    find_invalid_head,
+    find_invalid_reason,
+    is_reset,
+    unacknowledged_bytes,
+)
 from hickoryloom.upstream.messages import AttemptFailure, BodyFraming, FailureCause
 from hickoryloom.verdict import Verdict
 
@@ -31,6 +38,12 @@
 END_READ_TIMEOUT_S = 0.2
 MIN_READ_TIMEOUT_S = 0.001
 
+EARLY_RESET_WAIT_S = 0.5
+"""Time for the reset of a server whose response began before it had acknowledged the request."""
+
+MAX_READ_WITH_HEAD_BYTES = 4096
+"""Body of a request that a server reads together with the head."""
+
 READY_GRACE_S = 0.25
 """Time after the read deadline for which bytes are still read that have already arrived."""
 
@@ -187,6 +200,8 @@
         self._received_bytes = 0
         self._body_bytes = 0
         self._is_sent = True
+        self._request_body_bytes = 0
+        self._is_early: bool | None = None
         self._failure: AttemptError | None = None
         self._interruption: FailureCause | None = None
         self._closed = False
@@ -228,6 +243,7 @@
         """
         self._check_interruption()
         self.bytes_sent = True
+        self._request_body_bytes = len(body)
         self._write(head + body)
 
     def send_when_read(self, head: bytes, body: bytes) -> None:
@@ -259,6 +275,7 @@
             # The peer has answered without reading the body, which must not follow any more.
             self._is_sent = False
             return
+        self._request_body_bytes = len(body)
         self._write(body)
 
     def _check_interruption(self) -> None:
@@ -430,6 +447,8 @@
         if not data:
             return self._handle_peer_close()
         self._received_bytes += len(data)
+        if self._is_early is None and self._request_body_bytes > MAX_READ_WITH_HEAD_BYTES:
+            self._is_early = unacknowledged_bytes(self._sock) > 0
         try:
             self._response.feed(data)
         except (HTTPParseError, ValueError) as error:
@@ -440,16 +459,43 @@
         """Handle the end of the received bytes.
 
         It is a valid end only of a response without a length, and only if the peer closed the
-        connection: `interrupt` ends the received bytes as well.
+        connection: `interrupt` ends the received bytes as well, and so does a reset after the end.
         """
         message = self._message
         interrupted = self._interruption is not None
         if interrupted or message.complete or self.framing is not BodyFraming.CLOSE:
             raise self.error(FailureCause.CONNECTION_LOST, "closed before the end of the response")
+        self._check_request_taken()
         message.complete = True
         self.id_confirmed = False
         return 0
 
+    def _check_request_taken(self) -> None:
+        """Wait until it is known that the peer has not reset the connection after its response.
+
+        A peer that closes before it has read the whole request resets the connection, and its
+        response may be cut off anywhere.
+
+        Raises:
+            AttemptError: It has, or has not acknowledged the request in time.
+        """
+        wait_s = 0.0
+        if self._request_body_bytes > MAX_READ_WITH_HEAD_BYTES:
+            wait_s = EARLY_RESET_WAIT_S if self._is_early else RESET_WAIT_S
+        acknowledged_at: float | None = None
+        while self._request_body_bytes:
+            now = self._monotonic()
+            if self._interruption is not None or is_reset(self._sock):
+                raise self.error(FailureCause.CONNECTION_LOST, "reset after the response had begun")
+            is_late = self.read_deadline is not None and now >= self.read_deadline
+            if acknowledged_at is None and not unacknowledged_bytes(self._sock):
+                acknowledged_at = now
+            if acknowledged_at is None and is_late:
+                raise self.error(FailureCause.CONNECTION_LOST, "closed before it took the request")
+            if acknowledged_at is not None and (is_late or now >= acknowledged_at + wait_s):
+                return
+            gevent.sleep(RESET_CHECK_S)
+
 
 def _is_expiry(error: OSError) -> bool:
     """Return whether a timeout of this process expired; TCP's own end connections."""
