--- a/hickoryloom/gateway/attempts.py
+++ b/hickoryloom/gateway/attempts.py
@@ -448,8 +448,10 @@
             excluded = excluded | {attempt.placement.server.id}
         if context.placer.choose(self._pinned_request(), frozenset(excluded), now) is None:
             return False
-        # Others may take the last retry while the next connection is being opened.
-        return not progress.sends or self._reserve_retry(now)
+        # Others may take the last retry while the next connection is being opened. What another
+        # instance has begun to read counts as sent once it fails.
+        is_sent = progress.sends or isinstance(attempt, PeerAttempt)
+        return not is_sent or self._reserve_retry(now)
 
     def _reserve_retry(self, now: float) -> bool:
         """Reserve one more send of this request, unless it has one; return whether it has."""
--- a/hickoryloom/gateway/stream_pin.py
+++ b/hickoryloom/gateway/stream_pin.py
@@ -49,7 +49,7 @@
         self._has_begun = origin is not None
         self._has_event = False
         self._is_unknown = False
-        self._found_at = -math.inf
+        self._searched_at = -math.inf
 
     @property
     def origin(self) -> Origin | None:
@@ -82,9 +82,9 @@
         """
         if not self._has_begun or self._origin is not None:
             return
-        if now - self._found_at < FIND_INTERVAL_S:
+        if now - self._searched_at < FIND_INTERVAL_S:
             return
-        self._found_at = now
+        self._searched_at = now
         self._origin = self._origins.find(self._key, self._service, self._resumable)
         self._is_unknown = self._origin is None
 
--- a/hickoryloom/gateway/tests/test_stream_pin.py
+++ b/hickoryloom/gateway/tests/test_stream_pin.py
@@ -1,13 +1,23 @@
 """Streams that begin at another instance, in touch with it or not, as their pin knows them."""
 
+import attrs
 import pytest
 
 from hickoryloom.catalog import RequestKind, Route, Target
 from hickoryloom.gateway.app import ProxyApp
+from hickoryloom.gateway.attempts import Attempts
+from hickoryloom.gateway.budget import SharedRetryBudget
+from hickoryloom.gateway.context import PeerAttempt
 from hickoryloom.gateway.messages import CallerRequest
 from hickoryloom.gateway.stream_pin import StreamPin
 from hickoryloom.gateway.tests.test_forwarding import GatewayFake
-from hickoryloom.handover import HandOver, HandOverResult, decode_hand_over, decode_result
+from hickoryloom.handover import (
+    HandOver,
+    HandOverPeer,
+    HandOverResult,
+    decode_hand_over,
+    decode_result,
+)
 from hickoryloom.handover.messages import encode_hand_over, encode_result
 from hickoryloom.origins import Origin, origin_key
 from hickoryloom.origins.messages import MAX_TEXT_CHARS
@@ -127,6 +137,22 @@
     assert decode_result(encode_result(HandOverResult("r", origin=long))).is_err()
 
 
+@pytest.mark.parametrize("retries", [0.0, 2.0])
+def test_a_stream_leaves_a_silent_instance_only_if_it_may_be_sent_again(retries):
+    """Guards against streams that are broken off although the other instance may still go on."""
+    fake = GatewayFake([])
+    budget = SharedRetryBudget(0.0, retries, 10.0, 1)
+    context = attrs.evolve(fake.context, retries=lambda service: budget)
+    targets = (Target("s"),)
+    route = Route(
+        "r", "h", "/", RequestKind.STREAM, 4.0, 0.4, targets, max_attempts=3, resumable=True
+    )
+    request = CallerRequest("s1", "POST", "/x", "h", (), b"", caller_timeout_s=4.0)
+    attempts = Attempts(context, request, route, "s", None, 100.0)
+    attempt = PeerAttempt(HandOverPeer("10.0.0.2:1", "d", ""), "s", None, 100.0)
+    assert attempts.may_move(attempt) == bool(retries)
+
+
 @pytest.mark.parametrize("kind", RequestKind)
 def test_a_request_goes_to_the_service_that_its_sender_has_chosen(kind):
     """Guards against a stream that the receiver begins at another target of the route."""
