--- a/hickoryloom/http/pool.py
+++ b/hickoryloom/http/pool.py
@@ -19,6 +19,7 @@
 
 from hickoryloom.http.response_heads import StatusLineCheck
 from hickoryloom.http.socket_state import (
+    MAX_READ_WITH_HEAD_BYTES,
     RESET_CHECK_S,
     RESET_WAIT_S,
     is_reset,
@@ -110,6 +111,7 @@
     def __init__(self, sock: Any, max_response_bytes: int) -> None:
         self._sock = sock
         self._max_response_bytes = max_response_bytes
+        self._sent_bytes = 0
         self._received_bytes = 0
         self._status_lines = StatusLineCheck()
 
@@ -117,7 +119,10 @@
         return getattr(self._sock, name)
 
     def sendall(self, data: bytes) -> None:
-        """Send a request, whose response is counted from its start."""
+        """Send a request or a part of it; its response is counted from its start."""
+        if self._received_bytes:
+            self._sent_bytes = 0
+        self._sent_bytes += len(data)
         self._received_bytes = 0
         self._status_lines = StatusLineCheck()
         self._sock.sendall(data)
@@ -135,7 +140,7 @@
         if self._received_bytes > self._max_response_bytes:
             raise ConnectionError(f"response exceeds {self._max_response_bytes} bytes")
         self._status_lines.feed(data)
-        if not data and self._received_bytes:
+        if not data and self._received_bytes and self._sent_bytes > MAX_READ_WITH_HEAD_BYTES:
             self._check_end()
         if self._received_bytes // YIELD_BYTES > before:
             gevent.sleep(0)
--- a/hickoryloom/http/response_heads.py
+++ b/hickoryloom/http/response_heads.py
@@ -18,6 +18,7 @@
 TRANSFER_CODINGS = ("", "chunked", "identity")
 STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}(?: [\t\x20-\x7e\x80-\xff]*)?")
 END_OF_HEAD = b"\r\n\r\n"
+MAX_UNCHECKED_BYTES = 64 * 1024
 
 
 def find_invalid_head(version: str, status: int, headers: Iterable[tuple[str, str]]) -> str:
@@ -63,15 +64,17 @@
         """
         if self._is_checked:
             return
-        self._head += data
+        self._head = (self._head + data).lstrip(b"\r\n")
         while not self._is_checked:
             line, line_end, _ = self._head.partition(b"\r\n")
-            if not line_end:
-                return
-            if not STATUS_LINE.fullmatch(line):
+            if line_end and not STATUS_LINE.fullmatch(line):
                 raise HTTPParseError(f"invalid status line {line[:60]!r}")
-            head, head_end, rest = self._head.partition(END_OF_HEAD)
+            if line_end and not line.startswith((b"HTTP/1.0 1", b"HTTP/1.1 1")):
+                self._is_checked, self._head = True, b""
+                return
+            _, head_end, rest = self._head.partition(END_OF_HEAD)
+            if not head_end and len(self._head) > MAX_UNCHECKED_BYTES:
+                raise HTTPParseError("status line or interim head without end")
             if not head_end:
                 return
-            self._is_checked = not line.startswith((b"HTTP/1.0 1", b"HTTP/1.1 1"))
-            self._head = b"" if self._is_checked else rest
+            self._head = rest
--- a/hickoryloom/http/socket_state.py
+++ b/hickoryloom/http/socket_state.py
@@ -9,7 +9,17 @@
 
 from gevent import socket
 
-__all__ = ["RESET_CHECK_S", "RESET_WAIT_S", "is_reset", "unacknowledged_bytes"]
+__all__ = [
+    "MAX_READ_WITH_HEAD_BYTES",
+    "RESET_CHECK_S",
+    "RESET_WAIT_S",
+    "is_reset",
+    "unacknowledged_bytes",
+]
+
+MAX_READ_WITH_HEAD_BYTES = 4096
+"""Body of a request that a peer reads together with the head."""
+
 
 RESET_WAIT_S = 0.05
 """Time for the reset of a peer that has ended its response before it has read the request."""
--- a/hickoryloom/upstream/exchange.py
+++ b/hickoryloom/upstream/exchange.py
@@ -11,6 +11,7 @@
 
 from hickoryloom.clock import Clock
 from hickoryloom.http import (
+    MAX_READ_WITH_HEAD_BYTES,
     RESET_CHECK_S,
     RESET_WAIT_S,
     find_invalid_head,
@@ -41,9 +42,6 @@
 EARLY_RESET_WAIT_S = 0.5
 """Time for the reset of a server whose response began before it had acknowledged the request."""
 
-MAX_READ_WITH_HEAD_BYTES = 4096
-"""Body of a request that a server reads together with the head."""
-
 READY_GRACE_S = 0.25
 """Time after the read deadline for which bytes are still read that have already arrived."""
 
