--- a/hickoryloom/reach/task.py
+++ b/hickoryloom/reach/task.py
@@ -142,7 +142,9 @@
             else:
                 self._connections.prepare(address)
         except AttemptError as error:
-            return error.failure.cause
+            # Whatever a server has sent shows that it can be reached.
+            is_answered = error.failure.cause is FailureCause.MALFORMED
+            return None if is_answered else error.failure.cause
         return None
 
     def _check(self, address: str, path: str) -> None:
--- a/hickoryloom/reach/tests/test_probe.py
+++ b/hickoryloom/reach/tests/test_probe.py
@@ -91,8 +91,15 @@
         assert not service.reach.is_cut_off("s")
 
 
-def test_an_answer_of_any_status_puts_the_service_back_into_reach(start):
-    service = start(answer, answer)
+def answer_with_status_0(sock, _):
+    while sock.recv(65536):
+        sock.sendall(ANSWER.replace(b"404", b"000"))
+
+
+@pytest.mark.parametrize("respond", [answer, answer_with_status_0])
+def test_an_answer_of_any_status_puts_the_service_back_into_reach(start, respond):
+    """Guards against servers in trouble that seem to be out of reach."""
+    service = start(respond, respond)
     for server in ("b0", "b1"):
         service.reach.record_unreachable("s", server, 2, service.clock.monotonic())
     assert service.reach.is_cut_off("s")
