--- a/hickoryloom/origins/task.py
+++ b/hickoryloom/origins/task.py
@@ -159,7 +159,8 @@
     def learn(self, key: str, origin: Origin, resumable: bool = True) -> None:
         """Remember the origin of a stream that this instance passes on for another one.
 
-        That one has told it to the keepers.
+        That one has told it to the keepers, and stores it. So the journal of this process is not
+        written for it.
 
         Args:
             key: Key of the stream.
@@ -168,8 +169,6 @@
         """
         memory = self._own if resumable else self._own_unresumable
         memory.put(key, origin, self._clock.monotonic())
-        if resumable and self._journals is not None:
-            self._journals.note_stream(origin.service)
 
     def accept(self, key: str, origin: Origin) -> Origin | None:
         """Return the origin that another instance tells with a stream that goes on here.
