--- a/hickoryloom/http/response_heads.py
+++ b/hickoryloom/http/response_heads.py
@@ -7,6 +7,8 @@
 
 from geventhttpclient.response import HTTPParseError
 
+from hickoryloom.http.framing import FORBIDDEN_VALUE_CHARS
+
 __all__ = ["StatusLineCheck", "find_invalid_head", "find_invalid_reason"]
 
 VERSIONS = ("HTTP/1.0", "HTTP/1.1")
@@ -14,7 +16,6 @@
 SWITCHING_PROTOCOLS = 101
 FINAL_STATUS = 200
 LAST_STATUS = 599
-CONTROL_CHARACTERS = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 TRANSFER_CODINGS = ("", "chunked", "identity")
 STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9]{2}(?: [\t\x20-\x7e\x80-\xff]*)?")
 END_OF_HEAD = b"\r\n\r\n"
@@ -43,7 +44,7 @@
 
 def find_invalid_reason(reason: str) -> str:
     """Return that a part of the text after the status is invalid, or an empty string."""
-    return f"reason {reason!r:.60}" if CONTROL_CHARACTERS.search(reason) else ""
+    return f"reason {reason!r:.60}" if FORBIDDEN_VALUE_CHARS.search(reason) else ""
 
 
 class StatusLineCheck:
@@ -65,7 +66,7 @@
         if self._is_checked:
             return
         self._head = (self._head + data).lstrip(b"\r\n")
-        while not self._is_checked:
+        while True:
             line, line_end, _ = self._head.partition(b"\r\n")
             if line_end and not STATUS_LINE.fullmatch(line):
                 raise HTTPParseError(f"invalid status line {line[:60]!r}")
