--- a/hickoryloom/upstream/exchange.py
+++ b/hickoryloom/upstream/exchange.py
@@ -14,6 +14,7 @@
     MAX_READ_WITH_HEAD_BYTES,
     RESET_CHECK_S,
     RESET_WAIT_S,
+    StatusLineCheck,
     find_invalid_head,
     find_invalid_reason,
     is_reset,
@@ -46,7 +47,6 @@
 """Time after the read deadline for which bytes are still read that have already arrived."""
 
 FINAL_STATUS = 200
-PROTOCOL = b"HTTP/"
 MAX_FRAMING_BYTES = 16 * 1024
 MAX_FRAMING_RATIO = 8
 """Bytes between the chunks of a body, for each byte of it: a chunk of one byte takes five."""
@@ -90,7 +90,7 @@
     def __init__(self, method: str) -> None:
         super().__init__(method=method)
         self.messages: list[_Message] = []
-        self._first_bytes = b""
+        self._status_lines = StatusLineCheck()
         self._fault: HTTPParseError | None = None
 
     def feed(self, data: bytes) -> None:
@@ -99,20 +99,13 @@
         Raises:
             HTTPParseError: They are no response.
         """
-        if not self.messages:
-            self._check_protocol(data)
+        # The parser also takes RTSP and ICE, which it does not tell apart later.
+        self._status_lines.feed(data)
         super().feed(data)
         if self._fault is not None:
             # The library ignores what follows the head of a response to HEAD, also its faults.
             raise self._fault
 
-    def _check_protocol(self, data: bytes) -> None:
-        # The parser also takes RTSP and ICE, which it does not tell apart later.
-        self._first_bytes = (self._first_bytes + data[:16]).lstrip(b"\r\n")
-        begin = self._first_bytes[: len(PROTOCOL)]
-        if not PROTOCOL.startswith(begin):
-            raise HTTPParseError(f"not HTTP: {begin!r}")
-
     def _on_message_begin(self) -> None:
         super()._on_message_begin()
         self.messages.append(_Message())
--- a/hickoryloom/upstream/tests/test_response_heads.py
+++ b/hickoryloom/upstream/tests/test_response_heads.py
@@ -19,6 +19,8 @@
     b"HTTP/1.1 200 O\x0bK",
     b"HTTP/1.1  200 OK",
     b"HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 000 X",
+    b"HTTP/1.1 103 Early\r\nLink: x\r\n\r\nRTSP/1.1 200 OK",
+    b"HTTP/1.1 102 X\r\n\r\nHTTP/1.1 103 X\r\n\r\nICE/1.1 200 OK",
 ]
 VALID = [
     b"HTTP/1.1 200 OK",
