--- a/hickoryloom/relay/tests/faulty_server.py
+++ b/hickoryloom/relay/tests/faulty_server.py
@@ -1,5 +1,7 @@
 """A server that fails at a given byte of each connection and counts the requests it ran."""
 
+import ipaddress
+import itertools
 import json
 import struct
 
@@ -8,6 +10,10 @@
 
 NO_LIMIT = 10**9
 
+HOSTS = itertools.count(int(ipaddress.ip_address("127.0.1.1")))
+"""Loopback addresses, a new one for each server: a port may be given again, and then it gets the
+connections that a router opens to examine the server before."""
+
 
 class FaultyServer:
     """Serves each new connection according to the next plan.
@@ -23,12 +29,13 @@
         self.runs = 0
         self.requests = []
         self.connections = 0
-        self._server = StreamServer(("127.0.0.1", 0), self._serve)
+        self._host = str(ipaddress.ip_address(next(HOSTS)))
+        self._server = StreamServer((self._host, 0), self._serve)
         self._server.start()
 
     @property
     def address(self):
-        return f"127.0.0.1:{self._server.server_port}"
+        return f"{self._host}:{self._server.server_port}"
 
     def close(self):
         self._server.stop(timeout=0)
