--- a/hickoryloom/sharing/task.py
+++ b/hickoryloom/sharing/task.py
@@ -28,7 +28,7 @@
 """Hundreds of round trips within a failure domain; a reader that takes longer is replaced."""
 
 DIRECT_S = 3.0
-"""Time for which the store is read directly after no reader was usable."""
+"""Time for which the store is read directly after no reader was usable, if it can be read."""
 
 SKIP_READER_S = 6.0
 """Time for which a reader that failed is not asked again."""
@@ -102,6 +102,7 @@
         self._sequence = 0
         self._skip_until: dict[str, float] = {}
         self._eager_until = 0.0
+        self._direct_until = 0.0
         self._loop = TaskLoop(self._step, "view-follower", log)
 
     @property
@@ -148,8 +149,15 @@
             return IDLE_INTERVAL_S
         now = self._clock.monotonic()
         is_eager = now < self._eager_until
+        reads_store = self._reader is None and self._discovery.follows_store
+        if reads_store and not is_eager and now < self._direct_until:
+            return min(self._interval_s, self._direct_until - now)
+        # If the store can't be read either, a reader that has failed is the only source.
+        is_skipping = not is_eager and (self._reader is not None or reads_store)
         usable = [
-            peer for peer in self._readers if is_eager or self._skip_until.get(peer.key, 0.0) <= now
+            peer
+            for peer in self._readers
+            if not is_skipping or self._skip_until.get(peer.key, 0.0) <= now
         ]
         for reader in usable:
             skip_s = self._poll(reader)
@@ -157,7 +165,8 @@
                 return self._interval_s * (1 - JITTER * self._rng.random())
             self._skip_until[reader.key] = self._clock.monotonic() + skip_s
         self._follow(None, "no usable reader")
-        return EAGER_INTERVAL_S if is_eager else DIRECT_S
+        self._direct_until = self._clock.monotonic() + DIRECT_S
+        return EAGER_INTERVAL_S if is_eager else self._interval_s * (1 - JITTER * self._rng.random())
 
     def _poll(self, reader: Peer) -> float:
         """Poll a reader and apply its update.
--- a/hickoryloom/sharing/tests/test_sharing.py
+++ b/hickoryloom/sharing/tests/test_sharing.py
@@ -7,6 +7,7 @@
 import json
 from random import Random
 
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
@@ -281,6 +282,21 @@
         assert system.follower.follower.reader == ""
 
 
+@pytest.mark.parametrize("lapse", ["link_cut", "watch_hangs"])
+def test_a_follower_that_the_store_rejects_asks_a_reader_again_that_failed_once(lapse):
+    """Guards against requests to servers that left, since nothing is read for seconds."""
+    system = System()
+    system.follower.client.cut = True
+    at_fault = system.reader if lapse == "watch_hangs" else system
+    setattr(at_fault, lapse, True)
+    system.run(LEAVING_BOUND_S)
+    setattr(at_fault, lapse, False)
+    system.world.set_server("a", False)
+    system.run(LEAVING_BOUND_S)
+    assert not system.usable_at_follower("a")
+    assert system.usable_at_follower("b")
+
+
 def test_a_reader_whose_watch_hangs_is_left_while_its_other_calls_succeed():
     system = System()
     system.reader.watch_hangs = True
