--- a/hickoryloom/sharing/task.py
+++ b/hickoryloom/sharing/task.py
@@ -162,11 +162,14 @@
         for reader in usable:
             skip_s = self._poll(reader)
             if not skip_s:
-                return self._interval_s * (1 - JITTER * self._rng.random())
+                return self._pause_s()
             self._skip_until[reader.key] = self._clock.monotonic() + skip_s
         self._follow(None, "no usable reader")
         self._direct_until = self._clock.monotonic() + DIRECT_S
-        return EAGER_INTERVAL_S if is_eager else self._interval_s * (1 - JITTER * self._rng.random())
+        return EAGER_INTERVAL_S if is_eager else self._pause_s()
+
+    def _pause_s(self) -> float:
+        return self._interval_s * (1 - JITTER * self._rng.random())
 
     def _poll(self, reader: Peer) -> float:
         """Poll a reader and apply its update.
