--- a/hickoryloom/discovery/task.py
+++ b/hickoryloom/discovery/task.py
@@ -139,6 +139,13 @@
         """Monotonic time as of which the registrations are known to be complete, in seconds."""
         return self._confirmed_at
 
+    @property
+    def is_behind(self) -> bool:
+        """Whether neither the store nor another instance has confirmed the registrations lately."""
+        if self.follows_store or self._confirmed_at is None:
+            return False
+        return not self.is_recent(self._confirmed_at)
+
     def watch_often(self, until: float) -> None:
         """End watches after `shared_interval_s` until a monotonic time, for other instances."""
         self._watch_often_until = until
@@ -182,6 +189,14 @@
         self._shared = True
         self._apply_others(servers, expiries, removed)
 
+    def confirm_shared(self, confirmed_at: float) -> None:
+        """Record as of when the registrations of another instance, all applied, are complete.
+
+        Args:
+            confirmed_at: Monotonic time in seconds.
+        """
+        self._confirmed_at = confirmed_at
+
     def _apply_others(
         self,
         servers: Mapping[str, BackendServer],
--- a/hickoryloom/peerviews/messages.py
+++ b/hickoryloom/peerviews/messages.py
@@ -11,7 +11,17 @@
 from hickoryloom.catalog import Catalog
 from hickoryloom.sharing import SharedServer
 
-__all__ = ["PeerView", "PeerViewRequest", "read_peer_view", "read_peer_view_request"]
+__all__ = [
+    "MIN_GAIN_S",
+    "PeerView",
+    "PeerViewRequest",
+    "read_peer_view",
+    "read_peer_view_request",
+]
+
+MIN_GAIN_S = 0.1
+"""Time by which a view must be newer to replace one of the same version. Ages lose the time that
+messages are under way, so that two instances would otherwise exchange the same view forever."""
 
 T = TypeVar("T")
 
--- a/hickoryloom/peerviews/server.py
+++ b/hickoryloom/peerviews/server.py
@@ -14,7 +14,12 @@
 from hickoryloom.clock import Clock
 from hickoryloom.discovery import Discovery
 from hickoryloom.logs import log_event
-from hickoryloom.peerviews.messages import PeerView, PeerViewRequest, read_peer_view_request
+from hickoryloom.peerviews.messages import (
+    MIN_GAIN_S,
+    PeerView,
+    PeerViewRequest,
+    read_peer_view_request,
+)
 from hickoryloom.sharing import SharedServer
 
 __all__ = ["PEER_VIEW_PATH", "PeerViewServer"]
@@ -79,7 +84,7 @@
         if confirmed_at is None:
             return {}
         age_s = now - confirmed_at
-        if request.servers_age_s is not None and age_s >= request.servers_age_s:
+        if request.servers_age_s is not None and age_s >= request.servers_age_s - MIN_GAIN_S:
             return {}
         expiries = self._discovery.expiries()
         return {
--- a/hickoryloom/peerviews/task.py
+++ b/hickoryloom/peerviews/task.py
@@ -17,7 +17,12 @@
 from hickoryloom.logs import log_event
 from hickoryloom.loops import TaskLoop
 from hickoryloom.peerviews.choice import OverdueViews, PeerChoice, is_view_needed
-from hickoryloom.peerviews.messages import PeerView, PeerViewRequest, read_peer_view
+from hickoryloom.peerviews.messages import (
+    MIN_GAIN_S,
+    PeerView,
+    PeerViewRequest,
+    read_peer_view,
+)
 from hickoryloom.peerviews.server import PEER_VIEW_PATH
 from hickoryloom.store import split_version
 
@@ -33,10 +38,6 @@
 """Interval of requests while a view is in force: three of them fit between the age at which a view
 is overdue and that at which a load balancer has removed the instance."""
 
-MIN_GAIN_S = 0.1
-"""Time by which a view must be newer to replace one of the same version. Ages lose the time that
-messages are under way, so that two instances would otherwise exchange the same view forever."""
-
 MAX_INSTANCES = 10_000
 """A larger count is unsound and would leave this instance no share of the call budget."""
 
@@ -115,7 +116,7 @@
             self._loop.stop()
 
     def _step(self) -> float:
-        if not self.is_needed:
+        if not self.is_needed and not self._discovery.is_behind:
             return ASK_INTERVAL_S
         address = self._choice.choose(self._peers(), self._clock.monotonic())
         if address:
--- a/hickoryloom/peerviews/tests/test_peer_views.py
+++ b/hickoryloom/peerviews/tests/test_peer_views.py
@@ -210,6 +210,21 @@
         assert system.nodes["a"].catalog.catalog.version == system.world.versions[-1][1]
 
 
+def test_an_instance_that_the_store_rejects_stops_using_servers_that_leave(monkeypatch):
+    """Guards against registrations that are read only once the configuration is overdue."""
+    monkeypatch.setitem(globals(), "REVOKE_S", 60.0)
+    monkeypatch.setitem(globals(), "APPLY_S", 60.0)
+    system = System()
+    system.run(5.0)
+    system.set_cut("a", True)
+    system.run(5.0)
+    for _ in range(20):
+        for registered in (False, True):
+            system.world.set_server("b", registered)
+            system.run(LEAVING_BOUND_S)
+            assert system.nodes["a"].discovery.is_usable(server("b")) is registered
+
+
 def test_a_lapsed_registration_is_kept_after_the_return_for_its_grace(system):
     """Guards against a new process without servers while these register again after an outage."""
     system.set_cut(NAMES, True)
--- a/hickoryloom/sharing/task.py
+++ b/hickoryloom/sharing/task.py
@@ -198,7 +198,8 @@
         is_current = self._discovery.learn_era(update.store_era)
         if is_current:
             self._apply_evacuations(update, sent_at)
-        is_current = is_current and self._discovery.is_recent(sent_at - update.servers_age_s)
+        servers_at = sent_at - update.servers_age_s
+        is_current = is_current and self._discovery.is_recent(servers_at)
         if not is_current or not self._catalog.apply_confirmation(confirmation):
             log_event(
                 log,
@@ -219,6 +220,7 @@
                 },
                 None if update.complete else update.removed,
             )
+        self._discovery.confirm_shared(servers_at)
         self._samples.apply(self.reader, update.samples, sent_at, self._clock.monotonic())
         self._epoch = update.epoch
         self._sequence = update.sequence
--- a/hickoryloom/sharing/tests/test_sharing.py
+++ b/hickoryloom/sharing/tests/test_sharing.py
@@ -297,6 +297,12 @@
     assert system.usable_at_follower("b")
 
 
+def test_a_follower_knows_as_of_when_its_registrations_are_complete():
+    """Guards against followers that tell instances which the store rejects no registrations."""
+    system = System()
+    assert system.clock.now - system.follower.discovery.confirmed_at <= LEAVING_BOUND_S
+
+
 def test_a_reader_whose_watch_hangs_is_left_while_its_other_calls_succeed():
     system = System()
     system.reader.watch_hangs = True
