--- a/review/lab_3.py
+++ b/review/lab_3.py
@@ -305,6 +305,7 @@
         left_at: Monotonic time of the acknowledgement that it is draining or gone; None before.
         late: Requests that reached it later than the bound after that.
         runs: Ids of the requests that it has begun to run.
+        paths: Their paths.
         work_s: Time of a run.
     """
 
@@ -314,6 +315,7 @@
         self.left_at: float | None = None
         self.late: list[str] = []
         self.runs: list[str] = []
+        self.paths: list[str] = []
         self.work_s = 0.06
         self.capacity = 6
         self.state = "ready"
@@ -401,7 +403,8 @@
             return True
         self._active += 1
         self.runs.append(id)
-        self._record.write("runs", replica=self.id, id=id, tenant=headers.get("tenant"))
+        self.paths.append(path)
+        self._record.write("runs", replica=self.id, id=id, path=path, tenant=headers.get("tenant"))
         try:
             await asyncio.sleep(self.work_s)
         finally:
