--- a/review/lab_3.py
+++ b/review/lab_3.py
@@ -525,7 +525,9 @@
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
         words = deploy["roles"]["gateway"]["run"].split()
         program = sys.executable if words[0] == "python3" else words[0]
-        environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
+        environment = {
+            name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ
+        }
         environment["PYTHONPATH"] = str(ROOT / "target" / "deps")
         environment["HICKORYLOOM_NODE_FILE"] = str(self._settings)
         self.process = await asyncio.create_subprocess_exec(
@@ -623,7 +625,9 @@
         await self.duties.start()
         await self.store.put("config", "main", config or configuration())
 
-    async def add_replica(self, id: str, service: str = "turni-app", zone: str = "palermo") -> Replica:
+    async def add_replica(
+        self, id: str, service: str = "turni-app", zone: str = "palermo"
+    ) -> Replica:
         """Start a replica."""
         replica = Replica(id, service, self.store, self.record, zone)
         self.replicas.append(replica)
