--- a/review/lab_3.py
+++ b/review/lab_3.py
@@ -62,7 +62,19 @@
 }
 """Bounds of the small deployment `gtf-turni`."""
 
-CONTRACTS = "base drain config cost retry recover engine stream tenants leader platform".split()
+CONTRACTS = [
+    "base",
+    "drain",
+    "config",
+    "cost",
+    "retry",
+    "recover",
+    "engine",
+    "stream",
+    "tenants",
+    "leader",
+    "platform",
+]
 
 
 class Record:
@@ -126,7 +138,7 @@
     async def start(self) -> None:
         """Listen on a free port."""
         self._server = await asyncio.start_server(self._accept, self.ip, 0, limit=2**22)
-        self.address = "%s:%d" % self._server.sockets[0].getsockname()[:2]
+        self.address = f"{self.ip}:{self._server.sockets[0].getsockname()[1]}"
 
     async def stop(self) -> None:
         """Close the listening socket and all connections."""
