--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,6 +1,7 @@
 """One entry of another writer that can't be read stops all gateways for minutes."""
 
 import asyncio
+import os
 import sys
 import time
 from pathlib import Path
@@ -74,4 +75,8 @@
     return ""
 
 
-main(__file__, run)
+main(
+    run,
+    record_file=Path(__file__).resolve().parent / "record.txt",
+    trouble=os.environ.get("TROUBLE", "1") != "0",
+)
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import os
 import sys
 import time
 from contextlib import suppress
@@ -193,4 +194,8 @@
     return ""
 
 
-main(__file__, run)
+main(
+    run,
+    record_file=Path(__file__).resolve().parent / "record.txt",
+    trouble=os.environ.get("TROUBLE", "1") != "0",
+)
--- a/review/lab_3.py
+++ b/review/lab_3.py
@@ -78,10 +78,10 @@
 
 
 class Record:
-    """Writes what was sent, answered and run to `record.txt`, with seconds since the start."""
+    """Writes what was sent, answered and run to a file, with seconds since the start."""
 
-    def __init__(self, folder: Path) -> None:
-        self._file = (folder / "record.txt").open("w", encoding="utf-8")
+    def __init__(self, path: Path) -> None:
+        self._file = path.open("w", encoding="utf-8")
         self._started = time.monotonic()
 
     def write(self, event: str, **fields: object) -> None:
@@ -621,10 +621,10 @@
 class Lab:
     """The stand-ins and gateways of one script."""
 
-    def __init__(self, case: Path) -> None:
+    def __init__(self, record_file: Path, trouble: bool) -> None:
         self.folder = Path(tempfile.mkdtemp(prefix="review-3-"))
-        self.record = Record(case)
-        self.trouble = os.environ.get("TROUBLE", "1") != "0"
+        self.record = Record(record_file)
+        self.trouble = trouble
         self.store = Store()
         self.duties = Duties(self.record)
         self.replicas: list[Replica] = []
@@ -699,11 +699,17 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
 
 
-def main(case: str, run: object) -> None:
-    """Run a script and exit: 0 if the rule held, 1 if it was broken, 2 if it couldn't run."""
+def main(run: object, record_file: Path, trouble: bool) -> None:
+    """Run a script and exit: 0 if the rule held, 1 if it was broken, 2 if it couldn't run.
+
+    Args:
+        run: The script.
+        record_file: File in which it records what was sent, answered and run.
+        trouble: Whether there is a disruption.
+    """
 
     async def run_all() -> int:
-        lab = Lab(Path(case).resolve().parent)
+        lab = Lab(record_file, trouble)
         stop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             stop.add_signal_handler(number, asyncio.current_task().cancel)  # type: ignore[union-attr]
